workspace: Set down the folders, the core types and the checks

The base package fixes the types that all decisions share: names, virtual time, log positions, typed results, tables and deadlines.

--- /dev/null
+++ b/cmake/BasilreachOptions.cmake
@@ -0,0 +1,21 @@
+# Settings that every target of the workspace shares.
+set(CMAKE_CXX_STANDARD 20)
+set(CMAKE_CXX_STANDARD_REQUIRED ON)
+set(CMAKE_CXX_EXTENSIONS OFF)
+
+set(BASILREACH_SANITIZE "" CACHE STRING
+  "Comma-separated list of sanitizers, empty for none")
+
+add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Werror)
+if(BASILREACH_SANITIZE)
+  add_compile_options(-fsanitize=${BASILREACH_SANITIZE}
+    -fno-omit-frame-pointer)
+  add_link_options(-fsanitize=${BASILREACH_SANITIZE})
+endif()
+
+find_program(BASILREACH_CCACHE ccache)
+if(BASILREACH_CCACHE)
+  set(CMAKE_CXX_COMPILER_LAUNCHER "${BASILREACH_CCACHE}")
+endif()
+
+find_package(Threads REQUIRED)
--- /dev/null
+++ b/cmake/BasilreachPackage.cmake
@@ -0,0 +1,34 @@
+# basilreach_package(NAME [SOURCES ...] [DEPENDS ...])
+#
+# Adds the library basilreach_NAME, alias basilreach::NAME, with its headers
+# under include/. A package without sources becomes an interface library.
+function(basilreach_package name)
+  cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS" ${ARGN})
+  set(target basilreach_${name})
+  if(arg_SOURCES)
+    add_library(${target} STATIC ${arg_SOURCES})
+    set(scope PUBLIC)
+  else()
+    add_library(${target} INTERFACE)
+    set(scope INTERFACE)
+  endif()
+  add_library(basilreach::${name} ALIAS ${target})
+  target_include_directories(${target} ${scope}
+    "${CMAKE_CURRENT_SOURCE_DIR}/include")
+  target_link_libraries(${target} ${scope} ${arg_DEPENDS})
+endfunction()
+
+# basilreach_test(NAME SOURCES ... [DEPENDS ...])
+#
+# Adds the one doctest program of a package, NAME_test, and registers it.
+function(basilreach_test name)
+  cmake_parse_arguments(arg "" "" "SOURCES;DEPENDS" ${ARGN})
+  set(target ${name}_test)
+  add_executable(${target} ${arg_SOURCES})
+  target_link_libraries(${target} PRIVATE basilreach::${name} ${arg_DEPENDS})
+  target_compile_definitions(${target} PRIVATE
+    BASILREACH_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
+    BASILREACH_TEST_DIR="${CMAKE_CURRENT_SOURCE_DIR}")
+  add_test(NAME ${name} COMMAND ${target})
+  set_tests_properties(${name} PROPERTIES TIMEOUT 120)
+endfunction()
--- /dev/null
+++ b/packages/base/include/basilreach/base/log_position.hpp
@@ -0,0 +1,23 @@
+#ifndef BASILREACH_BASE_LOG_POSITION_HPP
+#define BASILREACH_BASE_LOG_POSITION_HPP
+
+#include <compare>
+#include <cstdint>
+
+namespace basilreach
+{
+
+// A place in the log of a database group. A later term goes before a greater
+// offset: a server of a later term holds every write acknowledged in the
+// earlier terms, because only such a server is ever promoted.
+struct log_position
+{
+    std::uint64_t term = 0;
+    std::uint64_t offset = 0;
+
+    friend auto operator<=>(log_position const&, log_position const&) = default;
+};
+
+} // namespace basilreach
+
+#endif
