--- /dev/null
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -0,0 +1,191 @@
+#ifndef BASILREACH_TRAFFIC_ACTION_HPP
+#define BASILREACH_TRAFFIC_ACTION_HPP
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <basilreach/base/log_position.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/traffic/event.hpp>
+
+namespace basilreach::traffic
+{
+
+// Opens a connection to a backend server.
+struct open_connection
+{
+    connection_id connection;
+    server_name server;
+    std::string address;
+    // A read-only connection makes a wrongly declared write fail at the server.
+    bool read_only = false;
+
+    friend bool operator==(open_connection const&,
+                           open_connection const&) = default;
+};
+
+// Closes a connection; nothing more is heard of it.
+struct close_connection
+{
+    connection_id connection;
+
+    friend bool operator==(close_connection const&,
+                           close_connection const&) = default;
+};
+
+// Sends the session's statement, followed by a positions query.
+struct send_statement
+{
+    session_id session;
+    connection_id connection;
+
+    friend bool operator==(send_statement const&,
+                           send_statement const&) = default;
+};
+
+// Sends a positions query alone.
+struct ask_position
+{
+    connection_id connection;
+
+    friend bool operator==(ask_position const&, ask_position const&) = default;
+};
+
+// Passes the stored answer on to the caller.
+struct relay_answer
+{
+    session_id session;
+    // The session's new position, when it changed.
+    std::optional<log_position> position;
+
+    friend bool operator==(relay_answer const&, relay_answer const&) = default;
+};
+
+// What a caller is told about a statement that has no answer.
+enum class refusal_outcome : std::uint8_t
+{
+    // The statement certainly had no effect.
+    not_run,
+    // The statement may or may not have had its effect.
+    unknown
+};
+
+enum class refusal_reason : std::uint8_t
+{
+    unknown_route,
+    key_withdrawn,
+    workspace_not_allowed,
+    session_state_unsupported,
+    rate_exceeded,
+    queue_full,
+    deadline,
+    no_lease,
+    connection_lost,
+    transaction_lost,
+    superseded,
+    not_replicated,
+    draining
+};
+
+// Answers the session's statement with an error.
+struct refuse
+{
+    session_id session;
+    refusal_outcome outcome = refusal_outcome::not_run;
+    refusal_reason reason = refusal_reason::deadline;
+    // The caller's connection ends after the error.
+    bool close_session = false;
+
+    friend bool operator==(refuse const&, refuse const&) = default;
+};
+
+// Ends the caller's connection while no statement is in progress.
+struct end_session
+{
+    session_id session;
+    refusal_reason reason = refusal_reason::draining;
+
+    friend bool operator==(end_session const&, end_session const&) = default;
+};
+
+// Asks the control thread for tokens of a workspace's rate.
+struct ask_tokens
+{
+    workspace_name workspace;
+    // Statements that wait for a token now.
+    std::uint32_t waiting = 0;
+    // Tokens spent since the last request.
+    std::uint32_t spent = 0;
+
+    friend bool operator==(ask_tokens const&, ask_tokens const&) = default;
+};
+
+// Tells the control thread how many connections to a server are wanted.
+struct ask_connections
+{
+    server_name server;
+    std::uint32_t wanted = 0;
+    // Connections that are open or being opened.
+    std::uint32_t held = 0;
+
+    friend bool operator==(ask_connections const&,
+                           ask_connections const&) = default;
+};
+
+// Tells the control thread that a control view is in effect in this thread.
+struct adopted
+{
+    std::uint64_t revision = 0;
+
+    friend bool operator==(adopted const&, adopted const&) = default;
+};
+
+enum class decision_kind : std::uint8_t
+{
+    route,
+    wait,
+    hold,
+    relay,
+    refuse
+};
+
+// The reason for a routing decision, for the decision log.
+enum class decision_reason : std::uint8_t
+{
+    pinned_transaction,
+    primary_for_write,
+    primary_without_position,
+    primary_no_replica_qualifies,
+    least_loaded_replica,
+    no_primary,
+    no_server,
+    position_not_reached,
+    tokens_missing,
+    lease_missing,
+    majority_reached,
+    read_answer,
+    refused
+};
+
+// One line of the decision log.
+struct log_decision
+{
+    session_id session;
+    decision_kind kind = decision_kind::route;
+    decision_reason reason = decision_reason::refused;
+    std::optional<server_name> server;
+
+    friend bool operator==(log_decision const&, log_decision const&) = default;
+};
+
+using action =
+    std::variant<open_connection, close_connection, send_statement,
+                 ask_position, relay_answer, refuse, end_session, ask_tokens,
+                 ask_connections, adopted, log_decision>;
+
+} // namespace basilreach::traffic
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -0,0 +1,59 @@
+#ifndef BASILREACH_TRAFFIC_CONTROL_VIEW_HPP
+#define BASILREACH_TRAFFIC_CONTROL_VIEW_HPP
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <basilreach/base/name.hpp>
+#include <basilreach/rules/rule_set.hpp>
+
+namespace basilreach::traffic
+{
+
+using rules::key_digest;
+using rules::route_class;
+
+struct server_view
+{
+    group_name group;
+    data_centre_name data_centre;
+    // IP number and port.
+    std::string address;
+    bool is_down = false;
+    bool is_leaving = false;
+
+    friend bool operator==(server_view const&, server_view const&) = default;
+};
+
+struct group_view
+{
+    std::uint64_t term = 0;
+    // Absent while a change of primary is in progress.
+    std::optional<server_name> primary;
+    // Statements that one server of the group runs at the same time.
+    std::uint32_t slots = 3;
+
+    friend bool operator==(group_view const&, group_view const&) = default;
+};
+
+// The part of the control state on which traffic is routed. It never changes
+// once published.
+struct control_view
+{
+    std::uint64_t revision = 0;
+    std::map<route_name, rules::route_rule> routes;
+    std::map<key_digest, workspace_name> keys;
+    std::map<server_name, server_view> servers;
+    std::map<group_name, group_view> groups;
+
+    friend bool operator==(control_view const&, control_view const&) = default;
+};
+
+using control_view_ptr = std::shared_ptr<control_view const>;
+
+} // namespace basilreach::traffic
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -0,0 +1,179 @@
+#ifndef BASILREACH_TRAFFIC_EVENT_HPP
+#define BASILREACH_TRAFFIC_EVENT_HPP
+
+#include <compare>
+#include <cstdint>
+#include <optional>
+#include <variant>
+
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/log_position.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/base/table.hpp>
+#include <basilreach/traffic/control_view.hpp>
+#include <basilreach/traffic/statement.hpp>
+
+namespace basilreach::traffic
+{
+
+// Identifies a caller's session within a traffic thread. The front end chooses
+// the number, so that it can prepare its own row before the event is handled.
+enum class session_id : std::uint64_t
+{
+};
+
+// Identifies a connection to a backend server within a traffic thread.
+using connection_id = row_id;
+
+// A caller has been authenticated and its route belongs to this thread.
+struct session_opened
+{
+    session_id session;
+    session_name name;
+    route_name route;
+    // The workspace that pays for the statements.
+    workspace_name workspace;
+    // The digest of the caller's key; empty on an open route.
+    std::optional<key_digest> key;
+    // The position that the caller's token states for the route's group.
+    std::optional<log_position> position;
+    bool read_only = false;
+
+    friend bool operator==(session_opened const&,
+                           session_opened const&) = default;
+};
+
+// The caller's connection has ended; whatever it waits for is dropped.
+struct session_closed
+{
+    session_id session;
+
+    friend bool operator==(session_closed const&,
+                           session_closed const&) = default;
+};
+
+// The caller presented a token during the session.
+struct token_presented
+{
+    session_id session;
+    log_position position;
+
+    friend bool operator==(token_presented const&,
+                           token_presented const&) = default;
+};
+
+// A caller sent a statement. A session has at most one statement in progress;
+// the front end keeps its text.
+struct statement_received
+{
+    session_id session;
+    statement_verb verb = statement_verb::other;
+
+    friend bool operator==(statement_received const&,
+                           statement_received const&) = default;
+};
+
+// A connection to a backend server can be used.
+struct connection_opened
+{
+    connection_id connection;
+
+    friend bool operator==(connection_opened const&,
+                           connection_opened const&) = default;
+};
+
+// A connection failed or was closed by the other side.
+struct connection_failed
+{
+    connection_id connection;
+
+    friend bool operator==(connection_failed const&,
+                           connection_failed const&) = default;
+};
+
+// What a backend server says about the transaction after an answer.
+enum class transaction_status : std::uint8_t
+{
+    idle,
+    in_transaction,
+    failed_transaction
+};
+
+// A whole answer to a statement has arrived, followed by the server's position.
+struct answer_received
+{
+    connection_id connection;
+    // The server reported an error, whose effect is a rollback.
+    bool is_error = false;
+    transaction_status status = transaction_status::idle;
+    // Position of the server after the statement, absent inside a transaction.
+    std::optional<log_position> position;
+
+    friend bool operator==(answer_received const&,
+                           answer_received const&) = default;
+};
+
+// A backend server answered a positions query that was sent alone.
+struct position_observed
+{
+    connection_id connection;
+    log_position position;
+
+    friend bool operator==(position_observed const&,
+                           position_observed const&) = default;
+};
+
+// The control thread granted tokens of a workspace's rate.
+struct tokens_granted
+{
+    workspace_name workspace;
+    std::uint32_t tokens = 0;
+    instant expires;
+
+    friend bool operator==(tokens_granted const&,
+                           tokens_granted const&) = default;
+};
+
+// The control thread published a new control state.
+struct control_changed
+{
+    control_view_ptr view;
+
+    friend bool operator==(control_changed const&,
+                           control_changed const&) = default;
+};
+
+// The daemon's control lease was renewed, or was given back.
+struct lease_changed
+{
+    instant valid_until;
+
+    friend bool operator==(lease_changed const&, lease_changed const&) = default;
+};
+
+// The number of connections to a server that this thread may hold changed.
+struct connection_share_changed
+{
+    server_name server;
+    std::uint32_t connections = 0;
+
+    friend bool operator==(connection_share_changed const&,
+                           connection_share_changed const&) = default;
+};
+
+// A planned stop began: new sessions are refused, idle sessions end.
+struct drain_started
+{
+    friend bool operator==(drain_started const&, drain_started const&) = default;
+};
+
+using event = std::variant<session_opened, session_closed, token_presented,
+                           statement_received, connection_opened,
+                           connection_failed, answer_received,
+                           position_observed, tokens_granted, control_changed,
+                           lease_changed, connection_share_changed,
+                           drain_started>;
+
+} // namespace basilreach::traffic
+
+#endif
