traffic: Decide where statements run and what their callers are told

Sessions, requests, servers, connections and groups are tables; the systems of a tick work on lists of changed rows. Writes are held until a majority has their position and relayed only under a lease in the group's term.

--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -181,10 +181,17 @@
     friend bool operator==(log_decision const&, log_decision const&) = default;
 };
 
-using action =
-    std::variant<open_connection, close_connection, send_statement,
-                 ask_position, relay_answer, refuse, end_session, ask_tokens,
-                 ask_connections, adopted, log_decision>;
+using action = std::variant<open_connection,
+                            close_connection,
+                            send_statement,
+                            ask_position,
+                            relay_answer,
+                            refuse,
+                            end_session,
+                            ask_tokens,
+                            ask_connections,
+                            adopted,
+                            log_decision>;
 
 } // namespace basilreach::traffic
 
--- /dev/null
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -0,0 +1,289 @@
+#ifndef BASILREACH_TRAFFIC_DETAIL_STATE_HPP
+#define BASILREACH_TRAFFIC_DETAIL_STATE_HPP
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+#include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/base/table.hpp>
+#include <basilreach/traffic/action.hpp>
+#include <basilreach/traffic/engine_settings.hpp>
+#include <basilreach/traffic/event.hpp>
+
+namespace basilreach::traffic::detail
+{
+
+using session_row_id = row_id;
+using request_row_id = row_id;
+using server_row_id = row_id;
+using group_row_id = row_id;
+
+// A transaction of a session and the connection that it is bound to.
+struct transaction
+{
+    connection_id connection;
+    // The group's term when the transaction began.
+    std::uint64_t term = 0;
+    bool at_primary = false;
+    bool read_only = false;
+};
+
+struct session_row
+{
+    session_id id{};
+    session_name name;
+    route_name route;
+    workspace_name workspace;
+    std::optional<key_digest> key;
+    bool read_only = false;
+    bool ending = false;
+    std::optional<refusal_reason> end_reason;
+    std::optional<log_position> position;
+    bool has_written = false;
+    std::optional<transaction> in_transaction;
+    std::optional<request_row_id> request;
+};
+
+enum class request_state : std::uint8_t
+{
+    arrived,
+    waiting_lease,
+    waiting_tokens,
+    waiting_primary,
+    waiting_position,
+    queued,
+    sent,
+    held
+};
+
+struct request_row
+{
+    session_row_id session;
+    statement_verb verb = statement_verb::other;
+    request_state state = request_state::arrived;
+    bool is_read = false;
+    bool paid = false;
+    // Set once the wait for a replica's position has ended without success.
+    bool waited = false;
+    group_row_id group;
+    std::optional<std::chrono::nanoseconds> max_age;
+    instant deadline;
+    server_row_id server;
+    connection_id connection;
+    bool at_primary = false;
+    // Servers at which a connection could not be opened for this request.
+    std::vector<server_row_id> excluded;
+    // The position to which the answer brings the session.
+    std::optional<log_position> answer_position;
+};
+
+enum class connection_state : std::uint8_t
+{
+    opening,
+    idle,
+    // A statement's answer is outstanding.
+    busy,
+    // A positions query alone is outstanding.
+    asking,
+    // Bound to a transaction that has no statement in progress.
+    pinned
+};
+
+struct connection_row
+{
+    server_row_id server;
+    connection_state state = connection_state::opening;
+    bool read_only = false;
+    std::optional<request_row_id> request;
+    // The session whose transaction the connection is bound to.
+    std::optional<session_row_id> pinned_by;
+    // When the last message was sent.
+    instant sent_at;
+};
+
+struct server_row
+{
+    server_name name;
+    group_row_id group;
+    data_centre_name data_centre;
+    std::string address;
+    bool is_down = false;
+    bool is_leaving = false;
+    bool is_removed = false;
+    std::optional<log_position> position;
+    std::uint32_t share = 0;
+    std::uint32_t reported_wanted = 0;
+    std::vector<connection_id> connections;
+    std::vector<connection_id> idle;
+    std::deque<request_row_id> queue;
+    std::uint32_t opening = 0;
+    // Statements sent to the server and not answered.
+    std::uint32_t outstanding = 0;
+    bool is_asked = false;
+    instant next_ask;
+    instant next_open;
+};
+
+// What the primary's log position was at or after a point in time.
+struct primary_sample
+{
+    instant asked_at;
+    log_position position;
+};
+
+struct group_row
+{
+    group_name name;
+    std::uint64_t term = 0;
+    std::optional<server_row_id> primary;
+    std::uint32_t slots = 3;
+    std::vector<server_row_id> servers;
+    std::deque<request_row_id> waiting_primary;
+    std::multimap<log_position, request_row_id> waiting_position;
+    std::multimap<log_position, request_row_id> held;
+    std::deque<primary_sample> samples;
+};
+
+struct allowance_row
+{
+    std::uint64_t tokens = 0;
+    instant expires;
+    std::uint32_t spent = 0;
+    bool is_asked = false;
+    std::deque<request_row_id> waiting;
+};
+
+enum class timer_kind : std::uint8_t
+{
+    request,
+    read_try,
+    position_wait,
+    token_wait,
+    connection,
+    group_poll,
+    server_reconnect
+};
+
+struct timer_key
+{
+    timer_kind kind;
+    row_id row;
+
+    friend auto operator<=>(timer_key const&, timer_key const&) = default;
+};
+
+// The tables of one traffic thread and the lists of rows that have changed.
+// Systems work on those lists, so that their cost follows the changes.
+struct state
+{
+    engine_settings settings;
+    instant now;
+    instant lease_until;
+    bool draining = false;
+    control_view_ptr view;
+    control_view_ptr next_view;
+
+    table<session_row> sessions;
+    table<request_row> requests;
+    table<connection_row> connections;
+    table<server_row> servers;
+    table<group_row> groups;
+    std::unordered_map<workspace_name, allowance_row> allowances;
+
+    std::unordered_map<std::uint64_t, session_row_id> session_by_id;
+    std::map<key_digest, std::set<session_row_id>> sessions_by_key;
+    std::map<server_name, server_row_id> server_by_name;
+    std::map<group_name, group_row_id> group_by_name;
+    std::deque<request_row_id> waiting_lease;
+
+    // Work lists, in the order in which the systems take them.
+    std::vector<request_row_id> to_admit;
+    std::vector<request_row_id> to_route;
+    std::vector<server_row_id> to_dispatch;
+    std::vector<group_row_id> to_release;
+    std::vector<group_row_id> to_poll;
+    std::set<workspace_name> to_ask;
+
+    deadline_queue<timer_key> timers;
+    std::vector<action> actions;
+    engine_counts counts;
+
+    [[nodiscard]] bool has_lease() const
+    {
+        return now < lease_until;
+    }
+};
+
+// Systems, in the order in which a tick runs them.
+void adopt_control(state& s);
+void expire_deadlines(state& s);
+void admit_requests(state& s);
+void route_requests(state& s);
+void poll_positions(state& s);
+void dispatch_requests(state& s);
+void release_held_answers(state& s);
+void ask_for_tokens(state& s);
+
+// Answers a request's caller with an error and removes the request.
+void refuse_request(state& s,
+                    request_row_id id,
+                    refusal_outcome outcome,
+                    refusal_reason reason,
+                    bool close_session = false);
+
+// Passes a request's answer on to its caller and removes the request.
+void relay_request(state& s, request_row_id id);
+
+// Removes a request from all lists and tables, without an answer.
+void remove_request(state& s, request_row_id id);
+
+// Closes a connection. A request whose statement was sent over it is left for
+// the caller of this function.
+void drop_connection(state& s, connection_id id);
+
+// Returns a connection to the idle ones of its server.
+void make_idle(state& s, connection_id id);
+
+// Ends a session that has no request in progress.
+void close_idle_session(state& s, session_row_id id, refusal_reason reason);
+
+// Sends a request's statement over a connection.
+void send_request(state& s, request_row_id id, connection_id connection);
+
+// Sends a positions query alone over a connection that is not in use.
+void ask_over(state& s, connection_id connection);
+
+// Handles the loss of a connection, with what that means for its request.
+void lose_connection(state& s, connection_id id, refusal_reason reason);
+
+// Records a server's position and wakes what waits for it.
+void observe_position(state& s,
+                      server_row_id id,
+                      log_position position,
+                      instant asked_at);
+
+// Decides what happens to an answer that a server has given.
+void settle_answer(state& s, connection_id id, answer_received const& it);
+
+// Whether a result that the group's primary gave in this term may be relayed
+// now: the control lease is valid and the term is still the group's.
+[[nodiscard]] bool may_relay_from_primary(state const& s,
+                                          group_row const& group,
+                                          std::uint64_t term);
+
+// Adds a line to the decision log.
+void note(state& s,
+          request_row_id id,
+          decision_kind kind,
+          decision_reason reason,
+          std::optional<server_row_id> server = std::nullopt);
+
+} // namespace basilreach::traffic::detail
+
+#endif
--- /dev/null
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -0,0 +1,81 @@
+#ifndef BASILREACH_TRAFFIC_ENGINE_SETTINGS_HPP
+#define BASILREACH_TRAFFIC_ENGINE_SETTINGS_HPP
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+
+namespace basilreach::traffic
+{
+
+// Which servers may serve a read. All but `session_position` exist as baselines
+// for measurements.
+enum class read_policy : std::uint8_t
+{
+    // Replicas that have reached the session's position.
+    session_position,
+    // The primary once the session has written, any replica before.
+    primary_after_write,
+    // Any replica, whatever its position: breaks read-your-writes.
+    any_replica,
+    primary_only
+};
+
+struct engine_settings
+{
+    // Replicas in this data centre are preferred at equal load.
+    data_centre_name data_centre;
+    read_policy reads = read_policy::session_position;
+    // Time from a statement's arrival to its answer or refusal.
+    duration request_timeout = std::chrono::seconds(5);
+    // Time that a read waits for one server before it is tried at another.
+    duration read_try_timeout = std::chrono::seconds(1);
+    // Time that a read waits for a replica to reach the session's position.
+    duration replica_wait = std::chrono::milliseconds(2);
+    // Time that a statement waits for a token of its workspace's rate.
+    duration token_wait = std::chrono::milliseconds(250);
+    // Time between two positions queries to a server that is waited for.
+    duration poll_interval = std::chrono::milliseconds(1);
+    // Idle time after which a connection is probed.
+    duration probe_after = std::chrono::seconds(5);
+    // Time within which a connection opens or a probe is answered.
+    duration probe_timeout = std::chrono::seconds(1);
+    // Pause after a failed attempt to open a connection to a server.
+    duration reconnect_pause = std::chrono::milliseconds(50);
+    // Connections to each server before the control thread says otherwise.
+    std::uint32_t initial_connections = 2;
+    // Statements of one workspace that wait for one server.
+    std::size_t queue_limit = 1000;
+    // Whether tokens of the workspace's rate are needed.
+    bool limits_enabled = true;
+
+    friend bool operator==(engine_settings const&,
+                           engine_settings const&) = default;
+};
+
+// Sizes of the tables and totals since the start.
+struct engine_counts
+{
+    std::size_t sessions = 0;
+    std::size_t requests = 0;
+    std::size_t connections = 0;
+    std::size_t held = 0;
+    std::uint64_t reads_at_replicas = 0;
+    std::uint64_t reads_at_primaries = 0;
+    std::uint64_t writes = 0;
+    std::uint64_t refused_not_run = 0;
+    std::uint64_t outcome_unknown = 0;
+    std::uint64_t silent_connections = 0;
+    std::uint64_t connections_opened = 0;
+
+    friend bool operator==(engine_counts const&,
+                           engine_counts const&) = default;
+};
+
+} // namespace basilreach::traffic
+
+#endif
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -148,7 +148,8 @@
 {
     instant valid_until;
 
-    friend bool operator==(lease_changed const&, lease_changed const&) = default;
+    friend bool operator==(lease_changed const&,
+                           lease_changed const&) = default;
 };
 
 // The number of connections to a server that this thread may hold changed.
@@ -164,14 +165,22 @@
 // A planned stop began: new sessions are refused, idle sessions end.
 struct drain_started
 {
-    friend bool operator==(drain_started const&, drain_started const&) = default;
+    friend bool operator==(drain_started const&,
+                           drain_started const&) = default;
 };
 
-using event = std::variant<session_opened, session_closed, token_presented,
-                           statement_received, connection_opened,
-                           connection_failed, answer_received,
-                           position_observed, tokens_granted, control_changed,
-                           lease_changed, connection_share_changed,
+using event = std::variant<session_opened,
+                           session_closed,
+                           token_presented,
+                           statement_received,
+                           connection_opened,
+                           connection_failed,
+                           answer_received,
+                           position_observed,
+                           tokens_granted,
+                           control_changed,
+                           lease_changed,
+                           connection_share_changed,
                            drain_started>;
 
 } // namespace basilreach::traffic
--- /dev/null
+++ b/packages/traffic/src/admission.cpp
@@ -0,0 +1,134 @@
+// Decides whether a statement may run at all: its route, its key, the control
+// lease and the rate of its workspace.
+#include <algorithm>
+
+#include <basilreach/traffic/detail/state.hpp>
+
+namespace basilreach::traffic::detail
+{
+
+namespace
+{
+
+bool is_end_of_transaction(statement_verb verb)
+{
+    return verb == statement_verb::commit || verb == statement_verb::rollback;
+}
+
+// Returns why the session may not use its route, if so.
+std::optional<refusal_reason> find_denial(state const& s,
+                                          session_row const& session,
+                                          rules::route_rule const& route)
+{
+    if (!session.key)
+        return route.open ? std::nullopt
+                          : std::optional{refusal_reason::key_withdrawn};
+    auto const key = s.view->keys.find(*session.key);
+    if (key == s.view->keys.end() || key->second != session.workspace)
+        return refusal_reason::key_withdrawn;
+    if (!route.open && !route.workspaces.empty() &&
+        !route.workspaces.contains(session.workspace))
+        return refusal_reason::workspace_not_allowed;
+    return std::nullopt;
+}
+
+bool declares_read(request_row const& request,
+                   session_row const& session,
+                   rules::route_rule const& route)
+{
+    if (session.in_transaction)
+        return session.in_transaction->read_only;
+    if (request.verb == statement_verb::begin_read_only)
+        return true;
+    return session.read_only || route.kind == rules::route_class::read;
+}
+
+// Takes a token for the statement, or leaves the request waiting for one. The
+// end of a transaction is free: refusing it would leave the transaction open.
+bool take_token(state& s,
+                request_row_id id,
+                request_row& request,
+                session_row const& session)
+{
+    if (!s.settings.limits_enabled || request.paid ||
+        is_end_of_transaction(request.verb))
+        return true;
+    auto& allowance = s.allowances[session.workspace];
+    if (allowance.tokens == 0 || s.now >= allowance.expires)
+    {
+        request.state = request_state::waiting_tokens;
+        allowance.waiting.push_back(id);
+        s.to_ask.insert(session.workspace);
+        s.timers.set({timer_kind::token_wait, id},
+                     s.now + s.settings.token_wait);
+        note(s, id, decision_kind::wait, decision_reason::tokens_missing);
+        return false;
+    }
+    --allowance.tokens;
+    ++allowance.spent;
+    request.paid = true;
+    if (allowance.tokens <= allowance.spent)
+        s.to_ask.insert(session.workspace);
+    return true;
+}
+
+void admit(state& s, request_row_id id)
+{
+    auto* request = s.requests.find(id);
+    if (request == nullptr)
+        return;
+    auto const& session = *s.sessions.find(request->session);
+    auto const route = s.view->routes.find(session.route);
+    if (route == s.view->routes.end())
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::unknown_route, true);
+    if (auto const denial = find_denial(s, session, route->second))
+        return refuse_request(s, id, refusal_outcome::not_run, *denial, true);
+    if (request->verb == statement_verb::session_state)
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::session_state_unsupported);
+    // Without a lease a withdrawal of the key could have been missed. The end
+    // of a transaction needs no key: its statements were admitted.
+    if (session.key && !s.has_lease() && !is_end_of_transaction(request->verb))
+    {
+        request->state = request_state::waiting_lease;
+        s.waiting_lease.push_back(id);
+        return note(s, id, decision_kind::wait, decision_reason::lease_missing);
+    }
+    auto const group = s.group_by_name.find(route->second.group);
+    if (group == s.group_by_name.end())
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::unknown_route);
+    if (!take_token(s, id, *request, session))
+        return;
+    s.timers.erase({timer_kind::token_wait, id});
+    request->group = group->second;
+    request->is_read = declares_read(*request, session, route->second);
+    request->max_age = route->second.max_age;
+    request->state = request_state::arrived;
+    s.to_route.push_back(id);
+}
+
+} // namespace
+
+void admit_requests(state& s)
+{
+    for (auto const id : std::exchange(s.to_admit, {}))
+        admit(s, id);
+}
+
+void ask_for_tokens(state& s)
+{
+    for (auto const& name : std::exchange(s.to_ask, {}))
+    {
+        auto& it = s.allowances[name];
+        if (it.is_asked)
+            continue;
+        it.is_asked = true;
+        s.actions.emplace_back(ask_tokens{
+            name, static_cast<std::uint32_t>(it.waiting.size()), it.spent});
+        it.spent = 0;
+    }
+}
+
+} // namespace basilreach::traffic::detail
--- /dev/null
+++ b/packages/traffic/src/deadlines.cpp
@@ -0,0 +1,110 @@
+// Handles what has become due: statements past their deadline, connections that
+// do not answer, and waits that have ended.
+#include <array>
+
+#include <basilreach/traffic/detail/state.hpp>
+
+namespace basilreach::traffic::detail
+{
+
+namespace
+{
+
+// Indexed by request_state; says why a statement that was not sent is refused.
+constexpr std::array<refusal_reason, 8> reason_while = {
+    refusal_reason::deadline,      refusal_reason::no_lease,
+    refusal_reason::rate_exceeded, refusal_reason::deadline,
+    refusal_reason::deadline,      refusal_reason::deadline,
+    refusal_reason::deadline,      refusal_reason::not_replicated};
+
+void expire_request(state& s, row_id id)
+{
+    auto* request = s.requests.find(id);
+    if (request == nullptr)
+        return;
+    if (request->state == request_state::held)
+        return refuse_request(s, id, refusal_outcome::unknown,
+                              refusal_reason::not_replicated);
+    if (request->state != request_state::sent)
+        return refuse_request(
+            s, id, refusal_outcome::not_run,
+            reason_while[static_cast<std::size_t>(request->state)]);
+    auto* session = s.sessions.find(request->session);
+    bool const in_transaction = session->in_transaction.has_value();
+    session->in_transaction.reset();
+    ++s.counts.silent_connections;
+    drop_connection(s, request->connection);
+    refuse_request(s, id, refusal_outcome::unknown, refusal_reason::deadline,
+                   in_transaction);
+}
+
+void expire_read_try(state& s, row_id id)
+{
+    auto const* request = s.requests.find(id);
+    if (request == nullptr || request->state != request_state::sent)
+        return;
+    ++s.counts.silent_connections;
+    lose_connection(s, request->connection, refusal_reason::connection_lost);
+}
+
+void expire_position_wait(state& s, row_id id)
+{
+    auto* request = s.requests.find(id);
+    if (request == nullptr || request->state != request_state::waiting_position)
+        return;
+    auto& waiting = s.groups.find(request->group)->waiting_position;
+    std::erase_if(waiting, [id](auto const& it) { return it.second == id; });
+    request->state = request_state::arrived;
+    s.to_route.push_back(id);
+}
+
+void expire_token_wait(state& s, row_id id)
+{
+    auto const* request = s.requests.find(id);
+    if (request != nullptr && request->state == request_state::waiting_tokens)
+        refuse_request(s, id, refusal_outcome::not_run,
+                       refusal_reason::rate_exceeded);
+}
+
+void expire_connection(state& s, row_id id)
+{
+    auto const* row = s.connections.find(id);
+    if (row == nullptr)
+        return;
+    if (row->state != connection_state::idle)
+    {
+        s.counts.silent_connections +=
+            row->state == connection_state::asking ? 1 : 0;
+        return lose_connection(s, id, refusal_reason::connection_lost);
+    }
+    std::erase(s.servers.find(row->server)->idle, id);
+    ask_over(s, id);
+}
+
+void expire_group_poll(state& s, row_id id)
+{
+    s.to_poll.push_back(id);
+}
+
+void expire_server_reconnect(state& s, row_id id)
+{
+    s.to_dispatch.push_back(id);
+}
+
+using expiry = void (*)(state&, row_id);
+
+// Indexed by timer_kind.
+constexpr std::array<expiry, 7> expiries = {
+    expire_request,         expire_read_try,   expire_position_wait,
+    expire_token_wait,      expire_connection, expire_group_poll,
+    expire_server_reconnect};
+
+} // namespace
+
+void expire_deadlines(state& s)
+{
+    while (auto const key = s.timers.pop_due(s.now))
+        expiries[static_cast<std::size_t>(key->kind)](s, key->row);
+}
+
+} // namespace basilreach::traffic::detail
--- /dev/null
+++ b/packages/traffic/src/dispatch.cpp
@@ -0,0 +1,245 @@
+// Matches routed statements with connections, and owns the connections' rows.
+#include <algorithm>
+
+#include <basilreach/traffic/detail/state.hpp>
+
+namespace basilreach::traffic::detail
+{
+
+namespace
+{
+
+void open_one(state& s, server_row_id id, server_row& server)
+{
+    auto const& group = *s.groups.find(server.group);
+    connection_row row;
+    row.server = id;
+    row.read_only = group.primary != id;
+    row.sent_at = s.now;
+    auto const connection = s.connections.insert(row);
+    server.connections.push_back(connection);
+    ++server.opening;
+    s.timers.set({timer_kind::connection, connection},
+                 s.now + s.settings.probe_timeout);
+    s.actions.emplace_back(open_connection{connection, server.name,
+                                           server.address, row.read_only});
+}
+
+bool is_still_queued(state const& s, request_row_id id, server_row_id server)
+{
+    auto const* request = s.requests.find(id);
+    return request != nullptr && request->state == request_state::queued &&
+           request->server == server;
+}
+
+// A statement may have waited since its admission; its key must still be
+// certain at the moment it is sent.
+bool lost_lease(state& s, request_row_id id)
+{
+    auto* request = s.requests.find(id);
+    if (!s.sessions.find(request->session)->key || s.has_lease())
+        return false;
+    request->state = request_state::waiting_lease;
+    s.waiting_lease.push_back(id);
+    note(s, id, decision_kind::wait, decision_reason::lease_missing);
+    return true;
+}
+
+void send_queued(state& s, server_row_id id, server_row& server)
+{
+    while (!server.queue.empty())
+    {
+        auto const request = server.queue.front();
+        if (is_still_queued(s, request, id) && !lost_lease(s, request))
+        {
+            if (server.idle.empty())
+                return;
+            auto const connection = server.idle.back();
+            server.idle.pop_back();
+            send_request(s, request, connection);
+        }
+        server.queue.pop_front();
+    }
+}
+
+// Tells the control thread when the share of connections is too small, in
+// steps, since each connection that moves costs another one its opening.
+void report_demand(state& s, server_row& server)
+{
+    auto const wanted = static_cast<std::uint32_t>(
+        server.connections.size() - server.opening + server.queue.size());
+    if (wanted <= server.share || wanted <= server.reported_wanted)
+        return;
+    server.reported_wanted = wanted;
+    s.actions.emplace_back(
+        ask_connections{server.name, wanted,
+                        static_cast<std::uint32_t>(server.connections.size())});
+}
+
+void open_needed(state& s, server_row_id id, server_row& server)
+{
+    if (server.is_removed || server.is_leaving || s.now < server.next_open)
+        return;
+    auto const& group = *s.groups.find(server.group);
+    bool const is_polled =
+        (!group.held.empty() || !group.waiting_position.empty()) &&
+        server.connections.empty();
+    auto const needed =
+        std::max<std::size_t>(server.queue.size(), is_polled ? 1 : 0);
+    while (server.opening < needed && server.connections.size() < server.share)
+        open_one(s, id, server);
+    report_demand(s, server);
+}
+
+void remove_idle(server_row& server, connection_id id)
+{
+    auto const it = std::find(server.idle.begin(), server.idle.end(), id);
+    if (it != server.idle.end())
+        server.idle.erase(it);
+}
+
+// Gives reads that wait for a server that cannot be reached to another one.
+// This is a retry of these statements and no verdict on the server.
+void reroute_queued_reads(state& s, server_row_id id, server_row& server)
+{
+    for (auto const request_id : std::exchange(server.queue, {}))
+    {
+        if (!is_still_queued(s, request_id, id))
+            continue;
+        auto* request = s.requests.find(request_id);
+        if (!request->is_read || request->at_primary)
+        {
+            server.queue.push_back(request_id);
+            continue;
+        }
+        request->excluded.push_back(id);
+        request->state = request_state::arrived;
+        s.to_route.push_back(request_id);
+    }
+}
+
+void fail_open(state& s, server_row_id id)
+{
+    auto* server = s.servers.find(id);
+    server->next_open = s.now + s.settings.reconnect_pause;
+    s.timers.set({timer_kind::server_reconnect, id}, server->next_open);
+    if (server->connections.empty())
+        reroute_queued_reads(s, id, *server);
+}
+
+bool is_retryable(request_row const& request, bool in_transaction)
+{
+    return !in_transaction &&
+           (request.is_read ||
+            request.verb == statement_verb::begin_read_write);
+}
+
+} // namespace
+
+void send_request(state& s, request_row_id id, connection_id connection)
+{
+    auto* request = s.requests.find(id);
+    auto* row = s.connections.find(connection);
+    auto const& session = *s.sessions.find(request->session);
+    row->state = connection_state::busy;
+    row->request = id;
+    row->sent_at = s.now;
+    request->state = request_state::sent;
+    request->connection = connection;
+    ++s.servers.find(row->server)->outstanding;
+    s.timers.erase({timer_kind::connection, connection});
+    if (is_retryable(*request, session.in_transaction.has_value()))
+        s.timers.set({timer_kind::read_try, id},
+                     s.now + s.settings.read_try_timeout);
+    s.actions.emplace_back(send_statement{session.id, connection});
+}
+
+void ask_over(state& s, connection_id connection)
+{
+    auto* row = s.connections.find(connection);
+    row->state = connection_state::asking;
+    row->sent_at = s.now;
+    s.timers.set({timer_kind::connection, connection},
+                 s.now + s.settings.probe_timeout);
+    s.actions.emplace_back(ask_position{connection});
+}
+
+void make_idle(state& s, connection_id id)
+{
+    auto* row = s.connections.find(id);
+    row->state = connection_state::idle;
+    row->pinned_by.reset();
+    auto* server = s.servers.find(row->server);
+    bool const is_unwanted = server->is_leaving || server->is_removed ||
+                             server->connections.size() > server->share;
+    if (is_unwanted)
+        return drop_connection(s, id);
+    server->idle.push_back(id);
+    s.timers.set({timer_kind::connection, id}, s.now + s.settings.probe_after);
+    s.to_dispatch.push_back(row->server);
+}
+
+void drop_connection(state& s, connection_id id)
+{
+    auto const* row = s.connections.find(id);
+    if (row == nullptr)
+        return;
+    auto* server = s.servers.find(row->server);
+    server->opening -= row->state == connection_state::opening ? 1 : 0;
+    server->outstanding -= row->state == connection_state::busy ? 1 : 0;
+    if (row->state == connection_state::asking)
+        server->is_asked = false;
+    remove_idle(*server, id);
+    std::erase(server->connections, id);
+    s.timers.erase({timer_kind::connection, id});
+    if (!server->queue.empty())
+        s.to_dispatch.push_back(row->server);
+    s.connections.erase(id);
+    s.actions.emplace_back(close_connection{id});
+}
+
+void lose_connection(state& s, connection_id id, refusal_reason reason)
+{
+    auto const* found = s.connections.find(id);
+    if (found == nullptr)
+        return;
+    auto const row = *found;
+    drop_connection(s, id);
+    if (row.state == connection_state::opening)
+        fail_open(s, row.server);
+    if (row.request)
+    {
+        auto* request = s.requests.find(*row.request);
+        auto* session = s.sessions.find(request->session);
+        bool const in_transaction = session->in_transaction.has_value();
+        session->in_transaction.reset();
+        s.timers.erase({timer_kind::read_try, *row.request});
+        if (is_retryable(*request, in_transaction))
+        {
+            request->state = request_state::arrived;
+            s.to_route.push_back(*row.request);
+            return;
+        }
+        refuse_request(s, *row.request, refusal_outcome::unknown,
+                       in_transaction ? refusal_reason::transaction_lost
+                                      : reason,
+                       in_transaction);
+    }
+    else if (row.pinned_by)
+    {
+        s.sessions.find(*row.pinned_by)->in_transaction.reset();
+        close_idle_session(s, *row.pinned_by, refusal_reason::transaction_lost);
+    }
+}
+
+void dispatch_requests(state& s)
+{
+    for (auto const id : std::exchange(s.to_dispatch, {}))
+    {
+        auto* server = s.servers.find(id);
+        send_queued(s, id, *server);
+        open_needed(s, id, *server);
+    }
+}
+
+} // namespace basilreach::traffic::detail
--- /dev/null
+++ b/packages/traffic/src/engine.cpp
@@ -0,0 +1,262 @@
+#include <basilreach/traffic/engine.hpp>
+
+#include <array>
+#include <utility>
+
+#include <basilreach/traffic/detail/state.hpp>
+
+namespace basilreach::traffic
+{
+
+using detail::state;
+
+namespace
+{
+
+void on(state& s, session_opened const& it)
+{
+    detail::session_row row;
+    row.id = it.session;
+    row.name = it.name;
+    row.route = it.route;
+    row.workspace = it.workspace;
+    row.key = it.key;
+    row.position = it.position;
+    row.read_only = it.read_only;
+    auto const id = s.sessions.insert(std::move(row));
+    s.session_by_id.emplace(static_cast<std::uint64_t>(it.session), id);
+    if (it.key)
+        s.sessions_by_key[*it.key].insert(id);
+}
+
+std::optional<detail::session_row_id> find_session(state const& s,
+                                                   session_id id)
+{
+    auto const it = s.session_by_id.find(static_cast<std::uint64_t>(id));
+    if (it == s.session_by_id.end())
+        return std::nullopt;
+    return it->second;
+}
+
+// Drops the connection on which a session's statement or transaction runs: an
+// answer that arrives later must not reach the connection's next user.
+void abandon_work(state& s, detail::session_row& session)
+{
+    if (session.request)
+    {
+        auto const request = *session.request;
+        auto const* row = s.requests.find(request);
+        if (row->state == detail::request_state::sent)
+            detail::drop_connection(s, row->connection);
+        detail::remove_request(s, request);
+    }
+    if (session.in_transaction)
+        detail::drop_connection(s, session.in_transaction->connection);
+    session.in_transaction.reset();
+}
+
+void on(state& s, session_closed const& it)
+{
+    auto const id = find_session(s, it.session);
+    if (!id)
+        return;
+    auto* session = s.sessions.find(*id);
+    abandon_work(s, *session);
+    if (session->key)
+    {
+        auto const by_key = s.sessions_by_key.find(*session->key);
+        by_key->second.erase(*id);
+        if (by_key->second.empty())
+            s.sessions_by_key.erase(by_key);
+    }
+    s.session_by_id.erase(static_cast<std::uint64_t>(it.session));
+    s.sessions.erase(*id);
+}
+
+void on(state& s, token_presented const& it)
+{
+    auto const id = find_session(s, it.session);
+    if (!id)
+        return;
+    auto* session = s.sessions.find(*id);
+    session->position =
+        std::max(session->position.value_or(it.position), it.position);
+}
+
+void on(state& s, statement_received const& it)
+{
+    auto const id = find_session(s, it.session);
+    if (!id)
+        return;
+    auto* session = s.sessions.find(*id);
+    detail::request_row row;
+    row.session = *id;
+    row.verb = it.verb;
+    row.deadline = s.now + s.settings.request_timeout;
+    auto const request = s.requests.insert(std::move(row));
+    session->request = request;
+    s.timers.set({detail::timer_kind::request, request},
+                 s.now + s.settings.request_timeout);
+    s.to_admit.push_back(request);
+}
+
+void on(state& s, connection_opened const& it)
+{
+    auto* connection = s.connections.find(it.connection);
+    if (connection == nullptr)
+        return;
+    auto* server = s.servers.find(connection->server);
+    --server->opening;
+    ++s.counts.connections_opened;
+    detail::make_idle(s, it.connection);
+}
+
+void on(state& s, connection_failed const& it)
+{
+    detail::lose_connection(s, it.connection, refusal_reason::connection_lost);
+}
+
+void on(state& s, answer_received const& it)
+{
+    detail::settle_answer(s, it.connection, it);
+}
+
+void on(state& s, position_observed const& it)
+{
+    auto const* connection = s.connections.find(it.connection);
+    if (connection == nullptr)
+        return;
+    auto const server = connection->server;
+    auto const sent_at = connection->sent_at;
+    s.servers.find(server)->is_asked = false;
+    detail::make_idle(s, it.connection);
+    detail::observe_position(s, server, it.position, sent_at);
+}
+
+void on(state& s, tokens_granted const& it)
+{
+    auto& row = s.allowances[it.workspace];
+    row.is_asked = false;
+    row.tokens = s.now < row.expires ? row.tokens + it.tokens : it.tokens;
+    row.expires = it.expires;
+    while (!row.waiting.empty() && it.tokens != 0)
+    {
+        s.to_admit.push_back(row.waiting.front());
+        row.waiting.pop_front();
+    }
+}
+
+void on(state& s, control_changed const& it)
+{
+    s.next_view = it.view;
+}
+
+void on(state& s, lease_changed const& it)
+{
+    s.lease_until = it.valid_until;
+    if (!s.has_lease())
+        return;
+    while (!s.waiting_lease.empty())
+    {
+        s.to_admit.push_back(s.waiting_lease.front());
+        s.waiting_lease.pop_front();
+    }
+}
+
+void on(state& s, connection_share_changed const& it)
+{
+    auto const found = s.server_by_name.find(it.server);
+    if (found == s.server_by_name.end())
+        return;
+    auto* server = s.servers.find(found->second);
+    server->share = it.connections;
+    while (server->connections.size() > server->share && !server->idle.empty())
+        detail::drop_connection(s, server->idle.back());
+    s.to_dispatch.push_back(found->second);
+}
+
+void on(state& s, drain_started const& /*it*/)
+{
+    s.draining = true;
+    s.sessions.for_each(
+        [&s](row_id id, detail::session_row const& row)
+        {
+            if (!row.request && !row.in_transaction)
+                detail::close_idle_session(s, id, refusal_reason::draining);
+        });
+}
+
+using handler = void (*)(state&, event const&);
+
+template <std::size_t... N>
+constexpr auto make_handlers(std::index_sequence<N...> /*unused*/)
+{
+    return std::array<handler, sizeof...(N)>{[](state& s, event const& it)
+                                             {
+                                                 on(s, std::get<N>(it));
+                                             }...};
+}
+
+constexpr auto handlers =
+    make_handlers(std::make_index_sequence<std::variant_size_v<event>>{});
+
+using system = void (*)(state&);
+
+constexpr std::array systems = {
+    &detail::adopt_control,     &detail::expire_deadlines,
+    &detail::admit_requests,    &detail::route_requests,
+    &detail::dispatch_requests, &detail::release_held_answers,
+    &detail::poll_positions,    &detail::ask_for_tokens,
+};
+
+bool has_work(state const& s)
+{
+    return !s.to_admit.empty() || !s.to_route.empty() ||
+           !s.to_dispatch.empty() || !s.to_release.empty();
+}
+
+} // namespace
+
+engine::engine(engine_settings settings) : state_(std::make_unique<state>())
+{
+    state_->settings = std::move(settings);
+    state_->view = std::make_shared<control_view const>();
+}
+
+engine::~engine() = default;
+
+void engine::push(event it)
+{
+    inbox_.push_back(std::move(it));
+}
+
+std::vector<action> engine::tick(instant now)
+{
+    auto& s = *state_;
+    s.now = now;
+    for (auto const& it : inbox_)
+        handlers[it.index()](s, it);
+    inbox_.clear();
+    do
+    {
+        for (auto const run : systems)
+            run(s);
+    } while (has_work(s));
+    return std::exchange(s.actions, {});
+}
+
+instant engine::next_deadline() const
+{
+    return inbox_.empty() ? state_->timers.next() : instant{};
+}
+
+engine_counts engine::counts() const
+{
+    auto counts = state_->counts;
+    counts.sessions = state_->sessions.size();
+    counts.requests = state_->requests.size();
+    counts.connections = state_->connections.size();
+    return counts;
+}
+
+} // namespace basilreach::traffic
--- /dev/null
+++ b/packages/traffic/src/release.cpp
@@ -0,0 +1,286 @@
+// Decides what a caller is told: when an answer is relayed, held until it is
+// replicated, or replaced by an error.
+#include <algorithm>
+#include <functional>
+
+#include <basilreach/traffic/detail/state.hpp>
+
+namespace basilreach::traffic::detail
+{
+
+namespace
+{
+
+// Returns the highest position that a majority of the group's servers has
+// reached, as far as this thread knows.
+log_position majority_position(state const& s, group_row const& group)
+{
+    std::vector<log_position> positions;
+    for (auto const id : group.servers)
+    {
+        auto const& server = *s.servers.find(id);
+        if (!server.is_removed)
+            positions.push_back(server.position.value_or(log_position{}));
+    }
+    if (positions.empty())
+        return {};
+    std::sort(positions.begin(), positions.end(), std::greater<>{});
+    return positions[positions.size() / 2];
+}
+
+// Binds the connection to the session's transaction, or frees it, as the
+// server reports.
+void follow_transaction(state& s,
+                        connection_id id,
+                        request_row_id request_id,
+                        transaction_status status)
+{
+    auto const& request = *s.requests.find(request_id);
+    auto* session = s.sessions.find(request.session);
+    if (status == transaction_status::idle)
+    {
+        session->in_transaction.reset();
+        return make_idle(s, id);
+    }
+    auto* connection = s.connections.find(id);
+    connection->state = connection_state::pinned;
+    connection->pinned_by = request.session;
+    if (!session->in_transaction)
+        session->in_transaction =
+            transaction{id, s.groups.find(request.group)->term,
+                        request.at_primary, request.is_read};
+}
+
+// The primary that gave this answer may have been superseded: nothing that it
+// said is passed on.
+void discard_answer(state& s, request_row_id id)
+{
+    auto* request = s.requests.find(id);
+    auto* session = s.sessions.find(request->session);
+    if (session->in_transaction)
+    {
+        drop_connection(s, session->in_transaction->connection);
+        session->in_transaction.reset();
+        return refuse_request(s, id, refusal_outcome::unknown,
+                              refusal_reason::transaction_lost, true);
+    }
+    if (request->is_read)
+    {
+        request->state = request_state::arrived;
+        s.to_admit.push_back(id);
+        return;
+    }
+    refuse_request(s, id, refusal_outcome::unknown, refusal_reason::superseded);
+}
+
+void hold_answer(state& s,
+                 request_row_id id,
+                 request_row& request,
+                 log_position position)
+{
+    request.state = request_state::held;
+    s.groups.find(request.group)->held.emplace(position, id);
+    ++s.counts.held;
+    s.to_release.push_back(request.group);
+    s.timers.set({timer_kind::group_poll, request.group}, s.now);
+}
+
+bool commits_write(request_row const& request, answer_received const& it)
+{
+    return !request.is_read && it.status == transaction_status::idle &&
+           request.verb != statement_verb::rollback;
+}
+
+bool is_behind_session(session_row const& session, answer_received const& it)
+{
+    return session.position && it.position && *it.position < *session.position;
+}
+
+void settle_success(state& s,
+                    request_row_id id,
+                    std::uint64_t term,
+                    answer_received const& it)
+{
+    auto* request = s.requests.find(id);
+    auto const& group = *s.groups.find(request->group);
+    auto const& session = *s.sessions.find(request->session);
+    if (request->at_primary && !may_relay_from_primary(s, group, term))
+        return discard_answer(s, id);
+    if (commits_write(*request, it))
+    {
+        if (!it.position)
+            return refuse_request(s, id, refusal_outcome::unknown,
+                                  refusal_reason::not_replicated);
+        request->answer_position = it.position;
+        return hold_answer(s, id, *request, *it.position);
+    }
+    if (request->at_primary)
+        request->answer_position = it.position;
+    else if (s.settings.reads == read_policy::session_position &&
+             !session.in_transaction && is_behind_session(session, it))
+    {
+        // The server's log went backwards since its position was observed.
+        s.servers.find(request->server)->position = it.position;
+        request->state = request_state::arrived;
+        s.to_route.push_back(id);
+        return;
+    }
+    relay_request(s, id);
+}
+
+void finish_request(state& s, request_row_id id)
+{
+    auto const session_id = s.requests.find(id)->session;
+    remove_request(s, id);
+    auto* session = s.sessions.find(session_id);
+    if (session->end_reason)
+        close_idle_session(s, session_id, *session->end_reason);
+    else if (s.draining && !session->in_transaction)
+        close_idle_session(s, session_id, refusal_reason::draining);
+}
+
+} // namespace
+
+bool may_relay_from_primary(state const& s,
+                            group_row const& group,
+                            std::uint64_t term)
+{
+    return s.has_lease() && group.primary && group.term == term;
+}
+
+void settle_answer(state& s, connection_id id, answer_received const& it)
+{
+    auto* connection = s.connections.find(id);
+    if (connection == nullptr || !connection->request)
+        return;
+    auto const request_id = *connection->request;
+    auto const sent_at = connection->sent_at;
+    auto const server_id = connection->server;
+    connection->request.reset();
+    --s.servers.find(server_id)->outstanding;
+    // From here the connection is counted by its new state.
+    connection->state = connection_state::pinned;
+    s.timers.erase({timer_kind::read_try, request_id});
+    auto const& request = *s.requests.find(request_id);
+    auto const& session = *s.sessions.find(request.session);
+    auto const began_in = session.in_transaction
+                              ? session.in_transaction->term
+                              : s.groups.find(request.group)->term;
+    follow_transaction(s, id, request_id, it.status);
+    if (it.position)
+        observe_position(s, server_id, *it.position, sent_at);
+    if (it.is_error)
+        return relay_request(s, request_id);
+    settle_success(s, request_id, it.position ? it.position->term : began_in,
+                   it);
+}
+
+void release_held_answers(state& s)
+{
+    for (auto const group_id : std::exchange(s.to_release, {}))
+    {
+        auto* group = s.groups.find(group_id);
+        auto const reached = majority_position(s, *group);
+        while (!group->held.empty() && group->held.begin()->first <= reached)
+        {
+            auto const [position, id] = *group->held.begin();
+            if (!may_relay_from_primary(s, *group, position.term))
+                break;
+            note(s, id, decision_kind::relay,
+                 decision_reason::majority_reached);
+            relay_request(s, id);
+        }
+    }
+}
+
+void relay_request(state& s, request_row_id id)
+{
+    auto const& request = *s.requests.find(id);
+    auto* session = s.sessions.find(request.session);
+    std::optional<log_position> changed;
+    if (request.answer_position &&
+        (!session->position || *session->position < *request.answer_position))
+    {
+        session->position = request.answer_position;
+        changed = request.answer_position;
+    }
+    session->has_written = session->has_written || !request.is_read;
+    auto& count = !request.is_read     ? s.counts.writes
+                  : request.at_primary ? s.counts.reads_at_primaries
+                                       : s.counts.reads_at_replicas;
+    ++count;
+    s.actions.emplace_back(relay_answer{session->id, changed});
+    finish_request(s, id);
+}
+
+void refuse_request(state& s,
+                    request_row_id id,
+                    refusal_outcome outcome,
+                    refusal_reason reason,
+                    bool close_session)
+{
+    auto const& request = *s.requests.find(id);
+    note(s, id, decision_kind::refuse, decision_reason::refused);
+    ++(outcome == refusal_outcome::not_run ? s.counts.refused_not_run
+                                           : s.counts.outcome_unknown);
+    s.actions.emplace_back(refuse{s.sessions.find(request.session)->id, outcome,
+                                  reason, close_session});
+    finish_request(s, id);
+}
+
+void remove_request(state& s, request_row_id id)
+{
+    auto const& request = *s.requests.find(id);
+    for (auto const kind : {timer_kind::request, timer_kind::read_try,
+                            timer_kind::position_wait, timer_kind::token_wait})
+        s.timers.erase({kind, id});
+    auto const erase_from = [id](auto& waiting)
+    {
+        std::erase_if(waiting,
+                      [id](auto const& it) { return it.second == id; });
+    };
+    if (request.state == request_state::held)
+    {
+        auto& held = s.groups.find(request.group)->held;
+        if (request.answer_position)
+        {
+            auto const [begin, end] =
+                held.equal_range(*request.answer_position);
+            auto const it = std::find_if(begin, end,
+                                         [id](auto const& entry)
+                                         { return entry.second == id; });
+            if (it != end)
+                held.erase(it);
+        }
+        --s.counts.held;
+    }
+    else if (request.state == request_state::waiting_position)
+        erase_from(s.groups.find(request.group)->waiting_position);
+    s.sessions.find(request.session)->request.reset();
+    s.requests.erase(id);
+}
+
+void close_idle_session(state& s, session_row_id id, refusal_reason reason)
+{
+    auto* session = s.sessions.find(id);
+    if (session->in_transaction)
+        drop_connection(s, session->in_transaction->connection);
+    session->in_transaction.reset();
+    s.actions.emplace_back(end_session{session->id, reason});
+}
+
+void note(state& s,
+          request_row_id id,
+          decision_kind kind,
+          decision_reason reason,
+          std::optional<server_row_id> server)
+{
+    auto const& request = *s.requests.find(id);
+    std::optional<server_name> name;
+    if (server)
+        name = s.servers.find(*server)->name;
+    s.actions.emplace_back(
+        log_decision{s.sessions.find(request.session)->id, kind, reason, name});
+}
+
+} // namespace basilreach::traffic::detail
--- /dev/null
+++ b/packages/traffic/src/routing.cpp
@@ -0,0 +1,327 @@
+// Chooses the server of each admitted statement.
+#include <algorithm>
+#include <array>
+
+#include <basilreach/traffic/detail/state.hpp>
+
+namespace basilreach::traffic::detail
+{
+
+namespace
+{
+
+// Samples of the primary's position that are kept for stated ages.
+constexpr std::size_t sample_limit = 64;
+
+bool takes_work(server_row const& it)
+{
+    return !it.is_down && !it.is_leaving && !it.is_removed;
+}
+
+// Whether a replica at this position is known to hold data at most max_age old.
+bool is_recent_enough(state const& s,
+                      group_row const& group,
+                      log_position position,
+                      duration max_age)
+{
+    return std::any_of(group.samples.rbegin(), group.samples.rend(),
+                       [&](primary_sample const& it) {
+                           return it.asked_at + max_age >= s.now &&
+                                  it.position <= position;
+                       });
+}
+
+using qualifies = bool (*)(state const&,
+                           group_row const&,
+                           request_row const&,
+                           session_row const&,
+                           server_row const&);
+
+bool has_reached_session(state const& s,
+                         group_row const& group,
+                         request_row const& request,
+                         session_row const& session,
+                         server_row const& server)
+{
+    if (!session.position || !server.position ||
+        *server.position < *session.position ||
+        server.position->term != group.term)
+        return false;
+    return !request.max_age ||
+           is_recent_enough(s, group, *server.position, *request.max_age);
+}
+
+bool session_has_not_written(state const& /*s*/,
+                             group_row const& /*group*/,
+                             request_row const& /*request*/,
+                             session_row const& session,
+                             server_row const& /*server*/)
+{
+    return !session.has_written;
+}
+
+bool always(state const& /*s*/,
+            group_row const& /*group*/,
+            request_row const& /*request*/,
+            session_row const& /*session*/,
+            server_row const& /*server*/)
+{
+    return true;
+}
+
+bool not_at_all(state const& /*s*/,
+                group_row const& /*group*/,
+                request_row const& /*request*/,
+                session_row const& /*session*/,
+                server_row const& /*server*/)
+{
+    return false;
+}
+
+// Indexed by read_policy.
+constexpr std::array<qualifies, 4> read_policies = {
+    has_reached_session, session_has_not_written, always, not_at_all};
+
+// Compares two servers by load: work outstanding, then a server to which a
+// connection is open, then the same data centre.
+bool is_less_loaded(state const& s, server_row const& a, server_row const& b)
+{
+    auto const load = [](server_row const& it)
+    {
+        return it.outstanding + it.queue.size();
+    };
+    auto const rank = [&s, &load](server_row const& it)
+    {
+        return std::tuple(it.next_open > s.now && it.idle.empty(), load(it),
+                          it.idle.empty(),
+                          it.data_centre != s.settings.data_centre, it.name);
+    };
+    return rank(a) < rank(b);
+}
+
+std::optional<server_row_id> choose_replica(state const& s,
+                                            request_row const& request,
+                                            session_row const& session)
+{
+    auto const& group = *s.groups.find(request.group);
+    auto const policy =
+        read_policies[static_cast<std::size_t>(s.settings.reads)];
+    std::optional<server_row_id> best;
+    for (auto const id : group.servers)
+    {
+        auto const& server = *s.servers.find(id);
+        if (group.primary == id || !takes_work(server) ||
+            std::find(request.excluded.begin(), request.excluded.end(), id) !=
+                request.excluded.end() ||
+            !policy(s, group, request, session, server))
+            continue;
+        if (!best || is_less_loaded(s, server, *s.servers.find(*best)))
+            best = id;
+    }
+    return best;
+}
+
+bool has_replica(state const& s, group_row const& group)
+{
+    return std::any_of(group.servers.begin(), group.servers.end(),
+                       [&](server_row_id id) {
+                           return group.primary != id &&
+                                  takes_work(*s.servers.find(id));
+                       });
+}
+
+void enqueue(state& s,
+             request_row_id id,
+             request_row& request,
+             server_row_id server_id,
+             bool at_primary)
+{
+    auto* server = s.servers.find(server_id);
+    if (server->queue.size() >= s.settings.queue_limit)
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::queue_full);
+    request.server = server_id;
+    request.at_primary = at_primary;
+    request.state = request_state::queued;
+    server->queue.push_back(id);
+    s.to_dispatch.push_back(server_id);
+}
+
+void wait_for_primary(state& s, request_row_id id, request_row& request)
+{
+    auto* group = s.groups.find(request.group);
+    if (group->waiting_primary.size() >= s.settings.queue_limit)
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::queue_full);
+    request.state = request_state::waiting_primary;
+    group->waiting_primary.push_back(id);
+    note(s, id, decision_kind::wait, decision_reason::no_primary);
+}
+
+void route_to_primary(state& s,
+                      request_row_id id,
+                      request_row& request,
+                      decision_reason reason)
+{
+    auto const& group = *s.groups.find(request.group);
+    if (!group.primary || !takes_work(*s.servers.find(*group.primary)))
+        return wait_for_primary(s, id, request);
+    note(s, id, decision_kind::route, reason, *group.primary);
+    enqueue(s, id, request, *group.primary, true);
+}
+
+// A read waits a little for a replica to reach the session's position, since a
+// replica is often behind by less than the primary's own queue takes.
+void wait_for_position(state& s,
+                       request_row_id id,
+                       request_row& request,
+                       log_position position)
+{
+    request.state = request_state::waiting_position;
+    request.waited = true;
+    s.groups.find(request.group)->waiting_position.emplace(position, id);
+    s.timers.set({timer_kind::position_wait, id},
+                 s.now + s.settings.replica_wait);
+    s.timers.set({timer_kind::group_poll, request.group}, s.now);
+    note(s, id, decision_kind::wait, decision_reason::position_not_reached);
+}
+
+void route_read(state& s,
+                request_row_id id,
+                request_row& request,
+                session_row const& session)
+{
+    if (auto const replica = choose_replica(s, request, session))
+    {
+        note(s, id, decision_kind::route, decision_reason::least_loaded_replica,
+             replica);
+        return enqueue(s, id, request, *replica, false);
+    }
+    auto const& group = *s.groups.find(request.group);
+    if (s.settings.reads == read_policy::session_position && session.position &&
+        !request.waited && has_replica(s, group))
+        return wait_for_position(s, id, request, *session.position);
+    route_to_primary(s, id, request,
+                     session.position
+                         ? decision_reason::primary_no_replica_qualifies
+                         : decision_reason::primary_without_position);
+}
+
+void send_in_transaction(state& s,
+                         request_row_id id,
+                         request_row& request,
+                         transaction const& it)
+{
+    request.server = s.connections.find(it.connection)->server;
+    request.at_primary = it.at_primary;
+    note(s, id, decision_kind::route, decision_reason::pinned_transaction,
+         request.server);
+    send_request(s, id, it.connection);
+}
+
+void route(state& s, request_row_id id)
+{
+    auto* request = s.requests.find(id);
+    if (request == nullptr)
+        return;
+    auto const& session = *s.sessions.find(request->session);
+    if (session.in_transaction)
+        return send_in_transaction(s, id, *request, *session.in_transaction);
+    if (request->is_read)
+        return route_read(s, id, *request, session);
+    route_to_primary(s, id, *request, decision_reason::primary_for_write);
+}
+
+// Whether something waits for the position of this server.
+bool is_waited_for(group_row const& group,
+                   server_row_id id,
+                   server_row const& server)
+{
+    if (!takes_work(server))
+        return false;
+    auto const behind = [&server](auto const& waiting)
+    {
+        return !waiting.empty() &&
+               (!server.position || *server.position < waiting.rbegin()->first);
+    };
+    if (group.primary == id)
+        return false;
+    return behind(group.held) || behind(group.waiting_position);
+}
+
+// Sends a positions query where a connection is idle. A busy server needs none,
+// since its position comes with each answer.
+void ask_server(state& s, server_row_id id, server_row& server)
+{
+    if (server.idle.empty())
+    {
+        if (server.connections.empty())
+            s.to_dispatch.push_back(id);
+        return;
+    }
+    auto const connection = server.idle.back();
+    server.idle.pop_back();
+    server.is_asked = true;
+    server.next_ask = s.now + s.settings.poll_interval;
+    ask_over(s, connection);
+}
+
+} // namespace
+
+void route_requests(state& s)
+{
+    for (auto const id : std::exchange(s.to_route, {}))
+        route(s, id);
+}
+
+void observe_position(state& s,
+                      server_row_id id,
+                      log_position position,
+                      instant asked_at)
+{
+    auto* server = s.servers.find(id);
+    // Answers of several connections can arrive out of order.
+    if (!server->position || position > *server->position)
+        server->position = position;
+    auto* group = s.groups.find(server->group);
+    if (group->primary == id && position.term == group->term &&
+        (group->samples.empty() || group->samples.back().position < position ||
+         group->samples.back().asked_at + s.settings.poll_interval <= asked_at))
+    {
+        group->samples.push_back({asked_at, position});
+        if (group->samples.size() > sample_limit)
+            group->samples.pop_front();
+    }
+    auto const end = group->waiting_position.upper_bound(position);
+    for (auto it = group->waiting_position.begin(); it != end;
+         it = group->waiting_position.erase(it))
+    {
+        s.timers.erase({timer_kind::position_wait, it->second});
+        s.to_route.push_back(it->second);
+    }
+    if (!group->held.empty())
+        s.to_release.push_back(server->group);
+}
+
+void poll_positions(state& s)
+{
+    for (auto const id : std::exchange(s.to_poll, {}))
+    {
+        bool is_waiting = false;
+        auto const& group = *s.groups.find(id);
+        for (auto const server_id : group.servers)
+        {
+            auto* server = s.servers.find(server_id);
+            if (!is_waited_for(group, server_id, *server))
+                continue;
+            is_waiting = true;
+            if (!server->is_asked && server->next_ask <= s.now)
+                ask_server(s, server_id, *server);
+        }
+        if (is_waiting)
+            s.timers.set({timer_kind::group_poll, id},
+                         s.now + s.settings.poll_interval);
+    }
+}
+
+} // namespace basilreach::traffic::detail
