--- /dev/null
+++ b/packages/control/include/basilreach/control/lease.hpp
@@ -0,0 +1,75 @@
+#ifndef BASILREACH_CONTROL_LEASE_HPP
+#define BASILREACH_CONTROL_LEASE_HPP
+
+#include <cstdint>
+#include <map>
+
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/log_position.hpp>
+#include <basilreach/base/name.hpp>
+
+namespace basilreach::control
+{
+
+// Times that control hosts and daemons share.
+struct lease_settings
+{
+    // An election takes at most 2 s and so does not end a lease.
+    duration lease = std::chrono::seconds{3};
+    duration renewal = std::chrono::milliseconds{500};
+    // Interval of the requests of a daemon without a valid lease.
+    duration retry = std::chrono::milliseconds{100};
+
+    friend bool operator==(lease_settings const&,
+                           lease_settings const&) = default;
+};
+
+// A daemon asks for a lease. It is sent at once when the confirmed revision
+// rises, otherwise at the renewal interval.
+struct lease_renewal
+{
+    daemon_name daemon;
+    data_centre_name data_centre;
+    // Differs for each start of the daemon.
+    std::uint64_t incarnation = 0;
+    // Send time by the daemon's clock; the grant returns it unchanged.
+    instant sent_at;
+    // The greatest revision that all traffic threads have adopted.
+    std::uint64_t confirmed_revision = 0;
+    // Highest position of which the daemon has acknowledged a write, for each
+    // group whose primary is being replaced.
+    std::map<group_name, log_position> acknowledged;
+
+    friend bool operator==(lease_renewal const&,
+                           lease_renewal const&) = default;
+};
+
+// A daemon that stops gives its lease back; it relays nothing afterwards.
+struct lease_returned
+{
+    daemon_name daemon;
+    std::uint64_t incarnation = 0;
+
+    friend bool operator==(lease_returned const&,
+                           lease_returned const&) = default;
+};
+
+// The leader's answer to a renewal.
+struct grant_lease
+{
+    daemon_name daemon;
+    std::uint64_t incarnation = 0;
+    // The send time of the renewal.
+    instant echo;
+    // Counted from the echo by the daemon's clock; zero when no lease is
+    // granted because the daemon must first adopt a newer state.
+    duration lease{};
+    // Revision of the leader's state.
+    std::uint64_t revision = 0;
+
+    friend bool operator==(grant_lease const&, grant_lease const&) = default;
+};
+
+} // namespace basilreach::control
+
+#endif
--- /dev/null
+++ b/packages/control/include/basilreach/control/lease_holder.hpp
@@ -0,0 +1,156 @@
+#ifndef BASILREACH_CONTROL_LEASE_HOLDER_HPP
+#define BASILREACH_CONTROL_LEASE_HOLDER_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <set>
+#include <variant>
+#include <vector>
+
+#include <basilreach/control/lease.hpp>
+
+namespace basilreach::control
+{
+
+// A state of this revision can be adopted, from whoever sent it.
+struct state_offered
+{
+    std::uint64_t revision = 0;
+
+    friend bool operator==(state_offered const&,
+                           state_offered const&) = default;
+};
+
+// A traffic thread works with the state of this revision from now on.
+struct adopted
+{
+    std::size_t thread = 0;
+    std::uint64_t revision = 0;
+
+    friend bool operator==(adopted const&, adopted const&) = default;
+};
+
+// A write of the group has been acknowledged up to this position.
+struct write_acknowledged
+{
+    group_name group;
+    log_position position;
+
+    friend bool operator==(write_acknowledged const&,
+                           write_acknowledged const&) = default;
+};
+
+// The daemon stops: the lease ends now and is given back.
+struct stop_requested
+{
+    friend bool operator==(stop_requested const&,
+                           stop_requested const&) = default;
+};
+
+using holder_input = std::variant<grant_lease,
+                                  state_offered,
+                                  adopted,
+                                  write_acknowledged,
+                                  stop_requested>;
+
+// Traffic threads are to adopt the state of this revision.
+struct adopt_state
+{
+    std::uint64_t revision = 0;
+
+    friend bool operator==(adopt_state const&, adopt_state const&) = default;
+};
+
+// The offered state is older than one that was served.
+struct state_refused
+{
+    std::uint64_t revision = 0;
+    std::uint64_t served = 0;
+
+    friend bool operator==(state_refused const&,
+                           state_refused const&) = default;
+};
+
+// Requests that need a lease may run before this time.
+struct lease_extended
+{
+    instant valid_until;
+
+    friend bool operator==(lease_extended const&,
+                           lease_extended const&) = default;
+};
+
+using holder_output = std::variant<lease_renewal,
+                                   lease_returned,
+                                   adopt_state,
+                                   state_refused,
+                                   lease_extended>;
+
+// The daemon's side of the control lease.
+class lease_holder
+{
+public:
+    // threads is the number of traffic threads, at least one.
+    lease_holder(daemon_name daemon,
+                 data_centre_name data_centre,
+                 std::uint64_t incarnation,
+                 std::size_t threads,
+                 lease_settings settings,
+                 instant now);
+
+    // Stores an input for the next tick.
+    void receive(holder_input it);
+
+    // Handles the stored inputs and what is due.
+    std::vector<holder_output> tick(instant now);
+
+    // The time at which tick must run again, instant::min() when inputs wait.
+    [[nodiscard]] instant next_deadline() const;
+
+    // The lease is valid before this time.
+    [[nodiscard]] instant valid_until() const noexcept
+    {
+        return valid_until_;
+    }
+
+    // The greatest revision that all traffic threads have adopted.
+    [[nodiscard]] std::uint64_t confirmed_revision() const noexcept
+    {
+        return confirmed_;
+    }
+
+private:
+    using handler = void (lease_holder::*)(holder_input const&);
+
+    static handler const handlers[];
+
+    void on_grant(holder_input const& it);
+    void on_offer(holder_input const& it);
+    void on_adopted(holder_input const& it);
+    void on_acknowledged(holder_input const& it);
+    void on_stop(holder_input const& it);
+    void send_due_renewal(instant now);
+
+    daemon_name daemon_;
+    data_centre_name data_centre_;
+    std::uint64_t incarnation_;
+    lease_settings settings_;
+    // Revision that each traffic thread has adopted.
+    std::vector<std::uint64_t> threads_;
+    // Greatest revision that was passed on to the traffic threads.
+    std::uint64_t served_ = 0;
+    std::uint64_t confirmed_ = 0;
+    // Send times whose grant may still arrive in time to be of use.
+    std::set<instant> sent_;
+    instant next_renewal_;
+    instant valid_until_ = instant::min();
+    std::map<group_name, log_position> acknowledged_;
+    bool stopped_ = false;
+    std::vector<holder_input> inbox_;
+    std::vector<holder_output> out_;
+};
+
+} // namespace basilreach::control
+
+#endif
