consensus, storage: Set down the public headers

The daemon and the codec are written against these interfaces while the implementations follow. Membership changes are entry kinds whose payload is the name of one host, so that the agreement logic needs no codec.

--- /dev/null
+++ b/packages/consensus/include/basilreach/consensus/membership.hpp
@@ -0,0 +1,31 @@
+#ifndef BASILREACH_CONSENSUS_MEMBERSHIP_HPP
+#define BASILREACH_CONSENSUS_MEMBERSHIP_HPP
+
+#include <compare>
+#include <vector>
+
+#include <basilreach/consensus/log_entry.hpp>
+
+namespace basilreach::consensus
+{
+
+// The control hosts, each list in order of name. Voters form majorities;
+// learners only receive the log.
+struct membership
+{
+    std::vector<host_name> voters;
+    std::vector<host_name> learners;
+
+    [[nodiscard]] bool has_voter(host_name const& host) const;
+    [[nodiscard]] bool has_learner(host_name const& host) const;
+
+    friend auto operator<=>(membership const&, membership const&) = default;
+};
+
+// Returns the membership after an entry. Entries of other kinds leave it as it
+// is, and so does a change that has already been made.
+membership apply_change(membership before, log_entry const& entry);
+
+} // namespace basilreach::consensus
+
+#endif
--- /dev/null
+++ b/packages/storage/include/basilreach/storage/store.hpp
@@ -0,0 +1,198 @@
+#ifndef BASILREACH_STORAGE_STORE_HPP
+#define BASILREACH_STORAGE_STORE_HPP
+
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <basilreach/base/result.hpp>
+#include <basilreach/storage/file_operations.hpp>
+
+namespace basilreach::storage
+{
+
+// One entry of the log. This package does not interpret kind and payload.
+struct record
+{
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    std::uint8_t kind = 0;
+    std::string payload;
+
+    friend auto operator<=>(record const&, record const&) = default;
+};
+
+struct hard_state
+{
+    std::uint64_t term = 0;
+    std::string vote;
+
+    friend auto operator<=>(hard_state const&, hard_state const&) = default;
+};
+
+// The replicated state after the entry at index, with the names of the hosts
+// that were members then.
+struct snapshot
+{
+    std::uint64_t index = 0;
+    std::uint64_t term = 0;
+    std::vector<std::string> voters;
+    std::vector<std::string> learners;
+    std::string state;
+
+    friend auto operator<=>(snapshot const&, snapshot const&) = default;
+};
+
+// What a data directory holds.
+struct contents
+{
+    hard_state hard;
+    // Absent until the first snapshot is written.
+    std::optional<snapshot> base;
+    // The entries after the snapshot, without gaps.
+    std::vector<record> entries;
+
+    friend auto operator<=>(contents const&, contents const&) = default;
+};
+
+// Changes that become durable together with one sync, in this order.
+struct write_batch
+{
+    std::optional<hard_state> hard;
+    std::optional<std::uint64_t> truncate_from;
+    std::vector<record> append;
+
+    friend auto operator<=>(write_batch const&, write_batch const&) = default;
+};
+
+enum class storage_errc : std::uint8_t
+{
+    // A record, a segment header or the snapshot does not match its checksum
+    // or has an impossible content.
+    corrupted,
+    // A segment that must exist is absent.
+    missing_segment,
+    // An entry, a segment or a write does not follow the one before it.
+    wrong_order,
+    disk_full,
+    // Any other error of the operating system.
+    io_error,
+    // The store refuses because an earlier operation failed.
+    failed_before
+};
+
+// A failure with the file and the offset it was found at.
+struct storage_error
+{
+    storage_errc code = storage_errc::io_error;
+    std::string file;
+    std::uint64_t offset = 0;
+    // The errno value, or 0.
+    int system_error = 0;
+
+    friend auto operator<=>(storage_error const&,
+                            storage_error const&) = default;
+};
+
+template <class T>
+using storage_result = result<T, storage_error>;
+
+struct store_settings
+{
+    std::string directory;
+    // A segment that has grown to this size is followed by a new one.
+    std::uint64_t segment_bytes = std::uint64_t{16} << 20U;
+
+    friend auto operator<=>(store_settings const&,
+                            store_settings const&) = default;
+};
+
+// The data directory of one control host. Everything is synced before a call
+// returns. After an error every later call fails with failed_before, because
+// the state of the files is then unknown until they are read again.
+class store
+{
+public:
+    // Opens a data directory and reads it; an absent or empty one is
+    // initialised. A torn tail, which was never synced, is cut.
+    static storage_result<store> open(store_settings settings,
+                                      file_operations files);
+
+    store(store&& other) noexcept;
+    store& operator=(store&& other) noexcept;
+    store(store const&) = delete;
+    store& operator=(store const&) = delete;
+    ~store();
+
+    // What the directory held when it was opened. Moves it out.
+    contents take_contents();
+
+    // Writes and syncs a batch.
+    storage_result<void> write(write_batch const& batch);
+
+    // Saves a snapshot of entries in the log and removes segments that only
+    // hold entries it covers.
+    storage_result<void> compact(snapshot const& base);
+
+    // Saves a snapshot received from another host in place of the whole log.
+    storage_result<void> install(snapshot const& base);
+
+private:
+    // A segment that has a successor.
+    struct sealed_segment
+    {
+        std::uint64_t sequence = 0;
+        std::uint64_t last_index = 0;
+    };
+
+    store(store_settings settings, file_operations files);
+
+    storage_result<void> load();
+    storage_result<void> load_snapshot(std::string const& data,
+                                       std::uint64_t& first_segment);
+    storage_result<void> load_segment(std::uint64_t sequence, bool is_last);
+    storage_result<void> apply_record(struct record_view const& view,
+                                      std::string const& file,
+                                      std::uint64_t offset);
+    storage_result<void> create_segment(std::uint64_t sequence);
+    storage_result<void> open_active(std::uint64_t sequence);
+    storage_result<void> roll();
+    storage_result<void> save_snapshot(snapshot const& base,
+                                       std::uint64_t first_segment);
+    storage_result<void> drop_segments_before(std::uint64_t sequence);
+    storage_result<void> replace_file(std::string const& name,
+                                      std::string_view data);
+    storage_result<void> write_all(int handle,
+                                   std::string const& name,
+                                   std::uint64_t offset,
+                                   std::string_view data);
+
+    [[nodiscard]] std::string path(std::string const& name) const;
+    storage_error
+    fail(storage_errc code, std::string const& file, std::uint64_t offset);
+    storage_error
+    fail(file_error error, std::string const& file, std::uint64_t offset = 0);
+
+    store_settings settings_;
+    file_operations files_;
+    contents contents_;
+    hard_state hard_;
+    std::vector<sealed_segment> sealed_;
+    std::uint64_t active_sequence_ = 0;
+    std::uint64_t active_bytes_ = 0;
+    // The greatest index in the active segment, also of removed entries.
+    std::uint64_t active_last_index_ = 0;
+    int active_handle_ = -1;
+    std::uint64_t snapshot_index_ = 0;
+    // The last index of the log, if the segments hold any entry.
+    std::optional<std::uint64_t> last_index_;
+    bool failed_ = false;
+};
+
+} // namespace basilreach::storage
+
+#endif
