--- /dev/null
+++ b/packages/limits/include/basilreach/limits/fair_queue.hpp
@@ -0,0 +1,216 @@
+#ifndef BASILREACH_LIMITS_FAIR_QUEUE_HPP
+#define BASILREACH_LIMITS_FAIR_QUEUE_HPP
+
+#include <algorithm>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/base/result.hpp>
+#include <basilreach/base/table.hpp>
+
+namespace basilreach::limits
+{
+
+struct fair_queue_settings
+{
+    // Most entries that wait for one workspace.
+    std::size_t entries_per_workspace = 1000;
+    // Entries that are served at the same time.
+    std::uint32_t slots = 3;
+
+    friend auto operator<=>(fair_queue_settings const&,
+                            fair_queue_settings const&) = default;
+};
+
+// Why an entry was not queued.
+enum class queue_refusal : std::uint8_t
+{
+    queue_full,
+    // The estimated wait ends after the deadline.
+    deadline_too_near
+};
+
+// Start-time fair queueing of entries by cost among workspaces. Every operation
+// takes O(log n) for n waiting entries.
+template <class Entry>
+class fair_queue
+{
+public:
+    explicit fair_queue(fair_queue_settings settings) : settings_(settings)
+    {
+    }
+
+    // Queues an entry with a cost above 0.
+    result<row_id, queue_refusal> push(workspace_name const& workspace,
+                                       std::uint64_t cost,
+                                       instant deadline,
+                                       Entry entry,
+                                       instant now)
+    {
+        auto& it = workspaces_[workspace];
+        if (it.waiting.size() >= settings_.entries_per_workspace)
+            return queue_refusal::queue_full;
+        // Against an idle queue the service itself decides about the deadline.
+        if (deadline <= now || estimate(it) > deadline - now)
+            return queue_refusal::deadline_too_near;
+        auto const id =
+            entries_.insert({workspace, cost, {}, std::move(entry)});
+        entries_.find(id)->place = it.waiting.insert(it.waiting.end(), id);
+        it.cost += cost;
+        cost_ += cost;
+        if (it.waiting.size() == 1)
+        {
+            it.start = std::max(it.start, virtual_time_);
+            it.order = ++order_;
+            heads_.insert({it.start, it.order, workspace});
+        }
+        deadlines_.set(id, deadline);
+        return id;
+    }
+
+    // Removes and returns the next entry to serve, if any waits.
+    std::optional<Entry> pop()
+    {
+        if (heads_.empty())
+            return std::nullopt;
+        auto& it = workspaces_.at(heads_.begin()->workspace);
+        auto const id = it.waiting.front();
+        virtual_time_ = it.start;
+        return take(id, entries_.find(id)->cost);
+    }
+
+    // Removes an entry that need not be served; returns it if it still waits.
+    std::optional<Entry> erase(row_id id)
+    {
+        if (entries_.find(id) == nullptr)
+            return std::nullopt;
+        return take(id, 0);
+    }
+
+    // Removes and returns the entries whose deadline has passed.
+    std::vector<Entry> tick(instant now)
+    {
+        std::vector<Entry> expired;
+        while (auto const id = deadlines_.pop_due(now))
+            expired.push_back(take(*id, 0));
+        return expired;
+    }
+
+    // Reports how long the service of an entry took, for the estimated wait.
+    void record_service(std::uint64_t cost, duration time)
+    {
+        auto const sample =
+            static_cast<double>(time.count()) / static_cast<double>(cost);
+        // The weight averages over about the last 32 services.
+        time_per_cost_ += (sample - time_per_cost_) / 32;
+    }
+
+    // Returns the wait expected of an entry that a workspace queues now.
+    [[nodiscard]] duration estimated_wait(workspace_name const& workspace) const
+    {
+        auto const it = workspaces_.find(workspace);
+        return estimate(it == workspaces_.end() ? backlog{} : it->second);
+    }
+
+    // Returns the earliest deadline of a waiting entry.
+    [[nodiscard]] instant next_deadline() const
+    {
+        return deadlines_.next();
+    }
+
+    // Returns the number of waiting entries.
+    [[nodiscard]] std::size_t size() const noexcept
+    {
+        return entries_.size();
+    }
+
+    [[nodiscard]] bool empty() const noexcept
+    {
+        return entries_.empty();
+    }
+
+private:
+    struct row
+    {
+        workspace_name workspace;
+        std::uint64_t cost;
+        std::list<row_id>::iterator place;
+        Entry entry;
+    };
+
+    // The entries of one workspace in order of arrival. Only the first has a
+    // start tag, so that entries dropped behind it are not charged.
+    struct backlog
+    {
+        std::list<row_id> waiting;
+        std::uint64_t cost = 0;
+        std::uint64_t start = 0;
+        std::uint64_t order = 0;
+    };
+
+    struct head
+    {
+        std::uint64_t start;
+        std::uint64_t order;
+        workspace_name workspace;
+
+        friend auto operator<=>(head const&, head const&) = default;
+    };
+
+    // Removes an entry and charges its workspace for the cost served.
+    Entry take(row_id id, std::uint64_t served)
+    {
+        auto& row = *entries_.find(id);
+        auto& it = workspaces_.at(row.workspace);
+        bool const first = row.place == it.waiting.begin();
+        it.waiting.erase(row.place);
+        it.cost -= row.cost;
+        cost_ -= row.cost;
+        if (first)
+        {
+            heads_.erase({it.start, it.order, row.workspace});
+            it.start += served;
+            it.order = ++order_;
+            if (!it.waiting.empty())
+                heads_.insert({it.start, it.order, row.workspace});
+        }
+        deadlines_.erase(id);
+        Entry entry = std::move(row.entry);
+        entries_.erase(id);
+        return entry;
+    }
+
+    // While a workspace's backlog is served, each other one receives at most
+    // the same service, and no more than its own backlog in sum.
+    [[nodiscard]] duration estimate(backlog const& it) const
+    {
+        auto const active = heads_.size() + (it.waiting.empty() ? 1 : 0);
+        auto const ahead = std::min(cost_, it.cost * active);
+        return duration(static_cast<duration::rep>(
+            static_cast<double>(ahead) * time_per_cost_ / settings_.slots));
+    }
+
+    fair_queue_settings settings_;
+    table<row> entries_;
+    std::map<workspace_name, backlog> workspaces_;
+    std::set<head> heads_;
+    deadline_queue<row_id> deadlines_;
+    std::uint64_t virtual_time_ = 0;
+    std::uint64_t order_ = 0;
+    std::uint64_t cost_ = 0;
+    double time_per_cost_ = 0;
+};
+
+} // namespace basilreach::limits
+
+#endif
--- /dev/null
+++ b/packages/limits/include/basilreach/limits/rate_holder.hpp
@@ -0,0 +1,84 @@
+#ifndef BASILREACH_LIMITS_RATE_HOLDER_HPP
+#define BASILREACH_LIMITS_RATE_HOLDER_HPP
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/base/table.hpp>
+#include <basilreach/limits/token_messages.hpp>
+
+namespace basilreach::limits
+{
+
+struct rate_holder_settings
+{
+    // Least time between two requests of a workspace.
+    duration request_interval = std::chrono::milliseconds(1);
+    // Time after which an unanswered request is sent again.
+    duration retry_interval = std::chrono::milliseconds(20);
+    // Time between two requests of a workspace without traffic.
+    duration idle_interval = std::chrono::milliseconds(100);
+    // The reserve covers the use of this time.
+    duration reserve_time = std::chrono::milliseconds(20);
+
+    friend auto operator<=>(rate_holder_settings const&,
+                            rate_holder_settings const&) = default;
+};
+
+// Spending side of the rate escrow. It spends only unexpired tokens, asks when
+// few are left for the demand seen and returns those beyond it.
+class rate_holder
+{
+public:
+    rate_holder(rate_holder_settings settings,
+                daemon_name holder,
+                std::uint64_t incarnation);
+
+    // Adds or removes a workspace.
+    void add_workspace(workspace_name const& workspace, instant now);
+    void remove_workspace(workspace_name const& workspace);
+
+    // Spends tokens; returns false and spends none when too few are left.
+    bool
+    spend(workspace_name const& workspace, std::int64_t tokens, instant now);
+
+    // Sets the tokens that requests wait for. The next tick asks for them.
+    void set_waiting(workspace_name const& workspace,
+                     std::int64_t tokens,
+                     instant now);
+
+    // Takes a grant; a stale one is ignored.
+    void receive(token_grant const& grant, instant now);
+
+    // Lends unspent tokens to the next level, returns how many.
+    std::int64_t
+    lend(workspace_name const& workspace, std::int64_t tokens, instant now);
+
+    // Takes back tokens that were lent, and states how many are still there.
+    // Those that are missing have been spent.
+    void settle(workspace_name const& workspace,
+                std::int64_t taken_back,
+                std::int64_t still_lent,
+                instant now);
+
+    // Returns the whole tokens that can be spent now.
+    [[nodiscard]] std::int64_t available(workspace_name const& workspace,
+                                         instant now);
+
+    // Returns when the tokens of a workspace expire.
+    [[nodiscard]] instant expiry(workspace_name const& workspace) const;
+
+    // Runs the systems and returns the requests to send.
+    std::vector<token_request> tick(instant now);
+
+    // Returns when tick has something to do next.
+    [[nodiscard]] instant next_deadline() const;
+};
+
+} // namespace basilreach::limits
+
+#endif
--- /dev/null
+++ b/packages/limits/include/basilreach/limits/share_holder.hpp
@@ -0,0 +1,66 @@
+#ifndef BASILREACH_LIMITS_SHARE_HOLDER_HPP
+#define BASILREACH_LIMITS_SHARE_HOLDER_HPP
+
+#include <cstdint>
+#include <map>
+#include <vector>
+
+#include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/base/table.hpp>
+#include <basilreach/limits/share_messages.hpp>
+
+namespace basilreach::limits
+{
+
+struct share_holder_settings
+{
+    // Time after which an unanswered request is sent again.
+    duration retry_interval = std::chrono::milliseconds(20);
+    // Time between two requests of a server without changes.
+    duration idle_interval = std::chrono::milliseconds(500);
+
+    friend auto operator<=>(share_holder_settings const&,
+                            share_holder_settings const&) = default;
+};
+
+// Spending side of the connection shares: says how many connections to a server
+// the holder may have now, and reports those that it has and wants.
+class share_holder
+{
+public:
+    share_holder(share_holder_settings settings,
+                 daemon_name holder,
+                 std::uint64_t incarnation);
+
+    // Adds or removes a server.
+    void add_server(server_name const& server, instant now);
+    void remove_server(server_name const& server);
+
+    // States the connections that are open, opening or not confirmed as closed,
+    // and those that could be used now.
+    void set_use(server_name const& server,
+                 std::uint32_t open,
+                 std::uint32_t wanted,
+                 instant now);
+
+    // Takes a grant; a stale one is ignored.
+    void receive(share_grant const& grant, instant now);
+
+    // Returns the connections that the holder may have now. With more open it
+    // closes the surplus at once when the share has expired, and otherwise as
+    // connections become idle.
+    [[nodiscard]] std::uint32_t share(server_name const& server,
+                                      instant now) const;
+
+    // Runs the systems and returns the requests to send.
+    std::vector<share_request> tick(instant now);
+
+    // Returns when tick has something to do next.
+    [[nodiscard]] instant next_deadline() const;
+};
+
+} // namespace basilreach::limits
+
+#endif
--- /dev/null
+++ b/packages/limits/include/basilreach/limits/share_messages.hpp
@@ -0,0 +1,57 @@
+#ifndef BASILREACH_LIMITS_SHARE_MESSAGES_HPP
+#define BASILREACH_LIMITS_SHARE_MESSAGES_HPP
+
+#include <compare>
+#include <cstdint>
+
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/limits/grant_id.hpp>
+
+namespace basilreach::limits
+{
+
+// Holder to granting side: the holder's complete state for one server.
+struct share_request
+{
+    server_name server;
+    daemon_name holder;
+    // Greater after each restart of the holder.
+    std::uint64_t incarnation = 0;
+    // Greater in each request of an incarnation.
+    std::uint64_t sequence = 0;
+    // When it was sent, by the holder's clock.
+    instant sent;
+    // The last grant that the holder accepted.
+    grant_id heard;
+    // Connections that are open, opening or not confirmed as closed.
+    std::uint32_t open = 0;
+    // Connections that the holder could use now.
+    std::uint32_t wanted = 0;
+
+    friend auto operator<=>(share_request const&,
+                            share_request const&) = default;
+};
+
+// Granting side to holder: the number of connections that the holder may have
+// until echo + lifetime by its clock. It replaces the earlier number; beyond
+// it the holder closes connections as they become idle and opens none.
+struct share_grant
+{
+    server_name server;
+    daemon_name holder;
+    std::uint64_t incarnation = 0;
+    grant_id id;
+    // `sent` of the request that it answers.
+    instant echo;
+    duration lifetime{};
+    std::uint32_t share = 0;
+    // Connections that the holder keeps after the lifetime has passed.
+    std::uint32_t base = 0;
+
+    friend auto operator<=>(share_grant const&, share_grant const&) = default;
+};
+
+} // namespace basilreach::limits
+
+#endif
--- /dev/null
+++ b/packages/limits/include/basilreach/limits/token_messages.hpp
@@ -0,0 +1,68 @@
+#ifndef BASILREACH_LIMITS_TOKEN_MESSAGES_HPP
+#define BASILREACH_LIMITS_TOKEN_MESSAGES_HPP
+
+#include <compare>
+#include <cstdint>
+
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/limits/grant_id.hpp>
+
+namespace basilreach::limits
+{
+
+// Holder to granting side: the holder's complete state for one workspace. A
+// lost request is made good by the next one, and an older one is ignored.
+struct token_request
+{
+    workspace_name workspace;
+    daemon_name holder;
+    // Greater after each restart of the holder.
+    std::uint64_t incarnation = 0;
+    // Greater in each request of an incarnation.
+    std::uint64_t sequence = 0;
+    // When it was sent, by the holder's clock.
+    instant sent;
+    // The last grant that the holder accepted, and when the granting side sent
+    // it by its own clock. While these are recent the holder's floor rests.
+    grant_id heard;
+    instant heard_sent;
+    // Unspent tokens, rounded up.
+    std::int64_t left = 0;
+    // Tokens returned since the holder started.
+    std::int64_t returned = 0;
+    // Tokens that requests wait for now.
+    std::int64_t waiting = 0;
+    // Further tokens wanted for the demand until the next request.
+    std::int64_t reserve = 0;
+
+    friend auto operator<=>(token_request const&,
+                            token_request const&) = default;
+};
+
+// Granting side to holder. A grant of no tokens renews the expiry of those that
+// the holder has.
+struct token_grant
+{
+    workspace_name workspace;
+    daemon_name holder;
+    std::uint64_t incarnation = 0;
+    grant_id id;
+    // When it was sent, by the clock of the granting side.
+    instant sent;
+    // `sent` of the request that it answers. All tokens of the holder expire at
+    // echo + lifetime by the holder's clock.
+    instant echo;
+    duration lifetime{};
+    std::int64_t tokens = 0;
+    // The holder's own bucket while it is out of contact, in microtokens a
+    // second and microtokens.
+    std::int64_t floor_rate = 0;
+    std::int64_t floor_burst = 0;
+
+    friend auto operator<=>(token_grant const&, token_grant const&) = default;
+};
+
+} // namespace basilreach::limits
+
+#endif
