rules: Parse, print and compare rules files

The requester of each rule joins the rule set, because canonical text is only a valid rules file with it.

--- /dev/null
+++ b/packages/rules/include/basilreach/rules/name_syntax.hpp
@@ -0,0 +1,23 @@
+#ifndef BASILREACH_RULES_NAME_SYNTAX_HPP
+#define BASILREACH_RULES_NAME_SYNTAX_HPP
+
+#include <cstddef>
+#include <string_view>
+
+namespace basilreach::rules
+{
+
+// PostgreSQL clients cut database names, which name routes, after 63 bytes.
+inline constexpr std::size_t largest_name = 63;
+
+// The database name of the admin console, which no route may have.
+inline constexpr std::string_view admin_console_name = "basilreach";
+
+// Returns whether the text can name a workspace, route, group, server, daemon
+// or data centre: 1 to 63 letters, digits, '_', '-' or '.' of ASCII, where the
+// first is a letter or a digit.
+[[nodiscard]] bool is_name(std::string_view text) noexcept;
+
+} // namespace basilreach::rules
+
+#endif
--- a/packages/rules/include/basilreach/rules/rule_set.hpp
+++ b/packages/rules/include/basilreach/rules/rule_set.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 
 #include <basilreach/base/instant.hpp>
 #include <basilreach/base/name.hpp>
@@ -67,6 +68,9 @@
     std::map<key_digest, workspace_name> keys;
     std::map<route_name, route_rule> routes;
     std::map<group_name, server_limit_rule> server_limits;
+    // Who asked for each rule and why ("NAME: why"), by rule kind and name
+    // ("workspace sales"). Canonical text needs it to be a valid rules file.
+    std::map<std::string, std::string> requesters;
 
     friend bool operator==(rule_set const&, rule_set const&) = default;
 };
--- /dev/null
+++ b/packages/rules/test/print_test.cpp
@@ -0,0 +1,69 @@
+#include <basilreach/rules/print.hpp>
+
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include <basilreach/rules/parse.hpp>
+
+using namespace basilreach::rules;
+
+namespace
+{
+
+std::string const digest(64, 'a');
+std::string const canonical =
+    "workspace a rate=1 burst=2 # asked by ann: first\n"
+    "workspace b rate=3 burst=4 # asked by bob: second\n"
+    "key a sha256=" +
+    digest +
+    " # asked by ann: key\n"
+    "route r group=g class=read workspaces=a,b max_age_ms=5 # asked by ann: r\n"
+    "route s group=g open=b # asked by ann: s\n"
+    "server_limit g connections=6 slots=7 # asked by ann: limit\n";
+
+} // namespace
+
+TEST_CASE("canonical text is a fixed point of parse and print")
+{
+    CHECK(print_rules(parse_rules(canonical).value()) == canonical);
+}
+
+TEST_CASE("printing removes order, blanks and defaults")
+{
+    auto const rules =
+        parse_rules("route s   open=b group=g class=write#asked by ann:s\n"
+                    "workspace b burst=4 rate=3 # asked by bob: second\n");
+    CHECK(print_rules(rules.value()) ==
+          "workspace b rate=3 burst=4 # asked by bob: second\n"
+          "route s group=g open=b # asked by ann: s\n");
+}
+
+TEST_CASE("rules built without requesters print as a valid file")
+{
+    rule_set rules;
+    rules.workspaces[basilreach::workspace_name{"a"}] = {1, 1};
+    CHECK(parse_rules(print_rules(rules)).value().workspaces ==
+          rules.workspaces);
+}
+
+TEST_CASE("a diff names added, removed and changed rules only")
+{
+    auto const before = parse_rules(canonical).value();
+    auto after = before;
+    after.workspaces[basilreach::workspace_name{"b"}].rate = 9;
+    after.routes.erase(basilreach::route_name{"s"});
+    after.workspaces[basilreach::workspace_name{"c"}] = {1, 1};
+    std::string text;
+    for (auto const& it : diff_rules(before, after))
+        text += it.rule + "\n" + to_string(it);
+    CHECK(text == "workspace b\n"
+                  "-workspace b rate=3 burst=4 # asked by bob: second\n"
+                  "+workspace b rate=9 burst=4 # asked by bob: second\n"
+                  "workspace c\n"
+                  "+workspace c rate=1 burst=1 # asked by unknown: not "
+                  "recorded\n"
+                  "route s\n"
+                  "-route s group=g open=b # asked by ann: s\n");
+    CHECK(diff_rules(before, before).empty());
+}
