--- /dev/null
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -0,0 +1,137 @@
+#ifndef BASILREACH_SETTINGS_DAEMON_SETTINGS_HPP
+#define BASILREACH_SETTINGS_DAEMON_SETTINGS_HPP
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/rules/rule_set.hpp>
+
+namespace basilreach::settings
+{
+
+enum class daemon_role : std::uint8_t
+{
+    entry,
+    control
+};
+
+enum class log_level : std::uint8_t
+{
+    debug,
+    info,
+    warning,
+    error
+};
+
+struct control_host
+{
+    daemon_name name;
+    // IP number and port.
+    std::string address;
+    data_centre_name data_centre;
+
+    friend bool operator==(control_host const&, control_host const&) = default;
+};
+
+struct duration_settings
+{
+    duration control_lease = std::chrono::seconds{3};
+    duration lease_renewal = std::chrono::milliseconds{500};
+    // A request that is not answered within this time ends as "not run" or
+    // "outcome unknown".
+    duration request_timeout = std::chrono::seconds{5};
+    // A read that a replica does not answer within this time is tried at
+    // another server.
+    duration read_try_timeout = std::chrono::seconds{1};
+    // How long a read waits for a replica that lacks the session's position.
+    duration replica_wait = std::chrono::milliseconds{2};
+    // Idle time after which a connection is probed before it is used again.
+    duration probe_after = std::chrono::seconds{5};
+    // After a stop request, the listener stays open for this time so that the
+    // load balancer notices first.
+    duration drain_period = std::chrono::seconds{5};
+    // Open transactions may use this time after the listener closed.
+    duration drain_deadline = std::chrono::seconds{30};
+    // Connection shares of a lost host stay reserved for this time after its
+    // lease, because its server connections may still be open.
+    duration lost_host_hold = std::chrono::seconds{10};
+    duration election_timeout_min = std::chrono::milliseconds{300};
+    duration election_timeout_max = std::chrono::milliseconds{600};
+    duration heartbeat = std::chrono::milliseconds{75};
+
+    friend bool operator==(duration_settings const&,
+                           duration_settings const&) = default;
+};
+
+struct limit_settings
+{
+    // Requests that wait for one workspace.
+    std::uint32_t queue_per_workspace = 1000;
+    // Bytes of the largest message of a caller.
+    std::uint32_t message_bytes = 16 * 1024 * 1024;
+
+    friend bool operator==(limit_settings const&,
+                           limit_settings const&) = default;
+};
+
+struct log_settings
+{
+    // Absent for standard error.
+    std::optional<std::string> directory;
+    log_level level = log_level::info;
+
+    friend bool operator==(log_settings const&, log_settings const&) = default;
+};
+
+// Everything that a daemon learns from its settings file.
+struct daemon_settings
+{
+    daemon_name name;
+    data_centre_name data_centre;
+    std::set<daemon_role> roles;
+    // Present when the control role is on.
+    std::optional<std::string> data_directory;
+    std::uint32_t traffic_threads = 2;
+    // IP number and port for callers and for the admin console.
+    std::string client_listen;
+    // IP number and port for other daemons; present when the control role is
+    // on.
+    std::optional<std::string> control_listen;
+    std::vector<control_host> control_hosts;
+    rules::key_digest operator_key{};
+    // Path of a JSON file with the user and the password at backend servers;
+    // present when the entry role is on.
+    std::optional<std::string> backend_credential_file;
+    // Database name at backend servers.
+    std::string backend_database = "postgres";
+    std::string positions_query =
+        "SELECT term, position FROM basilreach.position()";
+    // Used once, when the control state is empty.
+    std::optional<std::string> initial_rules_file;
+    duration_settings durations;
+    limit_settings limits;
+    log_settings log;
+
+    friend bool operator==(daemon_settings const&,
+                           daemon_settings const&) = default;
+};
+
+// The system's own credential at backend servers.
+struct backend_credential
+{
+    std::string user;
+    std::string password;
+
+    friend bool operator==(backend_credential const&,
+                           backend_credential const&) = default;
+};
+
+} // namespace basilreach::settings
+
+#endif
