pgwire: Add the codec of the PostgreSQL protocol

The front end of the daemon and the simulated database group both speak the server side of the protocol, so the codec is a package of its own and has no sockets. The decoder reads whole messages directly from the caller's bytes and buffers only an incomplete message, which keeps idle clients cheap. Bind values share one buffer because separate strings would let a small message occupy ten times its size.

--- /dev/null
+++ b/packages/pgwire/include/basilreach/pgwire/startup_options.hpp
@@ -0,0 +1,20 @@
+#ifndef BASILREACH_PGWIRE_STARTUP_OPTIONS_HPP
+#define BASILREACH_PGWIRE_STARTUP_OPTIONS_HPP
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace basilreach::pgwire
+{
+
+// Returns the settings in the startup parameter `options`, as NAME and VALUE of
+// `-c NAME=VALUE`, `-cNAME=VALUE` and `--NAME=VALUE`, in order. A backslash
+// makes the next character literal. Other words are ignored.
+[[nodiscard]] std::vector<std::pair<std::string, std::string>>
+parse_startup_options(std::string_view options);
+
+} // namespace basilreach::pgwire
+
+#endif
--- /dev/null
+++ b/packages/pgwire/test/allocation_probe.hpp
@@ -0,0 +1,14 @@
+#ifndef BASILREACH_PGWIRE_TEST_ALLOCATION_PROBE_HPP
+#define BASILREACH_PGWIRE_TEST_ALLOCATION_PROBE_HPP
+
+#include <cstddef>
+
+namespace basilreach::pgwire::test
+{
+
+// Size of the largest allocation since it was last set to zero.
+extern std::size_t largest_allocation;
+
+} // namespace basilreach::pgwire::test
+
+#endif
