control: Add the replicated state, the leader and the lease holder

The state answers resent commands from its history, which is part of it and so survives a restart. The leader counts what is in force by the lowest confirmed revision of the live leases and grants no lease below it; otherwise a daemon that returns from a partition could serve an older state under a valid lease. A position query carries a round, because a late answer to an earlier query may lie below a write acknowledged since.

--- a/packages/control/include/basilreach/control/control_state.hpp
+++ b/packages/control/include/basilreach/control/control_state.hpp
@@ -3,6 +3,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -115,7 +116,7 @@
     std::map<server_name, server_entry> servers;
     std::map<group_name, group_entry> groups;
     // Oldest first.
-    std::vector<history_entry> history;
+    std::deque<history_entry> history;
 
     friend bool operator==(control_parts const&,
                            control_parts const&) = default;
@@ -192,20 +193,20 @@
 
     [[nodiscard]] first_answer accept() const;
     [[nodiscard]] first_answer conflict_with(std::uint64_t base) const;
-    void
-    record(command const& it, first_answer const& answer, bool made_version);
-    void rebuild_indices();
+    [[nodiscard]] server_entry* find_member(server_name const& it);
+    void record(history_entry entry);
+    void index_entry(std::uint64_t number);
 
     control_parts parts_;
     rules_parser parser_;
     std::shared_ptr<rules::rule_set const> rules_;
-    // Indices over parts_, rebuilt on restore.
+    // Indices over parts_, rebuilt on restore. Entries of the history are
+    // numbered from the first one ever kept, so that the numbers stay valid
+    // when the oldest entry is dropped.
     std::map<change_id, std::uint64_t> history_by_id_;
     std::map<std::uint64_t, std::uint64_t> history_by_version_;
+    std::uint64_t first_history_number_ = 0;
     std::map<group_name, std::set<server_name>> servers_by_group_;
-    // Number of history entries dropped so far, so that the indices above
-    // stay valid when the oldest entry goes.
-    std::uint64_t dropped_ = 0;
 };
 
 } // namespace basilreach::control
--- a/packages/control/include/basilreach/control/leader.hpp
+++ b/packages/control/include/basilreach/control/leader.hpp
@@ -28,6 +28,11 @@
     // Interval at which unanswered proposals, queries and promotions are sent
     // again.
     duration retry = std::chrono::milliseconds{200};
+    // A daemon that has not confirmed a change after this time gets no new
+    // lease until it does. Otherwise one that can send and not receive, or has
+    // a traffic thread that hangs, would keep the change from being in force
+    // for ever. The value is the aim for the adoption by reachable daemons.
+    duration confirm_limit = std::chrono::milliseconds{250};
     // A group gets its first primary once this many servers are announced, so
     // that the first server to arrive does not form a majority on its own.
     std::size_t first_servers = 3;
@@ -50,6 +55,9 @@
 struct position_reported
 {
     server_name server;
+    // The round of the query. A late answer to an earlier round may lie below
+    // a write that was acknowledged since.
+    std::uint64_t round = 0;
     std::uint64_t term = 0;
     std::uint64_t offset = 0;
 
@@ -87,6 +95,7 @@
 struct ask_positions
 {
     group_name group;
+    std::uint64_t round = 0;
     std::vector<server_name> servers;
 
     friend bool operator==(ask_positions const&,
@@ -215,11 +224,14 @@
 
     struct promotion_row
     {
-        // Positions reported since the end of the term was in force.
+        // Round of the position query in progress and the answers to it.
+        std::optional<std::uint64_t> round;
         std::map<server_name, log_position> positions;
-        bool is_asking = false;
-        // The candidate's answer in the term of the group, when there is one.
-        std::optional<bool> answer;
+        // The candidate's last answer and its term.
+        std::optional<promotion_answered> answer;
+        // What was last sent, and when it is due to be sent again.
+        std::optional<leader_output> sent;
+        instant resend_at;
         std::optional<placement_decision> last_decision;
     };
 
@@ -235,14 +247,24 @@
     void settle_changes(instant now);
     void run_promotions(instant now);
 
-    void end_lease(row_id id);
-    void forget_if_removed(daemon_name const& daemon, instant now);
+    row_id insert_lease(lease_row row);
+    // Returns the holder's lease, or no row.
+    row_id lease_of(holder const& who);
+    void
+    extend_lease(holder const& who, std::uint64_t confirmed, instant until);
+    [[nodiscard]] bool is_recent(std::uint64_t confirmed, instant now) const;
+    void end_lease(row_id id, instant now);
+    [[nodiscard]] bool has_lease(daemon_name const& daemon) const;
+    void register_daemon_of(lease_renewal const& renewal, instant now);
+
     void run_promotion(group_name const& group, instant now);
     void run_serving(group_name const& group, instant now);
+    [[nodiscard]] std::optional<placement_reason>
+    reason_to_replace(group_name const& group) const;
     void run_fencing(group_name const& group, instant now);
     void run_choosing(group_name const& group, instant now);
     void choose(group_name const& group, instant now);
-    void propose_for(group_name const& group, command_body body, instant now);
+    void send(group_name const& group, leader_output it, instant now);
     void decide(group_name const& group,
                 std::optional<server_name> server,
                 placement_reason reason);
@@ -253,6 +275,7 @@
     // State at the election; a lease is granted only at or above it.
     std::uint64_t base_;
     std::uint64_t in_force_ = 0;
+    std::uint64_t next_round_;
 
     table<lease_row> leases_;
     std::map<holder, row_id> lease_by_holder_;
@@ -261,7 +284,10 @@
     std::set<std::pair<std::uint64_t, row_id>> by_confirmed_;
     deadline_queue<row_id> lease_deadlines_;
     std::deque<change_row> changes_;
+    // Time at which a registration is proposed again.
     std::map<daemon_name, instant> registrations_;
+    // Removed daemons whose lease has ended, until they are forgotten.
+    deadline_queue<daemon_name> removals_;
 
     std::map<group_name, promotion_row> promotions_;
     std::map<group_name, log_position> acknowledged_;
--- a/packages/control/include/basilreach/control/lease_holder.hpp
+++ b/packages/control/include/basilreach/control/lease_holder.hpp
@@ -31,7 +31,9 @@
     friend bool operator==(adopted const&, adopted const&) = default;
 };
 
-// A write of the group has been acknowledged up to this position.
+// Writes of a group that is being fenced were acknowledged up to this position.
+// The input comes before that of the thread's adoption of the fencing, so that
+// the confirmation carries the position.
 struct write_acknowledged
 {
     group_name group;
@@ -41,6 +43,15 @@
                            write_acknowledged const&) = default;
 };
 
+// The group has a primary again: its position is no longer reported.
+struct group_serving
+{
+    group_name group;
+
+    friend bool operator==(group_serving const&,
+                           group_serving const&) = default;
+};
+
 // The daemon stops: the lease ends now and is given back.
 struct stop_requested
 {
@@ -52,6 +63,7 @@
                                   state_offered,
                                   adopted,
                                   write_acknowledged,
+                                  group_serving,
                                   stop_requested>;
 
 // Traffic threads are to adopt the state of this revision.
@@ -73,19 +85,19 @@
 };
 
 // Requests that need a lease may run before this time.
-struct lease_extended
+struct lease_updated
 {
     instant valid_until;
 
-    friend bool operator==(lease_extended const&,
-                           lease_extended const&) = default;
+    friend bool operator==(lease_updated const&,
+                           lease_updated const&) = default;
 };
 
 using holder_output = std::variant<lease_renewal,
                                    lease_returned,
                                    adopt_state,
                                    state_refused,
-                                   lease_extended>;
+                                   lease_updated>;
 
 // The daemon's side of the control lease.
 class lease_holder
@@ -129,6 +141,7 @@
     void on_offer(holder_input const& it);
     void on_adopted(holder_input const& it);
     void on_acknowledged(holder_input const& it);
+    void on_serving(holder_input const& it);
     void on_stop(holder_input const& it);
     void send_due_renewal(instant now);
 
@@ -141,7 +154,7 @@
     // Greatest revision that was passed on to the traffic threads.
     std::uint64_t served_ = 0;
     std::uint64_t confirmed_ = 0;
-    // Send times whose grant may still arrive in time to be of use.
+    // Send times of renewals whose grant would still be of use.
     std::set<instant> sent_;
     instant next_renewal_;
     instant valid_until_ = instant::min();
--- /dev/null
+++ b/packages/control/src/control_state.cpp
@@ -0,0 +1,518 @@
+#include <basilreach/control/control_state.hpp>
+
+#include <algorithm>
+#include <utility>
+
+#include "canonical_hash.hpp"
+
+namespace basilreach::control
+{
+
+namespace
+{
+
+using detail::canonical_hash;
+
+void add_to(canonical_hash& h, apply_rules const& it)
+{
+    h.add(it.base_version).add(it.text);
+}
+
+void add_to(canonical_hash& h, withdraw_key const& it)
+{
+    h.add(it.digest);
+}
+
+void add_to(canonical_hash& h, register_daemon const& it)
+{
+    h.add(it.daemon).add(it.data_centre);
+}
+
+void add_to(canonical_hash& h, remove_daemon const& it)
+{
+    h.add(it.daemon);
+}
+
+void add_to(canonical_hash& h, forget_daemon const& it)
+{
+    h.add(it.daemon);
+}
+
+void add_to(canonical_hash& h, announce_server const& it)
+{
+    h.add(it.server).add(it.group).add(it.data_centre).add(it.address);
+    h.add(it.sequence);
+}
+
+void add_to(canonical_hash& h, announce_leaving const& it)
+{
+    h.add(it.server).add(it.sequence);
+}
+
+void add_to(canonical_hash& h, remove_server const& it)
+{
+    h.add(it.server).add(it.sequence);
+}
+
+void add_to(canonical_hash& h, report_verdict const& it)
+{
+    h.add(it.server).add(it.sequence).add(it.value);
+}
+
+void add_to(canonical_hash& h, begin_fencing const& it)
+{
+    h.add(it.group).add(it.term);
+}
+
+void add_to(canonical_hash& h, choose_primary const& it)
+{
+    h.add(it.group).add(it.term).add(it.server);
+}
+
+void add_to(canonical_hash& h, confirm_primary const& it)
+{
+    h.add(it.group).add(it.term).add(it.server);
+}
+
+void add_to(canonical_hash& h, accepted const& it)
+{
+    h.add(it.revision).add(it.version);
+}
+
+void add_to(canonical_hash& h, conflict const& it)
+{
+    h.add(it.version).add(it.winner);
+}
+
+void add_to(canonical_hash& h, superseded const& it)
+{
+    h.add(it.current);
+}
+
+void add_to(canonical_hash& h, refused const& it)
+{
+    h.add(it.reason).add(it.details.size());
+    for (auto const& line : it.details)
+        h.add(line);
+}
+
+void add_to(canonical_hash& h, daemon_entry const& it)
+{
+    h.add(it.data_centre).add(it.is_removed);
+}
+
+void add_to(canonical_hash& h, server_entry const& it)
+{
+    h.add(it.group).add(it.data_centre).add(it.address).add(it.sequence);
+    h.add(it.is_leaving).add(it.is_removed);
+    h.add(it.health).add(it.verdict_sequence);
+}
+
+void add_to(canonical_hash& h, group_entry const& it)
+{
+    h.add(it.term).add(it.phase).add(it.primary.has_value());
+    h.add(it.primary.value_or(server_name{})).add(it.fenced_at);
+}
+
+template <class... Ts>
+void add_to(canonical_hash& h, std::variant<Ts...> const& it)
+{
+    h.add(it.index());
+    std::visit([&h](auto const& value) { add_to(h, value); }, it);
+}
+
+void add_to(canonical_hash& h, history_entry const& it)
+{
+    h.add(it.revision).add(it.id).add(it.author).add(it.content_hash);
+    h.add(it.made_version);
+    add_to(h, it.answer);
+}
+
+template <class Key, class Value>
+void add_to(canonical_hash& h, std::map<Key, Value> const& entries)
+{
+    h.add(entries.size());
+    for (auto const& [key, value] : entries)
+    {
+        h.add(key);
+        add_to(h, value);
+    }
+}
+
+std::uint64_t content_hash(command_body const& it)
+{
+    canonical_hash h;
+    add_to(h, it);
+    return h.value();
+}
+
+std::string to_hex(key_digest const& it)
+{
+    constexpr char const* digits = "0123456789abcdef";
+    std::string text;
+    for (auto const byte : it)
+    {
+        text += digits[byte / 16];
+        text += digits[byte % 16];
+    }
+    return text;
+}
+
+refused refuse(refusal_reason reason)
+{
+    return {reason, {}};
+}
+
+template <class Map, class Key>
+auto find_in(Map& entries, Key const& key)
+{
+    auto const it = entries.find(key);
+    return it == entries.end() ? nullptr : &it->second;
+}
+
+} // namespace
+
+// In the order of the alternatives of command_body.
+control_state::handler const control_state::handlers[] = {
+    &control_state::apply_rules_change, &control_state::apply_withdrawal,
+    &control_state::apply_registration, &control_state::apply_daemon_removal,
+    &control_state::apply_forgetting,   &control_state::apply_announcement,
+    &control_state::apply_leaving,      &control_state::apply_server_removal,
+    &control_state::apply_verdict,      &control_state::apply_fencing,
+    &control_state::apply_choice,       &control_state::apply_confirmation};
+
+control_state::control_state(rules_parser parser)
+    : parser_(std::move(parser)),
+      rules_(std::make_shared<rules::rule_set const>())
+{
+    static_assert(std::size(handlers) == std::variant_size_v<command_body>);
+}
+
+result<control_state, rules_errors> control_state::restore(control_parts parts,
+                                                           rules_parser parser)
+{
+    control_state state(std::move(parser));
+    if (parts.rules_version != 0)
+    {
+        auto parsed = state.parser_(parts.rules_text);
+        if (!parsed)
+            return parsed.error();
+        rules::rule_set granted = std::move(parsed).value();
+        for (auto const& digest : parts.withdrawn)
+            granted.keys.erase(digest);
+        state.rules_ =
+            std::make_shared<rules::rule_set const>(std::move(granted));
+    }
+    state.parts_ = std::move(parts);
+    for (std::size_t n = 0; n != state.parts_.history.size(); ++n)
+        state.index_entry(n);
+    for (auto const& [server, entry] : state.parts_.servers)
+        if (!entry.is_removed)
+            state.servers_by_group_[entry.group].insert(server);
+    return state;
+}
+
+command_answer control_state::apply(std::uint64_t index, command const& it)
+{
+    if (index <= parts_.revision)
+        return refuse(refusal_reason::index_applied);
+    parts_.revision = index;
+    std::uint64_t const hash = content_hash(it.body);
+    if (auto const number = history_by_id_.find(it.id);
+        number != history_by_id_.end())
+    {
+        auto const& first =
+            parts_.history[number->second - first_history_number_];
+        if (first.content_hash != hash)
+            return refuse(refusal_reason::id_reused);
+        return repeated{first.answer};
+    }
+    std::uint64_t const version = parts_.rules_version;
+    first_answer answer = (this->*handlers[it.body.index()])(it);
+    if (!it.id.empty())
+        record({index, it.id, it.author, hash, answer,
+                parts_.rules_version != version});
+    return std::visit(
+        [](auto& value) -> command_answer { return std::move(value); }, answer);
+}
+
+daemon_entry const* control_state::find(daemon_name const& it) const
+{
+    return find_in(parts_.daemons, it);
+}
+
+server_entry const* control_state::find(server_name const& it) const
+{
+    return find_in(parts_.servers, it);
+}
+
+group_entry const* control_state::find(group_name const& it) const
+{
+    return find_in(parts_.groups, it);
+}
+
+std::set<server_name> const&
+control_state::servers_of(group_name const& it) const
+{
+    static std::set<server_name> const empty;
+    auto const* servers = find_in(servers_by_group_, it);
+    return servers == nullptr ? empty : *servers;
+}
+
+std::uint64_t control_state::digest() const
+{
+    canonical_hash h;
+    h.add(parts_.revision).add(parts_.rules_version).add(parts_.rules_id);
+    h.add(parts_.rules_text).add(parts_.withdrawn.size());
+    for (auto const& digest : parts_.withdrawn)
+        h.add(digest);
+    add_to(h, parts_.daemons);
+    add_to(h, parts_.servers);
+    add_to(h, parts_.groups);
+    h.add(parts_.history.size());
+    for (auto const& entry : parts_.history)
+        add_to(h, entry);
+    return h.value();
+}
+
+first_answer control_state::apply_rules_change(command const& it)
+{
+    auto const& change = std::get<apply_rules>(it.body);
+    if (it.id.empty())
+        return refuse(refusal_reason::id_missing);
+    if (change.base_version > parts_.rules_version)
+        return refuse(refusal_reason::unknown_version);
+    if (change.base_version < parts_.rules_version)
+        return conflict_with(change.base_version);
+    auto parsed = parser_(change.text);
+    if (!parsed)
+        return refused{refusal_reason::invalid_rules, parsed.error().lines};
+    refused withdrawn{refusal_reason::withdrawn_key, {}};
+    for (auto const& [digest, workspace] : parsed.value().keys)
+        if (parts_.withdrawn.contains(digest))
+            withdrawn.details.push_back(to_hex(digest));
+    if (!withdrawn.details.empty())
+        return withdrawn;
+    rules_ = std::make_shared<rules::rule_set const>(std::move(parsed).value());
+    parts_.rules_text = change.text;
+    parts_.rules_id = it.id;
+    ++parts_.rules_version;
+    return accept();
+}
+
+first_answer control_state::apply_withdrawal(command const& it)
+{
+    auto const& digest = std::get<withdraw_key>(it.body).digest;
+    parts_.withdrawn.insert(digest);
+    if (rules_->keys.contains(digest))
+    {
+        rules::rule_set granted = *rules_;
+        granted.keys.erase(digest);
+        rules_ = std::make_shared<rules::rule_set const>(std::move(granted));
+    }
+    return accept();
+}
+
+first_answer control_state::apply_registration(command const& it)
+{
+    auto const& body = std::get<register_daemon>(it.body);
+    parts_.daemons[body.daemon] = {body.data_centre, false};
+    return accept();
+}
+
+first_answer control_state::apply_daemon_removal(command const& it)
+{
+    auto const& body = std::get<remove_daemon>(it.body);
+    auto* const entry = find_in(parts_.daemons, body.daemon);
+    if (entry == nullptr)
+        return refuse(refusal_reason::unknown_daemon);
+    entry->is_removed = true;
+    return accept();
+}
+
+first_answer control_state::apply_forgetting(command const& it)
+{
+    auto const& body = std::get<forget_daemon>(it.body);
+    auto const* const entry = find(body.daemon);
+    if (entry == nullptr)
+        return refuse(refusal_reason::unknown_daemon);
+    if (!entry->is_removed)
+        return refuse(refusal_reason::daemon_not_removed);
+    parts_.daemons.erase(body.daemon);
+    return accept();
+}
+
+first_answer control_state::apply_announcement(command const& it)
+{
+    auto const& body = std::get<announce_server>(it.body);
+    auto* const known = find_in(parts_.servers, body.server);
+    if (known != nullptr)
+    {
+        if (body.sequence <= known->sequence)
+            return superseded{known->sequence};
+        if (!known->is_removed && known->group != body.group)
+            return refuse(refusal_reason::server_in_other_group);
+    }
+    auto& entry = parts_.servers[body.server];
+    entry.group = body.group;
+    entry.data_centre = body.data_centre;
+    entry.address = body.address;
+    entry.sequence = body.sequence;
+    entry.is_leaving = false;
+    entry.is_removed = false;
+    parts_.groups.try_emplace(body.group);
+    servers_by_group_[body.group].insert(body.server);
+    return accept();
+}
+
+first_answer control_state::apply_leaving(command const& it)
+{
+    auto const& body = std::get<announce_leaving>(it.body);
+    auto* const entry = find_member(body.server);
+    if (entry == nullptr)
+        return refuse(refusal_reason::unknown_server);
+    if (body.sequence <= entry->sequence)
+        return superseded{entry->sequence};
+    entry->sequence = body.sequence;
+    entry->is_leaving = true;
+    return accept();
+}
+
+first_answer control_state::apply_server_removal(command const& it)
+{
+    auto const& body = std::get<remove_server>(it.body);
+    auto* const entry = find_member(body.server);
+    if (entry == nullptr)
+        return refuse(refusal_reason::unknown_server);
+    if (body.sequence <= entry->sequence)
+        return superseded{entry->sequence};
+    if (!entry->is_leaving)
+        return refuse(refusal_reason::server_not_leaving);
+    auto const& group = parts_.groups.at(entry->group);
+    if (group.phase != group_phase::serving || group.primary == body.server)
+        return refuse(refusal_reason::server_in_use);
+    entry->sequence = body.sequence;
+    entry->is_removed = true;
+    servers_by_group_[entry->group].erase(body.server);
+    return accept();
+}
+
+first_answer control_state::apply_verdict(command const& it)
+{
+    auto const& body = std::get<report_verdict>(it.body);
+    auto* const entry = find_member(body.server);
+    if (entry == nullptr)
+        return refuse(refusal_reason::unknown_server);
+    if (body.value == verdict::none)
+        return refuse(refusal_reason::invalid_verdict);
+    if (entry->health != verdict::none &&
+        body.sequence <= entry->verdict_sequence)
+        return superseded{entry->verdict_sequence};
+    entry->verdict_sequence = body.sequence;
+    entry->health = body.value;
+    return accept();
+}
+
+first_answer control_state::apply_fencing(command const& it)
+{
+    auto const& body = std::get<begin_fencing>(it.body);
+    auto* const entry = find_in(parts_.groups, body.group);
+    if (entry == nullptr)
+        return refuse(refusal_reason::unknown_group);
+    if (body.term < entry->term)
+        return superseded{entry->term};
+    if (body.term > entry->term || entry->phase == group_phase::choosing)
+        return refuse(refusal_reason::wrong_phase);
+    if (entry->phase == group_phase::serving)
+    {
+        entry->phase = group_phase::fencing;
+        entry->fenced_at = parts_.revision;
+    }
+    return accept();
+}
+
+first_answer control_state::apply_choice(command const& it)
+{
+    auto const& body = std::get<choose_primary>(it.body);
+    auto* const entry = find_in(parts_.groups, body.group);
+    if (entry == nullptr)
+        return refuse(refusal_reason::unknown_group);
+    if (entry->phase == group_phase::choosing && body.term == entry->term &&
+        body.server == entry->primary)
+        return accept();
+    if (body.term <= entry->term)
+        return superseded{entry->term};
+    if (entry->phase == group_phase::serving)
+        return refuse(refusal_reason::wrong_phase);
+    auto const* const server = find_member(body.server);
+    if (server == nullptr || server->group != body.group)
+        return refuse(refusal_reason::unknown_server);
+    if (server->health == verdict::down)
+        return refuse(refusal_reason::server_down);
+    if (server->is_leaving)
+        return refuse(refusal_reason::server_leaving);
+    entry->term = body.term;
+    entry->primary = body.server;
+    entry->phase = group_phase::choosing;
+    return accept();
+}
+
+first_answer control_state::apply_confirmation(command const& it)
+{
+    auto const& body = std::get<confirm_primary>(it.body);
+    auto* const entry = find_in(parts_.groups, body.group);
+    if (entry == nullptr)
+        return refuse(refusal_reason::unknown_group);
+    if (body.term < entry->term)
+        return superseded{entry->term};
+    if (body.term > entry->term || body.server != entry->primary ||
+        entry->phase == group_phase::fencing)
+        return refuse(refusal_reason::wrong_phase);
+    entry->phase = group_phase::serving;
+    return accept();
+}
+
+first_answer control_state::accept() const
+{
+    return accepted{parts_.revision, parts_.rules_version};
+}
+
+first_answer control_state::conflict_with(std::uint64_t base) const
+{
+    auto const it = history_by_version_.find(base + 1);
+    // The entry of the winner may have been dropped from the history.
+    if (it == history_by_version_.end())
+        return conflict{parts_.rules_version, parts_.rules_id};
+    return conflict{base + 1,
+                    parts_.history[it->second - first_history_number_].id};
+}
+
+server_entry* control_state::find_member(server_name const& it)
+{
+    auto* const entry = find_in(parts_.servers, it);
+    return entry == nullptr || entry->is_removed ? nullptr : entry;
+}
+
+void control_state::record(history_entry entry)
+{
+    parts_.history.push_back(std::move(entry));
+    index_entry(first_history_number_ + parts_.history.size() - 1);
+    if (parts_.history.size() <= history_limit)
+        return;
+    auto const& oldest = parts_.history.front();
+    history_by_id_.erase(oldest.id);
+    if (oldest.made_version)
+        history_by_version_.erase(std::get<accepted>(oldest.answer).version);
+    parts_.history.pop_front();
+    ++first_history_number_;
+}
+
+void control_state::index_entry(std::uint64_t number)
+{
+    auto const& entry = parts_.history[number - first_history_number_];
+    history_by_id_[entry.id] = number;
+    if (entry.made_version)
+        history_by_version_[std::get<accepted>(entry.answer).version] = number;
+}
+
+} // namespace basilreach::control
--- /dev/null
+++ b/packages/control/src/leader.cpp
@@ -0,0 +1,532 @@
+#include <basilreach/control/leader.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace basilreach::control
+{
+
+namespace
+{
+
+struct reason_text
+{
+    placement_reason reason;
+    char const* text;
+};
+
+constexpr std::array reason_texts{
+    reason_text{placement_reason::first_primary, "first_primary"},
+    reason_text{placement_reason::primary_down, "primary_down"},
+    reason_text{placement_reason::primary_leaving, "primary_leaving"},
+    reason_text{placement_reason::waiting_for_daemons, "waiting_for_daemons"},
+    reason_text{placement_reason::waiting_for_majority, "waiting_for_majority"},
+    reason_text{placement_reason::acknowledged_write_missing,
+                "acknowledged_write_missing"},
+    reason_text{placement_reason::no_candidate, "no_candidate"},
+    reason_text{placement_reason::highest_position, "highest_position"},
+    reason_text{placement_reason::waiting_for_candidate,
+                "waiting_for_candidate"},
+    reason_text{placement_reason::candidate_down, "candidate_down"},
+    reason_text{placement_reason::candidate_leaving, "candidate_leaving"},
+    reason_text{placement_reason::candidate_refused, "candidate_refused"},
+    reason_text{placement_reason::candidate_accepted, "candidate_accepted"},
+    reason_text{placement_reason::serving, "serving"}};
+
+// Commands of the leader carry no id: a repeated one changes nothing.
+propose proposal(command_body body)
+{
+    return {command{{}, "leader", std::move(body)}};
+}
+
+std::size_t majority_of(std::size_t servers)
+{
+    return servers / 2 + 1;
+}
+
+// The group that a command may affect, if any.
+std::optional<group_name> affected_group(control_state const& state,
+                                         command_body const& body)
+{
+    return std::visit(
+        [&state](auto const& it) -> std::optional<group_name>
+        {
+            if constexpr (requires { it.group; })
+                return it.group;
+            else if constexpr (requires { it.server; })
+            {
+                auto const* const server = state.find(it.server);
+                if (server != nullptr)
+                    return server->group;
+            }
+            return std::nullopt;
+        },
+        body);
+}
+
+} // namespace
+
+char const* to_string(placement_reason it)
+{
+    auto const* const found =
+        std::find_if(reason_texts.begin(), reason_texts.end(),
+                     [it](reason_text const& row) { return row.reason == it; });
+    return found == reason_texts.end() ? "" : found->text;
+}
+
+// In the order of the alternatives of leader_input.
+leader::handler const leader::handlers[] = {
+    &leader::on_renewal, &leader::on_return, &leader::on_committed,
+    &leader::on_position, &leader::on_promotion_answer};
+
+leader::leader(control_state const& state,
+               leader_settings settings,
+               instant elected_at)
+    : state_(state), settings_(settings), base_(state.revision()),
+      // The base differs between two leaders on one host, so that a late
+      // answer to the earlier one is not taken for an answer to this one.
+      next_round_(base_ << 24U)
+{
+    static_assert(std::size(handlers) == std::variant_size_v<leader_input>);
+    instant const until = elected_at + with_clock_margin(settings.leases.lease +
+                                                         settings.step_down);
+    for (auto const& [daemon, entry] : state.parts().daemons)
+        insert_lease({{daemon, std::nullopt}, 0, until});
+    if (base_ != 0)
+        changes_.push_back({base_, elected_at});
+    for (auto const& [group, entry] : state.parts().groups)
+        changed_groups_.insert(group);
+}
+
+void leader::receive(leader_input it)
+{
+    inbox_.push_back(std::move(it));
+}
+
+std::vector<leader_output> leader::tick(instant now)
+{
+    for (auto const& it : std::exchange(inbox_, {}))
+        (this->*handlers[it.index()])(it, now);
+    expire_leases(now);
+    settle_changes(now);
+    run_promotions(now);
+    return std::exchange(out_, {});
+}
+
+instant leader::next_deadline() const
+{
+    if (!inbox_.empty() || !changed_groups_.empty())
+        return instant::min();
+    return std::min(
+        {lease_deadlines_.next(), removals_.next(), group_deadlines_.next()});
+}
+
+void leader::on_renewal(leader_input const& it, instant now)
+{
+    auto const& renewal = std::get<lease_renewal>(it);
+    ++rows_visited_;
+    for (auto const& [group, position] : renewal.acknowledged)
+    {
+        auto& highest = acknowledged_[group];
+        highest = std::max(highest, position);
+    }
+    auto const* const daemon = state_.find(renewal.daemon);
+    if (daemon == nullptr ||
+        (!daemon->is_removed && daemon->data_centre != renewal.data_centre))
+        register_daemon_of(renewal, now);
+
+    holder const who{renewal.daemon, renewal.incarnation};
+    row_id const id = lease_of(who);
+    if (auto* const row = leases_.find(id);
+        row != nullptr && renewal.confirmed_revision > row->confirmed)
+    {
+        by_confirmed_.erase({row->confirmed, id});
+        row->confirmed = renewal.confirmed_revision;
+        by_confirmed_.emplace(row->confirmed, id);
+    }
+    bool const is_granted = daemon != nullptr && !daemon->is_removed &&
+                            is_recent(renewal.confirmed_revision, now);
+    if (is_granted)
+        extend_lease(who, renewal.confirmed_revision,
+                     now + with_clock_margin(settings_.leases.lease));
+    out_.emplace_back(grant_lease{
+        renewal.daemon, renewal.incarnation, renewal.sent_at,
+        is_granted ? settings_.leases.lease : duration{}, state_.revision()});
+}
+
+void leader::on_return(leader_input const& it, instant now)
+{
+    auto const& returned = std::get<lease_returned>(it);
+    end_lease(lease_of({returned.daemon, returned.incarnation}), now);
+}
+
+void leader::on_committed(leader_input const& it, instant now)
+{
+    auto const& entry = std::get<committed>(it);
+    if (std::holds_alternative<accepted>(entry.answer))
+        changes_.push_back({entry.index, now});
+    if (auto const* const body =
+            std::get_if<register_daemon>(&entry.entry.body))
+        registrations_.erase(body->daemon);
+    if (auto const* const body = std::get_if<remove_daemon>(&entry.entry.body))
+        removals_.set(body->daemon, now);
+    if (auto group = affected_group(state_, entry.entry.body))
+        changed_groups_.insert(std::move(*group));
+}
+
+void leader::on_position(leader_input const& it, instant)
+{
+    auto const& report = std::get<position_reported>(it);
+    auto const* const server = state_.find(report.server);
+    if (server == nullptr)
+        return;
+    auto const row = promotions_.find(server->group);
+    if (row == promotions_.end() || row->second.round != report.round)
+        return;
+    auto& position = row->second.positions[report.server];
+    position = std::max(position, log_position{report.term, report.offset});
+    changed_groups_.insert(server->group);
+}
+
+void leader::on_promotion_answer(leader_input const& it, instant)
+{
+    auto const& answer = std::get<promotion_answered>(it);
+    auto const* const server = state_.find(answer.server);
+    if (server == nullptr)
+        return;
+    auto const* const group = state_.find(server->group);
+    if (group->phase != group_phase::choosing || group->term != answer.term ||
+        group->primary != answer.server)
+        return;
+    promotions_[server->group].answer = answer;
+    changed_groups_.insert(server->group);
+}
+
+void leader::expire_leases(instant now)
+{
+    while (auto const id = lease_deadlines_.pop_due(now))
+    {
+        ++rows_visited_;
+        end_lease(*id, now);
+    }
+    while (auto const daemon = removals_.pop_due(now))
+    {
+        auto const* const entry = state_.find(*daemon);
+        if (entry == nullptr || !entry->is_removed || has_lease(*daemon))
+            continue;
+        out_.emplace_back(proposal(forget_daemon{*daemon}));
+        removals_.set(*daemon, now + settings_.retry);
+    }
+}
+
+void leader::settle_changes(instant now)
+{
+    std::uint64_t const lowest = by_confirmed_.empty()
+                                     ? state_.revision()
+                                     : by_confirmed_.begin()->first;
+    in_force_ = std::max(in_force_, std::min(lowest, state_.revision()));
+    while (!changes_.empty() && changes_.front().revision <= in_force_)
+    {
+        ++rows_visited_;
+        auto const& change = changes_.front();
+        out_.emplace_back(
+            change_in_force{change.revision, now - change.committed_at});
+        changes_.pop_front();
+    }
+    while (!fencing_groups_.empty() &&
+           fencing_groups_.begin()->first <= in_force_)
+    {
+        changed_groups_.insert(fencing_groups_.begin()->second);
+        fencing_groups_.erase(fencing_groups_.begin());
+    }
+}
+
+void leader::run_promotions(instant now)
+{
+    while (auto group = group_deadlines_.pop_due(now))
+        changed_groups_.insert(std::move(*group));
+    for (auto const& group : std::exchange(changed_groups_, {}))
+    {
+        ++rows_visited_;
+        group_deadlines_.erase(group);
+        run_promotion(group, now);
+    }
+}
+
+bool leader::is_recent(std::uint64_t confirmed, instant now) const
+{
+    // A daemon that has not adopted what is in force would serve an older
+    // state under a valid lease although nobody waits for it any more.
+    if (confirmed < std::max(base_, in_force_))
+        return false;
+    auto const missing =
+        std::upper_bound(changes_.begin(), changes_.end(), confirmed,
+                         [](std::uint64_t revision, change_row const& row)
+                         { return revision < row.revision; });
+    return missing == changes_.end() ||
+           now < missing->committed_at + settings_.confirm_limit;
+}
+
+row_id leader::insert_lease(lease_row row)
+{
+    row_id const id = leases_.insert(row);
+    lease_by_holder_.emplace(row.who, id);
+    by_confirmed_.emplace(row.confirmed, id);
+    lease_deadlines_.set(id, row.until);
+    return id;
+}
+
+row_id leader::lease_of(holder const& who)
+{
+    auto const known = lease_by_holder_.find(who);
+    if (known != lease_by_holder_.end())
+        return known->second;
+    auto unknown = lease_by_holder_.extract({who.first, std::nullopt});
+    if (!unknown)
+        return {};
+    // The first report to a new leader tells whose lease that was.
+    row_id const id = unknown.mapped();
+    leases_.find(id)->who = who;
+    unknown.key() = who;
+    lease_by_holder_.insert(std::move(unknown));
+    return id;
+}
+
+void leader::extend_lease(holder const& who,
+                          std::uint64_t confirmed,
+                          instant until)
+{
+    row_id const id = lease_of(who);
+    auto* const row = leases_.find(id);
+    if (row == nullptr)
+    {
+        insert_lease({who, confirmed, until});
+        return;
+    }
+    // A new leader still waits for a longer lease of the earlier one.
+    row->until = std::max(row->until, until);
+    lease_deadlines_.set(id, row->until);
+}
+
+void leader::end_lease(row_id id, instant now)
+{
+    auto const* const row = leases_.find(id);
+    if (row == nullptr)
+        return;
+    daemon_name const daemon = row->who.first;
+    by_confirmed_.erase({row->confirmed, id});
+    lease_by_holder_.erase(row->who);
+    lease_deadlines_.erase(id);
+    leases_.erase(id);
+    auto const* const entry = state_.find(daemon);
+    if (entry != nullptr && entry->is_removed)
+        removals_.set(daemon, now);
+}
+
+bool leader::has_lease(daemon_name const& daemon) const
+{
+    auto const it = lease_by_holder_.lower_bound({daemon, std::nullopt});
+    return it != lease_by_holder_.end() && it->first.first == daemon;
+}
+
+void leader::register_daemon_of(lease_renewal const& renewal, instant now)
+{
+    auto& next = registrations_.try_emplace(renewal.daemon, now).first->second;
+    if (now < next)
+        return;
+    next = now + settings_.retry;
+    out_.emplace_back(
+        proposal(register_daemon{renewal.daemon, renewal.data_centre}));
+}
+
+void leader::run_promotion(group_name const& group, instant now)
+{
+    using system = void (leader::*)(group_name const&, instant);
+    // In the order of group_phase.
+    constexpr std::array<system, 3> systems{
+        &leader::run_serving, &leader::run_fencing, &leader::run_choosing};
+    auto const* const entry = state_.find(group);
+    if (entry != nullptr)
+        (this->*systems.at(static_cast<std::size_t>(entry->phase)))(group, now);
+}
+
+void leader::run_serving(group_name const& group, instant now)
+{
+    auto const& entry = *state_.find(group);
+    auto& row = promotions_[group];
+    row.round.reset();
+    row.positions.clear();
+    row.answer.reset();
+    auto const reason = reason_to_replace(group);
+    if (!reason)
+    {
+        if (row.last_decision)
+            decide(group, entry.primary, placement_reason::serving);
+        return;
+    }
+    decide(group, entry.primary, *reason);
+    send(group, proposal(begin_fencing{group, entry.term}), now);
+}
+
+std::optional<placement_reason>
+leader::reason_to_replace(group_name const& group) const
+{
+    auto const& entry = *state_.find(group);
+    auto const& servers = state_.servers_of(group);
+    if (!entry.primary)
+        return servers.size() >= settings_.first_servers
+                   ? std::optional{placement_reason::first_primary}
+                   : std::nullopt;
+    auto const* const primary = state_.find(*entry.primary);
+    if (primary->health == verdict::down)
+        return placement_reason::primary_down;
+    // A leaving primary goes on until another server can take over.
+    bool const has_successor =
+        std::any_of(servers.begin(), servers.end(),
+                    [this](auto const& it) { return can_serve(it); });
+    auto const reachable =
+        std::count_if(servers.begin(), servers.end(),
+                      [this](auto const& it)
+                      { return state_.find(it)->health != verdict::down; });
+    if (primary->is_leaving && has_successor &&
+        static_cast<std::size_t>(reachable) >= majority_of(servers.size()))
+        return placement_reason::primary_leaving;
+    return std::nullopt;
+}
+
+void leader::run_fencing(group_name const& group, instant now)
+{
+    auto const& entry = *state_.find(group);
+    if (in_force_ >= entry.fenced_at)
+    {
+        choose(group, now);
+        return;
+    }
+    fencing_groups_.emplace(entry.fenced_at, group);
+    decide(group, entry.primary, placement_reason::waiting_for_daemons);
+}
+
+void leader::run_choosing(group_name const& group, instant now)
+{
+    auto const& entry = *state_.find(group);
+    auto const& candidate = *entry.primary;
+    auto const& server = *state_.find(candidate);
+    auto& row = promotions_[group];
+    bool const has_answer = row.answer && row.answer->term == entry.term &&
+                            row.answer->server == candidate;
+    bool const is_refused = has_answer && !row.answer->ok;
+    if (can_serve(candidate) && !is_refused)
+    {
+        // Answers to a query for the choice of this candidate must not count
+        // for the choice of the next one.
+        row.round.reset();
+        if (has_answer)
+        {
+            decide(group, candidate, placement_reason::candidate_accepted);
+            send(group, proposal(confirm_primary{group, entry.term, candidate}),
+                 now);
+            return;
+        }
+        decide(group, candidate, placement_reason::waiting_for_candidate);
+        send(group, promote{candidate, group, entry.term}, now);
+        return;
+    }
+    if (!row.round)
+        decide(group, candidate,
+               is_refused          ? placement_reason::candidate_refused
+               : server.is_leaving ? placement_reason::candidate_leaving
+                                   : placement_reason::candidate_down);
+    // Under a new leader the daemons must first report what they acknowledged.
+    run_fencing(group, now);
+}
+
+void leader::choose(group_name const& group, instant now)
+{
+    auto& row = promotions_[group];
+    if (!row.round)
+    {
+        row.round = ++next_round_;
+        row.positions.clear();
+    }
+    auto const& servers = state_.servers_of(group);
+    std::size_t const majority = majority_of(servers.size());
+    std::size_t answers = 0;
+    std::size_t candidates = 0;
+    std::optional<std::pair<log_position, server_name>> best;
+    log_position highest;
+    for (auto const& [server, position] : row.positions)
+    {
+        if (!servers.contains(server))
+            continue;
+        ++answers;
+        highest = std::max(highest, position);
+        if (!can_serve(server))
+            continue;
+        ++candidates;
+        if (!best || position > best->first)
+            best.emplace(position, server);
+    }
+    // Every acknowledged write is at a majority. The candidate has it if the
+    // candidates that answered are a majority themselves, or if it is not
+    // behind any server of a majority that answered.
+    auto reason = placement_reason::highest_position;
+    if (answers < majority)
+        reason = placement_reason::waiting_for_majority;
+    else if (!best)
+        reason = placement_reason::no_candidate;
+    else if (candidates < majority && best->first < highest)
+        reason = placement_reason::waiting_for_majority;
+    else if (best->first < acknowledged_[group])
+        reason = placement_reason::acknowledged_write_missing;
+
+    if (reason == placement_reason::highest_position)
+    {
+        auto const term = std::max(state_.find(group)->term, highest.term) + 1;
+        decide(group, best->second, reason);
+        send(group, proposal(choose_primary{group, term, best->second}), now);
+        return;
+    }
+    decide(group, std::nullopt, reason);
+    ask_positions query{group, *row.round, {}};
+    std::copy_if(servers.begin(), servers.end(),
+                 std::back_inserter(query.servers),
+                 [this](auto const& it)
+                 { return state_.find(it)->health != verdict::down; });
+    if (!query.servers.empty())
+        send(group, std::move(query), now);
+}
+
+void leader::send(group_name const& group, leader_output it, instant now)
+{
+    auto& row = promotions_[group];
+    if (row.sent != it || now >= row.resend_at)
+    {
+        row.resend_at = now + settings_.retry;
+        row.sent = it;
+        out_.push_back(std::move(it));
+    }
+    group_deadlines_.set(group, row.resend_at);
+}
+
+void leader::decide(group_name const& group,
+                    std::optional<server_name> server,
+                    placement_reason reason)
+{
+    placement_decision decision{group, state_.find(group)->term,
+                                std::move(server), reason};
+    auto& last = promotions_[group].last_decision;
+    if (last == decision)
+        return;
+    last = decision;
+    out_.emplace_back(std::move(decision));
+}
+
+bool leader::can_serve(server_name const& server) const
+{
+    auto const* const entry = state_.find(server);
+    return entry->health != verdict::down && !entry->is_leaving &&
+           !entry->is_removed;
+}
+
+} // namespace basilreach::control
--- /dev/null
+++ b/packages/control/src/lease_holder.cpp
@@ -0,0 +1,128 @@
+#include <basilreach/control/lease_holder.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace basilreach::control
+{
+
+// In the order of the alternatives of holder_input.
+lease_holder::handler const lease_holder::handlers[] = {
+    &lease_holder::on_grant,   &lease_holder::on_offer,
+    &lease_holder::on_adopted, &lease_holder::on_acknowledged,
+    &lease_holder::on_serving, &lease_holder::on_stop};
+
+lease_holder::lease_holder(daemon_name daemon,
+                           data_centre_name data_centre,
+                           std::uint64_t incarnation,
+                           std::size_t threads,
+                           lease_settings settings,
+                           instant now)
+    : daemon_(std::move(daemon)), data_centre_(std::move(data_centre)),
+      incarnation_(incarnation), settings_(settings), threads_(threads, 0),
+      next_renewal_(now)
+{
+    static_assert(std::size(handlers) == std::variant_size_v<holder_input>);
+}
+
+void lease_holder::receive(holder_input it)
+{
+    inbox_.push_back(std::move(it));
+}
+
+std::vector<holder_output> lease_holder::tick(instant now)
+{
+    for (auto const& it : std::exchange(inbox_, {}))
+        (this->*handlers[it.index()])(it);
+    send_due_renewal(now);
+    return std::exchange(out_, {});
+}
+
+instant lease_holder::next_deadline() const
+{
+    if (!inbox_.empty())
+        return instant::min();
+    return stopped_ ? never : next_renewal_;
+}
+
+void lease_holder::on_grant(holder_input const& it)
+{
+    auto const& grant = std::get<grant_lease>(it);
+    // A grant that answers no renewal of this process, or a repeated one,
+    // extends nothing.
+    if (stopped_ || grant.daemon != daemon_ ||
+        grant.incarnation != incarnation_ || sent_.erase(grant.echo) == 0)
+        return;
+    // Grants may arrive in another order than their renewals were sent.
+    if (grant.echo + grant.lease <= valid_until_ || grant.lease.count() <= 0)
+        return;
+    valid_until_ = grant.echo + grant.lease;
+    out_.emplace_back(lease_updated{valid_until_});
+}
+
+void lease_holder::on_offer(holder_input const& it)
+{
+    auto const revision = std::get<state_offered>(it).revision;
+    if (revision < served_)
+    {
+        out_.emplace_back(state_refused{revision, served_});
+        return;
+    }
+    if (revision == served_)
+        return;
+    served_ = revision;
+    out_.emplace_back(adopt_state{revision});
+}
+
+void lease_holder::on_adopted(holder_input const& it)
+{
+    auto const& adoption = std::get<adopted>(it);
+    if (adoption.thread >= threads_.size())
+        return;
+    auto& revision = threads_[adoption.thread];
+    revision = std::max(revision, std::min(adoption.revision, served_));
+    auto const confirmed = *std::min_element(threads_.begin(), threads_.end());
+    if (confirmed <= confirmed_)
+        return;
+    confirmed_ = confirmed;
+    // The leader waits for this confirmation, so it is not left until the
+    // renewal interval has passed.
+    next_renewal_ = instant::min();
+}
+
+void lease_holder::on_acknowledged(holder_input const& it)
+{
+    auto const& write = std::get<write_acknowledged>(it);
+    auto& position = acknowledged_[write.group];
+    position = std::max(position, write.position);
+}
+
+void lease_holder::on_serving(holder_input const& it)
+{
+    acknowledged_.erase(std::get<group_serving>(it).group);
+}
+
+void lease_holder::on_stop(holder_input const&)
+{
+    if (stopped_)
+        return;
+    stopped_ = true;
+    valid_until_ = instant::min();
+    out_.emplace_back(lease_updated{valid_until_});
+    out_.emplace_back(lease_returned{daemon_, incarnation_});
+}
+
+void lease_holder::send_due_renewal(instant now)
+{
+    if (stopped_ || now < next_renewal_)
+        return;
+    // A grant for a renewal this old would end at once.
+    sent_.erase(sent_.begin(), sent_.upper_bound(now - settings_.lease));
+    sent_.insert(now);
+    out_.emplace_back(lease_renewal{daemon_, data_centre_, incarnation_, now,
+                                    confirmed_, acknowledged_});
+    next_renewal_ =
+        now + (valid_until_ > now ? settings_.renewal : settings_.retry);
+}
+
+} // namespace basilreach::control
