stand_in: Add the simulated database group

Tests of the proxy need servers that lag, lose their role and stop answering at a chosen moment, which no real server does on demand. The group itself has no sockets and no clock; one reactor connects it to loopback sockets.

A write holds a lock on its key until its transaction ends, so that concurrent increments and claims of a request id behave as in a database.

--- /dev/null
+++ b/testing/stand_in/include/basilreach/stand_in/store.hpp
@@ -0,0 +1,75 @@
+#ifndef BASILREACH_STAND_IN_STORE_HPP
+#define BASILREACH_STAND_IN_STORE_HPP
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace basilreach::stand_in
+{
+
+// A row of the table `item`.
+struct item
+{
+    std::string value;
+    std::int64_t amount = 0;
+
+    friend bool operator==(item const&, item const&) = default;
+};
+
+struct insert_item
+{
+    std::string key;
+    std::string value;
+
+    friend bool operator==(insert_item const&, insert_item const&) = default;
+};
+
+struct update_value
+{
+    std::string key;
+    std::string value;
+
+    friend bool operator==(update_value const&, update_value const&) = default;
+};
+
+struct increment_amount
+{
+    std::string key;
+
+    friend bool operator==(increment_amount const&,
+                           increment_amount const&) = default;
+};
+
+// Records that a request id of a workspace has been used.
+struct claim_request
+{
+    std::string workspace;
+    std::string request;
+
+    friend auto operator<=>(claim_request const&,
+                            claim_request const&) = default;
+};
+
+// A change of the data, as the log carries it.
+using operation =
+    std::variant<insert_item, update_value, increment_amount, claim_request>;
+
+// The data of one server, which its log determines.
+struct store
+{
+    std::map<std::string, item> items;
+    std::set<claim_request> claims;
+
+    void apply(operation const& change);
+    void apply(std::vector<operation> const& changes);
+
+    friend bool operator==(store const&, store const&) = default;
+};
+
+} // namespace basilreach::stand_in
+
+#endif
--- /dev/null
+++ b/testing/stand_in/test/server_loop_test.cpp
@@ -0,0 +1,317 @@
+#include <basilreach/stand_in/server_loop.hpp>
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <string>
+#include <thread>
+#include <vector>
+
+#include <libpq-fe.h>
+#include <poll.h>
+
+using namespace std::chrono_literals;
+using namespace basilreach;
+using namespace basilreach::stand_in;
+
+namespace
+{
+
+using connection = std::unique_ptr<PGconn, decltype(&PQfinish)>;
+using pq_result = std::unique_ptr<PGresult, decltype(&PQclear)>;
+
+// A group of the servers a, b and c that runs in a thread of the test.
+class running_group
+{
+public:
+    explicit running_group(group_settings settings = {})
+    {
+        settings.servers = {server_name{"a"}, server_name{"b"},
+                            server_name{"c"}};
+        settings.user = "proxy";
+        settings.password = "secret";
+        auto opened = server_loop::open(settings, {0, 0, 0});
+        REQUIRE(opened.has_value());
+        loop_ = std::move(opened).value();
+        thread_ = std::thread([this] { loop_->run(); });
+        control_ = connect(0, "dbname=stand_in");
+    }
+
+    running_group(running_group const&) = delete;
+    running_group& operator=(running_group const&) = delete;
+
+    ~running_group()
+    {
+        loop_->stop();
+        thread_.join();
+    }
+
+    [[nodiscard]] connection connect(std::size_t server,
+                                     std::string const& more = "") const
+    {
+        auto const text =
+            "host=127.0.0.1 port=" + std::to_string(loop_->ports()[server]) +
+            " user=proxy password=secret dbname=item " + more;
+        return {PQconnectdb(text.c_str()), PQfinish};
+    }
+
+    [[nodiscard]] PGconn* control() const
+    {
+        return control_.get();
+    }
+
+private:
+    std::unique_ptr<server_loop> loop_;
+    std::thread thread_;
+    connection control_{nullptr, PQfinish};
+};
+
+// Returns the values of all rows joined by blanks, the tag of a statement
+// without rows, or the SQLSTATE of an error.
+std::string outcome(PGresult* answer)
+{
+    if (PQresultStatus(answer) == PGRES_COMMAND_OK)
+        return PQcmdStatus(answer);
+    if (PQresultStatus(answer) != PGRES_TUPLES_OK)
+    {
+        auto const* const sqlstate = PQresultErrorField(answer, 'C');
+        return sqlstate != nullptr ? sqlstate : "no answer";
+    }
+    std::string text;
+    for (int row = 0; row != PQntuples(answer); ++row)
+        for (int n = 0; n != PQnfields(answer); ++n)
+            text += (text.empty() ? "" : " ") +
+                    std::string{PQgetvalue(answer, row, n)};
+    return text;
+}
+
+std::string run(PGconn* it, std::string const& statement)
+{
+    pq_result const answer{PQexec(it, statement.c_str()), PQclear};
+    return outcome(answer.get());
+}
+
+// Repeats a statement until it has the expected outcome; ends with the last
+// outcome seen when that does not happen within five seconds.
+std::string eventually(PGconn* it,
+                       std::string const& statement,
+                       std::string const& expected)
+{
+    auto const limit = std::chrono::steady_clock::now() + 5s;
+    auto seen = run(it, statement);
+    while (seen != expected && std::chrono::steady_clock::now() < limit)
+        seen = run(it, statement);
+    return seen;
+}
+
+// Returns whether the connection has something to read within a time.
+bool readable(PGconn* it, std::chrono::milliseconds limit)
+{
+    pollfd entry{PQsocket(it), POLLIN, 0};
+    return poll(&entry, 1, static_cast<int>(limit.count())) == 1;
+}
+
+constexpr auto select_k = "SELECT value FROM item WHERE key = 'k'";
+constexpr auto insert_k = "INSERT INTO item (key, value) VALUES ('k', 'v')";
+constexpr auto add_k = "UPDATE item SET amount = amount + 1 WHERE key = 'k'";
+constexpr auto amount_k = "SELECT amount FROM item WHERE key = 'k'";
+constexpr auto position = "SELECT term, position FROM basilreach.position()";
+
+} // namespace
+
+TEST_CASE("writes reach the replicas after the lag and only the primary writes")
+{
+    running_group group;
+    auto const primary = group.connect(0);
+    auto const replica = group.connect(1);
+    CHECK(run(group.control(), "SET LAG b 600000") == "SET");
+    CHECK(run(primary.get(), insert_k) == "INSERT 0 1");
+    CHECK(run(primary.get(), insert_k) == "23505");
+    CHECK(run(primary.get(), position) == "1 1");
+    CHECK(run(replica.get(), select_k).empty());
+    CHECK(run(replica.get(), position) == "1 0");
+    CHECK(run(group.control(), "SET LAG b 0") == "SET");
+    CHECK(eventually(replica.get(), select_k, "v") == "v");
+    CHECK(run(replica.get(), add_k) == "25006");
+    auto const reader =
+        group.connect(0, "options='-c default_transaction_read_only=on'");
+    CHECK(run(reader.get(), add_k) == "25006");
+    CHECK(run(reader.get(), select_k) == "v");
+    CHECK(run(primary.get(), "SELECT 1") == "42601");
+    CHECK(run(group.control(), "SHOW RECEIVED 'amount + 1'") == "2");
+    CHECK(run(group.control(), "SHOW RECEIVED 'never sent'") == "0");
+    auto const wrong = group.connect(0, "password=wrong");
+    CHECK(PQstatus(wrong.get()) == CONNECTION_BAD);
+}
+
+// Guards against effects of a failed transaction, simple or explicit.
+TEST_CASE("a transaction takes effect as a whole or not at all")
+{
+    running_group group;
+    auto const it = group.connect(0);
+    CHECK(run(it.get(), std::string{insert_k} + "; SELECT 1") == "42601");
+    CHECK(run(it.get(), select_k).empty());
+    CHECK(run(it.get(), "BEGIN") == "BEGIN");
+    CHECK(run(it.get(), insert_k) == "INSERT 0 1");
+    CHECK(run(it.get(), select_k) == "v");
+    CHECK(run(it.get(), "nonsense") == "42601");
+    CHECK(PQtransactionStatus(it.get()) == PQTRANS_INERROR);
+    CHECK(run(it.get(), select_k) == "25P02");
+    CHECK(run(it.get(), "COMMIT") == "ROLLBACK");
+    CHECK(run(it.get(), select_k).empty());
+    CHECK(run(it.get(), "BEGIN READ ONLY") == "BEGIN");
+    CHECK(run(it.get(), insert_k) == "25006");
+    CHECK(run(it.get(), "ROLLBACK") == "ROLLBACK");
+
+    // A second writer of the same key waits for the first.
+    CHECK(run(it.get(), std::string{insert_k} + "; BEGIN; " + add_k) ==
+          "UPDATE 1");
+    auto const other = group.connect(0);
+    REQUIRE(PQsendQuery(other.get(), add_k) == 1);
+    CHECK_FALSE(readable(other.get(), 20ms));
+    CHECK(run(it.get(), "COMMIT") == "COMMIT");
+    pq_result const answer{PQgetResult(other.get()), PQclear};
+    CHECK(outcome(answer.get()) == "UPDATE 1");
+    CHECK(run(it.get(), amount_k) == "2");
+}
+
+// Guards against a Sync that ends the wrong transaction in one network write.
+TEST_CASE("each sync of a pipeline ends its own implicit transaction")
+{
+    running_group group;
+    auto const it = group.connect(0);
+    auto const send = [&](char const* text, std::vector<char const*> values)
+    {
+        REQUIRE(PQsendQueryParams(it.get(), text,
+                                  static_cast<int>(values.size()), nullptr,
+                                  values.data(), nullptr, nullptr, 0) == 1);
+    };
+    auto const claim = "SELECT basilreach.claim_request($1, $2)";
+    REQUIRE(PQenterPipelineMode(it.get()) == 1);
+    send(claim, {"w", "1"});
+    send("INSERT INTO item (key, value) VALUES ($1, $2)", {"k", "v"});
+    REQUIRE(PQpipelineSync(it.get()) == 1);
+    send(add_k, {});
+    send(claim, {"w", "1"});
+    send(add_k, {});
+    REQUIRE(PQpipelineSync(it.get()) == 1);
+    send(amount_k, {});
+    send(position, {});
+    REQUIRE(PQpipelineSync(it.get()) == 1);
+    std::vector<std::string> seen;
+    for (int syncs = 0; syncs != 3;)
+    {
+        pq_result const answer{PQgetResult(it.get()), PQclear};
+        if (!answer)
+            continue;
+        if (PQresultStatus(answer.get()) == PGRES_PIPELINE_SYNC)
+            ++syncs;
+        else
+            seen.push_back(outcome(answer.get()));
+    }
+    CHECK(seen == std::vector<std::string>{"t", "INSERT 0 1", "UPDATE 1",
+                                           "23505", "no answer", "0", "1 1"});
+}
+
+TEST_CASE("a partitioned primary writes on until it hears of a later term")
+{
+    running_group group;
+    auto const old_primary = group.connect(0);
+    auto const promoted = group.connect(1);
+    auto const third = group.connect(2);
+    CHECK(run(old_primary.get(), insert_k) == "INSERT 0 1");
+    CHECK(eventually(promoted.get(), select_k, "v") == "v");
+    CHECK(run(group.control(), "ISOLATE a") == "SET");
+    CHECK(run(old_primary.get(), add_k) == "UPDATE 1");
+    CHECK(run(promoted.get(), "SELECT basilreach.promote(2)") == "t");
+    CHECK(run(promoted.get(), "SELECT basilreach.promote(2)") == "t");
+    CHECK(run(old_primary.get(), add_k) == "UPDATE 1");
+    CHECK(run(old_primary.get(), "SELECT basilreach.promote(1)") == "t");
+    CHECK(eventually(third.get(), position, "2 2") == "2 2");
+    CHECK(run(third.get(), "SELECT basilreach.promote(1)") == "55000");
+    CHECK(run(old_primary.get(), "BEGIN; " + std::string{add_k}) == "UPDATE 1");
+    CHECK(run(group.control(), "HEAL a") == "SET");
+    auto const reader = group.connect(0);
+    CHECK(eventually(reader.get(), position, "2 2") == "2 2");
+    CHECK(run(old_primary.get(), "COMMIT") == "40001");
+    CHECK(run(old_primary.get(), add_k) == "25006");
+    CHECK(run(group.control(), "SHOW VALUE k") == "a v 0 b v 0 c v 0");
+    CHECK(run(group.control(), "SHOW STATE") ==
+          "a replica 2 2 2 2 2 b primary 2 2 1 1 2 c replica 2 2 1 1 2");
+}
+
+TEST_CASE("silence ends answers on open connections only")
+{
+    running_group group;
+    auto const silent = group.connect(0);
+    CHECK(run(silent.get(), insert_k) == "INSERT 0 1");
+    CHECK(run(group.control(), "SILENCE a") == "SET");
+    REQUIRE(PQsendQuery(silent.get(), select_k) == 1);
+    auto const fresh = group.connect(0);
+    CHECK(run(fresh.get(), select_k) == "v");
+    CHECK_FALSE(readable(silent.get(), 20ms));
+
+    CHECK(run(group.control(), "PAUSE a") == "SET");
+    REQUIRE(PQsendQuery(fresh.get(), select_k) == 1);
+    CHECK_FALSE(readable(fresh.get(), 20ms));
+    CHECK(run(group.control(), "RESUME a") == "SET");
+    pq_result const answer{PQgetResult(fresh.get()), PQclear};
+    CHECK(outcome(answer.get()) == "v");
+}
+
+TEST_CASE("a stopped server refuses and keeps its data")
+{
+    running_group group;
+    auto const it = group.connect(0);
+    CHECK(run(it.get(), insert_k) == "INSERT 0 1");
+    CHECK(run(group.control(), "STOP a") == "SET");
+    CHECK(run(it.get(), select_k) == "no answer");
+    CHECK(PQstatus(group.connect(0).get()) == CONNECTION_BAD);
+    CHECK(run(group.control(), "START a") == "SET");
+    auto const again = group.connect(0);
+    CHECK(run(again.get(), select_k) == "v");
+}
+
+TEST_CASE("connections over the limit are refused")
+{
+    group_settings settings;
+    settings.connection_limit = 2;
+    settings.connection_cost = 1ms;
+    running_group group{settings};
+    auto const first = group.connect(0);
+    auto second = group.connect(0);
+    CHECK(PQstatus(second.get()) == CONNECTION_OK);
+    auto const third = group.connect(0);
+    CHECK(PQstatus(third.get()) == CONNECTION_BAD);
+    CHECK(std::string{PQerrorMessage(third.get())}.find("too many") !=
+          std::string::npos);
+    second.reset();
+    auto const state = "SHOW STATE";
+    auto const free = "a primary 1 0 1 2 1 b replica 1 0 0 0 1 "
+                      "c replica 1 0 0 0 1";
+    CHECK(eventually(group.control(), state, free) == free);
+    CHECK(PQstatus(group.connect(0).get()) == CONNECTION_OK);
+}
+
+// Guards against more statements at the same time than there are slots, and
+// against a waiting statement that never gets one.
+TEST_CASE("statements beyond the slots wait in order")
+{
+    group_settings settings;
+    settings.slots = 1;
+    running_group group{settings};
+    auto const first = group.connect(0);
+    auto const second = group.connect(0);
+    REQUIRE(PQsendQuery(first.get(), "SELECT pg_sleep(600)") == 1);
+    CHECK(eventually(group.control(), "SHOW RECEIVED 'pg_sleep'", "1") == "1");
+    REQUIRE(PQsendQuery(second.get(), select_k) == 1);
+    CHECK_FALSE(readable(second.get(), 20ms));
+    std::unique_ptr<PGcancel, decltype(&PQfreeCancel)> const cancel{
+        PQgetCancel(first.get()), PQfreeCancel};
+    std::string buf(256, '\0');
+    CHECK(PQcancel(cancel.get(), buf.data(), 256) == 1);
+    pq_result const cancelled{PQgetResult(first.get()), PQclear};
+    CHECK(outcome(cancelled.get()) == "57014");
+    pq_result const answer{PQgetResult(second.get()), PQclear};
+    CHECK(outcome(answer.get()).empty());
+}
