--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -0,0 +1,235 @@
+#ifndef BASILREACH_DAEMON_CLIENT_CONNECTION_HPP
+#define BASILREACH_DAEMON_CLIENT_CONNECTION_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <ace/Event_Handler.h>
+#include <ace/SOCK_Stream.h>
+
+#include <basilreach/daemon/event_loop.hpp>
+#include <basilreach/daemon/server_connection.hpp>
+#include <basilreach/messages/message.hpp>
+#include <basilreach/pgwire/decoder.hpp>
+#include <basilreach/pgwire/encoder.hpp>
+#include <basilreach/pgwire/frontend_message.hpp>
+#include <basilreach/traffic/action.hpp>
+#include <basilreach/traffic/session_token.hpp>
+#include <basilreach/traffic/statement.hpp>
+
+namespace basilreach::daemon
+{
+
+class client_connection;
+
+// Who the caller is and what it may use, once it has been authenticated.
+struct client_identity
+{
+    route_name route;
+    group_name group;
+    workspace_name workspace;
+    std::optional<traffic::key_digest> key;
+    // The session belongs to the admin console.
+    bool is_admin = false;
+
+    friend bool operator==(client_identity const&,
+                           client_identity const&) = default;
+};
+
+// What a client needs from the thread that serves it.
+struct client_owner
+{
+    event_loop* loop = nullptr;
+    // Returns the identity for a database name and a key. Without a key it is
+    // the identity on an open route; nothing means that access is denied.
+    std::function<std::optional<client_identity>(
+        std::string_view database, std::optional<std::string_view> key)>
+        authenticate;
+    // Whether the database name is a route or the admin console.
+    std::function<bool(std::string_view database)> is_known;
+    // The client has been authenticated; the owner opens its session, perhaps
+    // in another thread.
+    std::function<void(client_connection&)> ready;
+    // Starts the client's current statement.
+    std::function<void(client_connection&, traffic::statement_verb)> submit;
+    std::function<void(client_connection&, log_position)> token_presented;
+    std::function<void(client_connection&, std::string)> admin;
+    // The connection has ended; the owner destroys it later.
+    std::function<void(client_connection&)> closed;
+};
+
+// One caller's connection: the front end of the PostgreSQL protocol.
+class client_connection : public ACE_Event_Handler
+{
+public:
+    client_connection(ACE_SOCK_Stream stream, std::size_t message_limit);
+    ~client_connection() override;
+    client_connection(client_connection const&) = delete;
+    client_connection& operator=(client_connection const&) = delete;
+
+    // Registers with the owner's reactor. Called again after a hand-over.
+    void attach(client_owner const& owner);
+
+    // Leaves the owner's reactor, for a hand-over to another thread.
+    void detach();
+
+    // Continues after a hand-over: tells the client that it is connected and
+    // handles what it sent meanwhile.
+    void start_session(std::uint64_t session);
+
+    // Passes the stored answer on. The position is the session's new one.
+    void relay(std::optional<log_position> position);
+
+    // Answers the current statement with an error.
+    void refuse(traffic::refuse const& it);
+
+    // Ends the connection with an error while no statement is in progress.
+    void end(traffic::refusal_reason reason);
+
+    void answer_admin(messages::admin_reply const& reply);
+
+    void store_answer(server_answer answer);
+
+    [[nodiscard]] std::uint64_t session() const
+    {
+        return session_;
+    }
+
+    [[nodiscard]] client_identity const& identity() const
+    {
+        return identity_;
+    }
+
+    // The session's name, if the caller gave one.
+    [[nodiscard]] session_name const& label() const
+    {
+        return label_;
+    }
+
+    // The position that the caller's token states for the route's group.
+    [[nodiscard]] std::optional<log_position> presented_position() const;
+
+    // Whether the caller declared all its transactions read-only.
+    [[nodiscard]] bool is_read_only() const
+    {
+        return is_read_only_;
+    }
+
+    [[nodiscard]] statement const& current() const
+    {
+        return current_;
+    }
+
+    [[nodiscard]] instant submitted_at() const
+    {
+        return submitted_at_;
+    }
+
+    int handle_input(ACE_HANDLE) override;
+    int handle_output(ACE_HANDLE) override;
+    ACE_HANDLE get_handle() const override;
+
+private:
+    enum class phase : std::uint8_t
+    {
+        startup,
+        password,
+        handing_over,
+        ready,
+        // A statement is in progress.
+        busy,
+        // Messages are skipped up to the next Sync.
+        skipping,
+        closing
+    };
+
+    struct prepared_statement
+    {
+        std::string text;
+        std::vector<std::uint32_t> parameter_types;
+    };
+
+    struct portal
+    {
+        statement bound;
+        // A Describe waits for the columns of the portal's result.
+        bool is_described = false;
+    };
+
+    using handler = void (client_connection::*)(pgwire::frontend_message&);
+
+    static handler const handlers[];
+
+    void on_startup(pgwire::frontend_message& it);
+    void on_encryption_request(pgwire::frontend_message& it);
+    void on_cancel(pgwire::frontend_message& it);
+    void on_password(pgwire::frontend_message& it);
+    void on_query(pgwire::frontend_message& it);
+    void on_parse(pgwire::frontend_message& it);
+    void on_bind(pgwire::frontend_message& it);
+    void on_describe(pgwire::frontend_message& it);
+    void on_close(pgwire::frontend_message& it);
+    void on_execute(pgwire::frontend_message& it);
+    void on_sync(pgwire::frontend_message& it);
+    void on_flush(pgwire::frontend_message& it);
+    void on_terminate(pgwire::frontend_message& it);
+    void on_unsupported(pgwire::frontend_message& it);
+
+    void process(std::string_view input);
+    void handle(pgwire::frontend_message& it);
+    void finish_authentication(std::optional<std::string_view> key);
+    void take_startup_options(pgwire::startup_message const& it);
+    void begin(statement it, bool is_simple);
+    void answer_variable(std::string const& text);
+    void set_variable(std::string_view name, std::string_view value);
+    void complete(std::string_view tag);
+    void finish_statement();
+    void append_rows();
+    void append_description(PGresult const* it);
+    void append_columns(PGresult const* it);
+    void append_server_error();
+    void fail(pgwire::error_fields const& error);
+    void fail_fatally(pgwire::error_fields error);
+    void append_ready();
+    void write();
+    void shut();
+
+    ACE_SOCK_Stream stream_;
+    client_owner const* owner_ = nullptr;
+    pgwire::decoder decoder_;
+    // Bytes received while a statement is in progress.
+    std::string backlog_;
+    std::string out_;
+    std::size_t out_offset_ = 0;
+    bool waits_to_write_ = false;
+    bool is_processing_ = false;
+    phase phase_ = phase::startup;
+    std::uint64_t session_ = 0;
+
+    std::string database_;
+    client_identity identity_;
+    session_name label_;
+    traffic::session_token token_;
+    bool is_read_only_ = false;
+    std::string request_id_;
+
+    std::map<std::string, prepared_statement, std::less<>> statements_;
+    std::map<std::string, portal, std::less<>> portals_;
+    statement current_;
+    bool current_is_simple_ = true;
+    bool current_is_described_ = false;
+    // Statements outside a transaction since the last Sync.
+    int executed_since_sync_ = 0;
+    instant submitted_at_;
+    server_answer answer_;
+    pgwire::ready_status status_ = pgwire::ready_status::idle;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/thread_messages.hpp
@@ -0,0 +1,133 @@
+#ifndef BASILREACH_DAEMON_THREAD_MESSAGES_HPP
+#define BASILREACH_DAEMON_THREAD_MESSAGES_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <basilreach/messages/message.hpp>
+#include <basilreach/telemetry/latency_histogram.hpp>
+#include <basilreach/traffic/action.hpp>
+#include <basilreach/traffic/engine_settings.hpp>
+#include <basilreach/traffic/event.hpp>
+
+namespace basilreach::daemon
+{
+
+class client_connection;
+
+// Totals of one traffic thread since the start.
+struct traffic_metrics
+{
+    traffic::engine_counts counts;
+    std::size_t clients = 0;
+    telemetry::latency_histogram reads;
+    telemetry::latency_histogram writes;
+
+    friend bool operator==(traffic_metrics const&,
+                           traffic_metrics const&) = default;
+};
+
+// ---- From traffic threads to the control thread ----
+
+struct view_adopted
+{
+    std::size_t thread = 0;
+    std::uint64_t revision = 0;
+
+    friend bool operator==(view_adopted const&, view_adopted const&) = default;
+};
+
+struct tokens_wanted
+{
+    std::size_t thread = 0;
+    traffic::ask_tokens ask;
+
+    friend bool operator==(tokens_wanted const&,
+                           tokens_wanted const&) = default;
+};
+
+struct admin_call
+{
+    std::size_t thread = 0;
+    std::uint64_t session = 0;
+    std::string text;
+
+    friend bool operator==(admin_call const&, admin_call const&) = default;
+};
+
+struct metrics_published
+{
+    std::size_t thread = 0;
+    traffic_metrics metrics;
+
+    friend bool operator==(metrics_published const&,
+                           metrics_published const&) = default;
+};
+
+// Every client of the thread has gone after a drain began.
+struct thread_drained
+{
+    std::size_t thread = 0;
+
+    friend bool operator==(thread_drained const&,
+                           thread_drained const&) = default;
+};
+
+// The process was asked to stop.
+struct stop_requested
+{
+    friend bool operator==(stop_requested const&,
+                           stop_requested const&) = default;
+};
+
+using control_note = std::variant<view_adopted,
+                                  traffic::term_ended,
+                                  tokens_wanted,
+                                  traffic::connections_used,
+                                  admin_call,
+                                  metrics_published,
+                                  thread_drained,
+                                  stop_requested>;
+
+// ---- To traffic threads ----
+
+// A client whose route belongs to the receiving thread.
+struct client_handed_over
+{
+    std::unique_ptr<client_connection> client;
+};
+
+struct admin_answer
+{
+    std::uint64_t session = 0;
+    messages::admin_reply reply;
+
+    friend bool operator==(admin_answer const&, admin_answer const&) = default;
+};
+
+// The listener closes; the sessions drain.
+struct drain_requested
+{
+    friend bool operator==(drain_requested const&,
+                           drain_requested const&) = default;
+};
+
+// The thread ends at once.
+struct thread_stop
+{
+    friend bool operator==(thread_stop const&, thread_stop const&) = default;
+};
+
+using traffic_message = std::variant<traffic::event,
+                                     client_handed_over,
+                                     admin_answer,
+                                     drain_requested,
+                                     thread_stop>;
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -0,0 +1,160 @@
+#ifndef BASILREACH_DAEMON_TRAFFIC_THREAD_HPP
+#define BASILREACH_DAEMON_TRAFFIC_THREAD_HPP
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <thread>
+#include <unordered_map>
+#include <vector>
+
+#include <ace/Event_Handler.h>
+#include <ace/SOCK_Acceptor.h>
+
+#include <basilreach/daemon/client_connection.hpp>
+#include <basilreach/daemon/event_loop.hpp>
+#include <basilreach/daemon/inbox.hpp>
+#include <basilreach/daemon/server_connection.hpp>
+#include <basilreach/daemon/thread_messages.hpp>
+#include <basilreach/settings/daemon_settings.hpp>
+#include <basilreach/telemetry/decision_log.hpp>
+#include <basilreach/traffic/engine.hpp>
+
+namespace basilreach::daemon
+{
+
+class traffic_thread;
+
+// What all threads of a daemon share. Nothing in it changes while they run.
+struct daemon_context
+{
+    settings::daemon_settings settings;
+    settings::backend_credential credential;
+    telemetry::decision_log* decisions = nullptr;
+    inbox<control_note>* control = nullptr;
+    std::vector<traffic_thread*> threads;
+};
+
+// Accepts callers. Closing it makes the balancer choose another host.
+class client_listener : public ACE_Event_Handler
+{
+public:
+    client_listener(event_loop& loop,
+                    std::function<void(ACE_SOCK_Stream)> accepted);
+    ~client_listener() override;
+
+    // Listens on IP:PORT; returns whether that succeeded.
+    [[nodiscard]] bool open(std::string const& address);
+
+    void close();
+
+    int handle_input(ACE_HANDLE) override;
+    ACE_HANDLE get_handle() const override;
+
+private:
+    event_loop& loop_;
+    std::function<void(ACE_SOCK_Stream)> accepted_;
+    ACE_SOCK_Acceptor acceptor_;
+    bool is_open_ = false;
+};
+
+// One traffic thread: the sockets around a traffic::engine. It owns the groups
+// whose names hash to its index.
+class traffic_thread
+{
+public:
+    traffic_thread(std::size_t index, daemon_context const& context);
+    ~traffic_thread();
+    traffic_thread(traffic_thread const&) = delete;
+    traffic_thread& operator=(traffic_thread const&) = delete;
+
+    // Opens the listener; only one thread of a daemon does so.
+    [[nodiscard]] bool listen(std::string const& address);
+
+    void start();
+
+    // Waits for the end of the thread.
+    void join();
+
+    // Sends a message to the thread.
+    void post(traffic_message it);
+
+private:
+    struct server_slot
+    {
+        traffic::connection_id id;
+        std::unique_ptr<server_connection> connection;
+        // The client whose statement is outstanding, or 0.
+        std::uint64_t session = 0;
+    };
+
+    using message_handler = void (traffic_thread::*)(traffic_message&);
+    using action_handler = void (traffic_thread::*)(traffic::action const&);
+
+    static message_handler const message_handlers[];
+
+    void on_event(traffic_message& it);
+    void on_client(traffic_message& it);
+    void on_admin_answer(traffic_message& it);
+    void on_drain(traffic_message& it);
+    void on_stop(traffic_message& it);
+
+    void perform(traffic::open_connection const& it);
+    void perform(traffic::close_connection const& it);
+    void perform(traffic::send_statement const& it);
+    void perform(traffic::ask_position const& it);
+    void perform(traffic::relay_answer const& it);
+    void perform(traffic::refuse const& it);
+    void perform(traffic::end_session const& it);
+    void perform(traffic::ask_tokens const& it);
+    void perform(traffic::connections_used const& it);
+    void perform(traffic::term_ended const& it);
+    void perform(traffic::adopted const& it);
+    void perform(traffic::log_decision const& it);
+
+    void run();
+    void tick();
+    void make_owner();
+    void accept(ACE_SOCK_Stream stream);
+    void open_session(client_connection& client);
+    void hand_over(client_connection& client);
+    void close_client(client_connection& client);
+    void publish_metrics(instant now);
+    [[nodiscard]] client_connection* find_client(std::uint64_t session);
+    [[nodiscard]] std::optional<client_identity>
+    authenticate(std::string_view database,
+                 std::optional<std::string_view> key) const;
+    [[nodiscard]] std::size_t owner_of(group_name const& group) const;
+    [[nodiscard]] server_observer observe(traffic::connection_id id);
+
+    std::size_t index_;
+    daemon_context const& context_;
+    event_loop loop_;
+    inbox<traffic_message> inbox_;
+    client_listener listener_;
+    client_owner owner_;
+    traffic::engine engine_;
+    traffic::control_view_ptr view_;
+    std::unordered_map<std::uint64_t, std::unique_ptr<client_connection>>
+        clients_;
+    // Clients that have not been authenticated.
+    std::unordered_map<client_connection*, std::unique_ptr<client_connection>>
+        strangers_;
+    std::unordered_map<traffic::connection_id, server_slot> servers_;
+    // Handlers that may be on the stack are destroyed after the tick.
+    std::vector<std::unique_ptr<ACE_Event_Handler>> retired_;
+    std::vector<telemetry::decision_record> decisions_;
+    std::uint64_t next_session_ = 0;
+    telemetry::latency_histogram reads_;
+    telemetry::latency_histogram writes_;
+    instant next_publication_;
+    bool is_draining_ = false;
+    bool is_drained_ = false;
+    bool is_stopping_ = false;
+    std::thread thread_;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/client_connection.cpp
@@ -0,0 +1,747 @@
+#include <basilreach/daemon/client_connection.hpp>
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+#include <basilreach/pgwire/startup_options.hpp>
+#include <basilreach/pgwire/wire_error.hpp>
+
+#include "refusal_text.hpp"
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// Bytes received at once. The buffer belongs to the thread, so that an idle
+// client holds none.
+constexpr std::size_t receive_bytes = std::size_t{64} << 10U;
+
+constexpr std::string_view variable_prefix = "basilreach.";
+
+pgwire::error_fields error(char const* sqlstate, std::string message)
+{
+    pgwire::error_fields fields;
+    fields.sqlstate = sqlstate;
+    fields.message = std::move(message);
+    fields.hint = "not run";
+    return fields;
+}
+
+std::string field_of(PGresult const* it, int code)
+{
+    auto const* text = PQresultErrorField(it, code);
+    return text == nullptr ? std::string() : std::string(text);
+}
+
+bool is_failure(PGresult const* it)
+{
+    auto const status = PQresultStatus(it);
+    return status != PGRES_TUPLES_OK && status != PGRES_COMMAND_OK &&
+           status != PGRES_EMPTY_QUERY;
+}
+
+pgwire::ready_status to_ready_status(PGTransactionStatusType status)
+{
+    if (status == PQTRANS_INERROR)
+        return pgwire::ready_status::failed_transaction;
+    return status == PQTRANS_INTRANS ? pgwire::ready_status::in_transaction
+                                     : pgwire::ready_status::idle;
+}
+
+bool is_space(char c)
+{
+    return c == ' ' || c == '\t' || c == '\n' || c == '\r' || c == ';';
+}
+
+std::string_view trim(std::string_view text)
+{
+    while (!text.empty() && is_space(text.front()))
+        text.remove_prefix(1);
+    while (!text.empty() && is_space(text.back()))
+        text.remove_suffix(1);
+    return text;
+}
+
+// A variable and, in a SET, its value.
+struct variable_statement
+{
+    bool is_set = false;
+    std::string name;
+    std::string value;
+};
+
+// Reads "SET basilreach.NAME {= | TO} 'VALUE'" or "SHOW basilreach.NAME".
+std::optional<variable_statement> parse_variable(std::string_view text)
+{
+    text = trim(text);
+    variable_statement it;
+    it.is_set = text.size() > 3 && (text[1] == 'E' || text[1] == 'e');
+    text = trim(text.substr(std::min(text.find_first_of(" \t\n"),
+                                     text.size())));
+    auto const end = std::min(text.find_first_of(" \t\n="), text.size());
+    for (auto const c : text.substr(0, end))
+        it.name += static_cast<char>(std::tolower(static_cast<int>(c)));
+    text = trim(text.substr(end));
+    if (!it.is_set)
+        return text.empty() ? std::optional(it) : std::nullopt;
+    if (text.starts_with('='))
+        text.remove_prefix(1);
+    else if (text.size() > 2 && (text[0] == 'T' || text[0] == 't') &&
+             (text[1] == 'O' || text[1] == 'o'))
+        text.remove_prefix(2);
+    else
+        return std::nullopt;
+    text = trim(text);
+    if (text.size() < 2 || text.front() != '\'' || text.back() != '\'')
+        return std::nullopt;
+    it.value = text.substr(1, text.size() - 2);
+    return it;
+}
+
+} // namespace
+
+// Indexed by the alternatives of pgwire::frontend_message.
+client_connection::handler const client_connection::handlers[] = {
+    &client_connection::on_startup,
+    &client_connection::on_encryption_request,
+    &client_connection::on_encryption_request,
+    &client_connection::on_cancel,
+    &client_connection::on_password,
+    &client_connection::on_query,
+    &client_connection::on_parse,
+    &client_connection::on_bind,
+    &client_connection::on_describe,
+    &client_connection::on_close,
+    &client_connection::on_execute,
+    &client_connection::on_sync,
+    &client_connection::on_flush,
+    &client_connection::on_terminate,
+    &client_connection::on_unsupported};
+
+client_connection::client_connection(ACE_SOCK_Stream stream,
+                                     std::size_t message_limit)
+    : stream_(stream), decoder_(message_limit)
+{
+    static_assert(std::size(handlers) ==
+                  std::variant_size_v<pgwire::frontend_message>);
+}
+
+client_connection::~client_connection()
+{
+    detach();
+    stream_.close();
+}
+
+ACE_HANDLE client_connection::get_handle() const
+{
+    return stream_.get_handle();
+}
+
+void client_connection::attach(client_owner const& owner)
+{
+    owner_ = &owner;
+    owner_->loop->reactor().register_handler(this,
+                                             ACE_Event_Handler::READ_MASK);
+}
+
+void client_connection::detach()
+{
+    if (owner_ == nullptr)
+        return;
+    owner_->loop->reactor().remove_handler(this,
+                                           ACE_Event_Handler::ALL_EVENTS_MASK |
+                                               ACE_Event_Handler::DONT_CALL);
+    owner_ = nullptr;
+}
+
+void client_connection::start_session(std::uint64_t session)
+{
+    session_ = session;
+    phase_ = phase::ready;
+    pgwire::append_authentication_ok(out_);
+    // Drivers read these to choose their encodings.
+    pgwire::append_parameter_status(out_, "server_version", "15.0");
+    pgwire::append_parameter_status(out_, "server_encoding", "UTF8");
+    pgwire::append_parameter_status(out_, "client_encoding", "UTF8");
+    pgwire::append_parameter_status(out_, "DateStyle", "ISO, MDY");
+    pgwire::append_parameter_status(out_, "integer_datetimes", "on");
+    pgwire::append_parameter_status(out_, "standard_conforming_strings", "on");
+    pgwire::append_backend_key_data(out_, 0, 0);
+    append_ready();
+    write();
+    process({});
+}
+
+std::optional<log_position> client_connection::presented_position() const
+{
+    auto const it = token_.positions.find(identity_.group);
+    if (it == token_.positions.end())
+        return std::nullopt;
+    return it->second;
+}
+
+int client_connection::handle_input(ACE_HANDLE /*handle*/)
+{
+    static thread_local std::array<char, receive_bytes> buf;
+    auto const n = stream_.recv(buf.data(), buf.size());
+    if (n < 0 && (errno == EWOULDBLOCK || errno == EINTR))
+        return 0;
+    if (n <= 0)
+        shut();
+    else
+        process({buf.data(), static_cast<std::size_t>(n)});
+    return 0;
+}
+
+int client_connection::handle_output(ACE_HANDLE /*handle*/)
+{
+    write();
+    return 0;
+}
+
+// Handles messages until a statement is in progress; the rest waits.
+void client_connection::process(std::string_view input)
+{
+    // A handler that completes at once comes back here.
+    if (is_processing_ || phase_ == phase::busy ||
+        phase_ == phase::handing_over)
+    {
+        backlog_.append(input);
+        return;
+    }
+    std::string waiting = std::exchange(backlog_, {});
+    if (!waiting.empty())
+    {
+        waiting.append(input);
+        input = waiting;
+    }
+    is_processing_ = true;
+    while (phase_ != phase::busy && phase_ != phase::handing_over &&
+           phase_ != phase::closing)
+    {
+        auto it = decoder_.next(input);
+        if (!it)
+        {
+            fail_fatally(error("08P01", pgwire::describe(it.error())));
+            break;
+        }
+        if (!it.value())
+            break;
+        handle(*it.value());
+    }
+    is_processing_ = false;
+    if (phase_ != phase::closing)
+        backlog_.append(input);
+    write();
+}
+
+void client_connection::handle(pgwire::frontend_message& it)
+{
+    bool const is_sync = std::holds_alternative<pgwire::sync>(it) ||
+                         std::holds_alternative<pgwire::terminate>(it);
+    if (phase_ == phase::skipping && !is_sync)
+        return;
+    // The decoder yields startup messages first; nothing but a password may
+    // follow them until the client is authenticated.
+    bool const is_password = std::holds_alternative<pgwire::password_message>(it);
+    bool const is_early = it.index() <= 3;
+    bool const is_allowed = phase_ == phase::startup    ? is_early
+                            : phase_ == phase::password ? is_password
+                                                        : !is_password;
+    if (!is_allowed)
+        return fail_fatally(error("08P01", "unexpected message"));
+    (this->*handlers[it.index()])(it);
+}
+
+void client_connection::on_encryption_request(pgwire::frontend_message& /*it*/)
+{
+    out_ += pgwire::encryption_refused;
+}
+
+// Nothing is cancelled, which the protocol allows; the connection just ends.
+void client_connection::on_cancel(pgwire::frontend_message& /*it*/)
+{
+    phase_ = phase::closing;
+}
+
+void client_connection::take_startup_options(pgwire::startup_message const& it)
+{
+    for (auto const& [name, value] :
+         pgwire::parse_startup_options(it.value("options")))
+    {
+        if (name == "default_transaction_read_only")
+            is_read_only_ = value == "on" || value == "true" || value == "1";
+        else if (name == "basilreach.session")
+            label_ = session_name(value);
+        else if (name == "basilreach.token")
+            set_variable("basilreach.token", value);
+    }
+}
+
+void client_connection::on_startup(pgwire::frontend_message& it)
+{
+    auto const& message = std::get<pgwire::startup_message>(it);
+    auto const database = message.value("database");
+    database_ = database.empty() ? message.value("user") : database;
+    take_startup_options(message);
+    if (!owner_->is_known(database_))
+        return fail_fatally(
+            describe_refusal(traffic::refusal_reason::unknown_route,
+                             traffic::refusal_outcome::not_run));
+    if (owner_->authenticate(database_, std::nullopt))
+        return finish_authentication(std::nullopt);
+    phase_ = phase::password;
+    pgwire::append_authentication_cleartext_password(out_);
+}
+
+void client_connection::on_password(pgwire::frontend_message& it)
+{
+    auto& message = std::get<pgwire::password_message>(it);
+    finish_authentication(message.password);
+    // The key is not kept in memory beyond its check.
+    std::fill(message.password.begin(), message.password.end(), '\0');
+}
+
+void client_connection::finish_authentication(
+    std::optional<std::string_view> key)
+{
+    auto const identity = owner_->authenticate(database_, key);
+    if (!identity)
+        return fail_fatally(
+            describe_refusal(traffic::refusal_reason::key_withdrawn,
+                             traffic::refusal_outcome::not_run));
+    identity_ = *identity;
+    phase_ = phase::handing_over;
+    owner_->ready(*this);
+}
+
+void client_connection::begin(statement it, bool is_simple)
+{
+    auto const verb = traffic::classify(it.text);
+    current_is_simple_ = is_simple;
+    if (it.mode == statement_mode::run)
+    {
+        if (verb == traffic::statement_verb::empty)
+        {
+            pgwire::append_empty_query_response(out_);
+            return finish_statement();
+        }
+        if (verb == traffic::statement_verb::proxy_variable)
+            return answer_variable(it.text);
+        it.request_id = std::exchange(request_id_, {});
+        it.workspace = identity_.workspace.str();
+    }
+    current_ = std::move(it);
+    phase_ = phase::busy;
+    submitted_at_ = read_clock();
+    owner_->submit(*this, verb);
+}
+
+void client_connection::on_query(pgwire::frontend_message& it)
+{
+    auto& message = std::get<pgwire::query>(it);
+    if (identity_.is_admin)
+    {
+        phase_ = phase::busy;
+        return owner_->admin(*this, std::move(message.text));
+    }
+    statement query;
+    query.text = std::move(message.text);
+    current_is_described_ = true;
+    begin(std::move(query), true);
+}
+
+void client_connection::on_parse(pgwire::frontend_message& it)
+{
+    auto& message = std::get<pgwire::parse>(it);
+    if (identity_.is_admin)
+    {
+        current_is_simple_ = false;
+        return fail(error("0A000", "the admin console takes simple queries"));
+    }
+    if (!message.statement.empty() && statements_.contains(message.statement))
+    {
+        current_is_simple_ = false;
+        return fail(error("42P05", "the prepared statement exists already"));
+    }
+    statements_[message.statement] = {std::move(message.text),
+                                      std::move(message.parameter_types)};
+    pgwire::append_parse_complete(out_);
+}
+
+void client_connection::on_bind(pgwire::frontend_message& it)
+{
+    auto& message = std::get<pgwire::bind>(it);
+    current_is_simple_ = false;
+    auto const found = statements_.find(message.statement);
+    if (found == statements_.end())
+        return fail(error("26000", "the prepared statement does not exist"));
+    auto const& formats = message.result_formats;
+    // libpq asks for one format for all columns.
+    if (std::adjacent_find(formats.begin(), formats.end(),
+                           std::not_equal_to<>{}) != formats.end())
+        return fail(error("0A000", "mixed result formats are not supported"));
+    auto const n = message.parameter_formats.size();
+    if (n > 1 && n != message.parameters.size())
+        return fail(error("08P01", "wrong number of parameter formats"));
+    statement bound;
+    bound.text = found->second.text;
+    bound.parameter_types = found->second.parameter_types;
+    bound.parameter_formats = std::move(message.parameter_formats);
+    bound.parameters = std::move(message.parameters);
+    bound.result_format = formats.empty() ? std::int16_t{0} : formats[0];
+    portals_[message.portal] = {std::move(bound), false};
+    pgwire::append_bind_complete(out_);
+}
+
+void client_connection::on_describe(pgwire::frontend_message& it)
+{
+    auto const& message = std::get<pgwire::describe_target>(it);
+    current_is_simple_ = false;
+    if (message.kind == pgwire::target_kind::portal)
+    {
+        auto const found = portals_.find(message.name);
+        if (found == portals_.end())
+            return fail(error("34000", "the portal does not exist"));
+        // The columns come with the result of the Execute that follows.
+        found->second.is_described = true;
+        return;
+    }
+    auto const found = statements_.find(message.name);
+    if (found == statements_.end())
+        return fail(error("26000", "the prepared statement does not exist"));
+    statement described;
+    described.text = found->second.text;
+    described.parameter_types = found->second.parameter_types;
+    described.mode = statement_mode::describe;
+    begin(std::move(described), false);
+}
+
+void client_connection::on_close(pgwire::frontend_message& it)
+{
+    auto const& message = std::get<pgwire::close_target>(it);
+    if (message.kind == pgwire::target_kind::portal)
+        portals_.erase(message.name);
+    else
+        statements_.erase(message.name);
+    pgwire::append_close_complete(out_);
+}
+
+void client_connection::on_execute(pgwire::frontend_message& it)
+{
+    auto const& message = std::get<pgwire::execute>(it);
+    current_is_simple_ = false;
+    auto const found = portals_.find(message.portal);
+    if (found == portals_.end())
+        return fail(error("34000", "the portal does not exist"));
+    if (message.max_rows != 0)
+        return fail(error("0A000", "partial results are not supported"));
+    // Statements between two Syncs are one implicit transaction, which several
+    // servers could not carry out as one.
+    if (status_ == pgwire::ready_status::idle && executed_since_sync_++ > 0)
+        return fail(error("0A000", "a second statement before Sync needs a "
+                                   "transaction"));
+    current_is_described_ = std::exchange(found->second.is_described, false);
+    begin(found->second.bound, false);
+}
+
+void client_connection::on_sync(pgwire::frontend_message& /*it*/)
+{
+    executed_since_sync_ = 0;
+    phase_ = phase::ready;
+    // Portals end with their transaction.
+    if (status_ == pgwire::ready_status::idle)
+        portals_.clear();
+    append_ready();
+}
+
+void client_connection::on_flush(pgwire::frontend_message& /*it*/)
+{
+}
+
+void client_connection::on_terminate(pgwire::frontend_message& /*it*/)
+{
+    phase_ = phase::closing;
+}
+
+void client_connection::on_unsupported(pgwire::frontend_message& /*it*/)
+{
+    current_is_simple_ = false;
+    fail(error("0A000", "COPY and function calls are not supported"));
+}
+
+void client_connection::set_variable(std::string_view name,
+                                     std::string_view value)
+{
+    if (name == "basilreach.request_id")
+        request_id_ = value;
+    if (name != "basilreach.token")
+        return;
+    // An unusable token is ignored: the session then reads at the primary.
+    auto const token = traffic::parse_token(value);
+    if (!token)
+        return;
+    for (auto const& [group, position] : token.value().positions)
+    {
+        auto& known = token_.positions[group];
+        known = std::max(known, position);
+    }
+}
+
+void client_connection::answer_variable(std::string const& text)
+{
+    auto const it = parse_variable(text);
+    if (!it)
+        return fail(error("42601", "expected SET basilreach.NAME = 'VALUE' or "
+                                   "SHOW basilreach.NAME"));
+    if (it->is_set)
+    {
+        set_variable(it->name, it->value);
+        if (auto const position = presented_position())
+            owner_->token_presented(*this, *position);
+        return complete("SET");
+    }
+    auto const value = it->name == "basilreach.token"
+                           ? traffic::print_token(token_)
+                           : request_id_;
+    std::array const columns = {pgwire::column{
+        it->name.substr(variable_prefix.size()), pgwire::text_type, -1, 0}};
+    std::array const row = {std::optional<std::string_view>(value)};
+    if (current_is_described_)
+        pgwire::append_row_description(out_, columns);
+    pgwire::append_data_row(out_, row);
+    complete("SHOW");
+}
+
+void client_connection::complete(std::string_view tag)
+{
+    pgwire::append_command_complete(out_, tag);
+    finish_statement();
+}
+
+void client_connection::finish_statement()
+{
+    if (phase_ == phase::busy)
+        phase_ = phase::ready;
+    if (current_is_simple_)
+        append_ready();
+    if (is_processing_)
+        return;
+    process({});
+}
+
+void client_connection::store_answer(server_answer answer)
+{
+    answer_ = std::move(answer);
+}
+
+void client_connection::relay(std::optional<log_position> position)
+{
+    if (phase_ == phase::closing)
+        return;
+    auto const* it = answer_.result.get();
+    status_ = to_ready_status(answer_.status);
+    if (position)
+    {
+        token_.positions[identity_.group] = *position;
+        pgwire::append_parameter_status(out_, "basilreach.token",
+                                        traffic::print_token(token_));
+    }
+    if (it == nullptr || is_failure(it))
+    {
+        append_server_error();
+        if (!current_is_simple_)
+            phase_ = phase::skipping;
+        answer_ = {};
+        return finish_statement();
+    }
+    if (current_.mode == statement_mode::describe)
+    {
+        append_description(it);
+        answer_ = {};
+        return finish_statement();
+    }
+    append_rows();
+    std::string const tag = PQcmdStatus(answer_.result.get());
+    answer_ = {};
+    complete(tag);
+}
+
+void client_connection::append_columns(PGresult const* it)
+{
+    auto const n = PQnfields(it);
+    if (n == 0)
+        return pgwire::append_no_data(out_);
+    std::vector<pgwire::column> columns;
+    columns.reserve(static_cast<std::size_t>(n));
+    for (int column = 0; column < n; ++column)
+        columns.push_back({PQfname(it, column), PQftype(it, column),
+                           static_cast<std::int16_t>(PQfsize(it, column)),
+                           static_cast<std::int16_t>(PQfformat(it, column))});
+    pgwire::append_row_description(out_, columns);
+}
+
+void client_connection::append_description(PGresult const* it)
+{
+    std::vector<std::uint32_t> types;
+    for (int n = 0; n < PQnparams(it); ++n)
+        types.push_back(PQparamtype(it, n));
+    pgwire::append_parameter_description(out_, types);
+    append_columns(it);
+}
+
+void client_connection::append_rows()
+{
+    auto const* it = answer_.result.get();
+    bool const has_rows = PQresultStatus(it) == PGRES_TUPLES_OK;
+    // A simple query describes its columns only when it returns rows.
+    if (current_is_described_ && (has_rows || !current_is_simple_))
+        append_columns(it);
+    auto const n = PQnfields(it);
+    std::vector<std::optional<std::string_view>> row(
+        static_cast<std::size_t>(n));
+    for (int at = 0; at < PQntuples(it); ++at)
+    {
+        for (int column = 0; column < n; ++column)
+        {
+            auto const size =
+                static_cast<std::size_t>(PQgetlength(it, at, column));
+            row[static_cast<std::size_t>(column)] =
+                PQgetisnull(it, at, column) != 0
+                    ? std::nullopt
+                    : std::optional(
+                          std::string_view(PQgetvalue(it, at, column), size));
+        }
+        pgwire::append_data_row(out_, row);
+    }
+}
+
+void client_connection::append_server_error()
+{
+    auto const* it = answer_.result.get();
+    pgwire::error_fields fields;
+    fields.sqlstate = field_of(it, PG_DIAG_SQLSTATE);
+    fields.message = field_of(it, PG_DIAG_MESSAGE_PRIMARY);
+    fields.detail = field_of(it, PG_DIAG_MESSAGE_DETAIL);
+    fields.hint = field_of(it, PG_DIAG_MESSAGE_HINT);
+    if (fields.sqlstate.empty())
+        fields.sqlstate = "XX000";
+    if (answer_.is_repeated)
+    {
+        fields.message = "not run: the request id was used before";
+        fields.hint = "not run";
+    }
+    pgwire::append_error_response(out_, fields);
+}
+
+void client_connection::refuse(traffic::refuse const& it)
+{
+    if (phase_ == phase::closing)
+        return;
+    answer_ = {};
+    auto const fields = describe_refusal(it.reason, it.outcome);
+    if (it.close_session)
+    {
+        fail_fatally(fields);
+        return write();
+    }
+    fail(fields);
+}
+
+void client_connection::fail(pgwire::error_fields const& fields)
+{
+    pgwire::append_error_response(out_, fields);
+    if (!current_is_simple_)
+        phase_ = phase::skipping;
+    finish_statement();
+}
+
+void client_connection::fail_fatally(pgwire::error_fields fields)
+{
+    fields.severity = "FATAL";
+    pgwire::append_error_response(out_, fields);
+    phase_ = phase::closing;
+}
+
+void client_connection::end(traffic::refusal_reason reason)
+{
+    if (phase_ == phase::closing)
+        return;
+    fail_fatally(describe_refusal(reason, traffic::refusal_outcome::not_run));
+    write();
+}
+
+void client_connection::answer_admin(messages::admin_reply const& reply)
+{
+    if (phase_ == phase::closing)
+        return;
+    current_is_simple_ = true;
+    if (!reply.sqlstate.empty())
+        return fail(error(reply.sqlstate.c_str(), reply.message));
+    std::vector<pgwire::column> columns;
+    for (auto const& it : reply.columns)
+        columns.push_back({it, pgwire::text_type, -1, 0});
+    if (!columns.empty())
+        pgwire::append_row_description(out_, columns);
+    for (auto const& it : reply.rows)
+    {
+        std::vector<std::optional<std::string_view>> const row(
+            it.values.begin(), it.values.end());
+        pgwire::append_data_row(out_, row);
+    }
+    complete(reply.tag);
+}
+
+void client_connection::append_ready()
+{
+    pgwire::append_ready_for_query(out_, status_);
+}
+
+void client_connection::write()
+{
+    if (owner_ == nullptr)
+        return;
+    while (out_offset_ < out_.size())
+    {
+        auto const n = stream_.send(out_.data() + out_offset_,
+                                    out_.size() - out_offset_);
+        if (n > 0)
+        {
+            out_offset_ += static_cast<std::size_t>(n);
+            continue;
+        }
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n < 0 && errno == EWOULDBLOCK)
+        {
+            if (!std::exchange(waits_to_write_, true))
+                owner_->loop->reactor().schedule_wakeup(
+                    this, ACE_Event_Handler::WRITE_MASK);
+            return;
+        }
+        return shut();
+    }
+    // An idle client keeps no buffer.
+    out_ = {};
+    out_offset_ = 0;
+    if (std::exchange(waits_to_write_, false))
+        owner_->loop->reactor().cancel_wakeup(this,
+                                              ACE_Event_Handler::WRITE_MASK);
+    if (phase_ == phase::closing)
+        shut();
+}
+
+void client_connection::shut()
+{
+    if (owner_ == nullptr)
+        return;
+    phase_ = phase::closing;
+    auto const* owner = owner_;
+    detach();
+    owner->closed(*this);
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/src/refusal_text.hpp
@@ -0,0 +1,18 @@
+#ifndef BASILREACH_DAEMON_SRC_REFUSAL_TEXT_HPP
+#define BASILREACH_DAEMON_SRC_REFUSAL_TEXT_HPP
+
+#include <basilreach/pgwire/encoder.hpp>
+#include <basilreach/traffic/action.hpp>
+
+namespace basilreach::daemon
+{
+
+// Returns the error that a caller gets for a refusal. Its hint says "not run"
+// or "outcome unknown".
+[[nodiscard]] pgwire::error_fields
+describe_refusal(traffic::refusal_reason reason,
+                 traffic::refusal_outcome outcome);
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -0,0 +1,525 @@
+#include <basilreach/daemon/traffic_thread.hpp>
+
+#include <array>
+#include <chrono>
+#include <utility>
+
+#include <ace/INET_Addr.h>
+#include <ace/OS_NS_sys_socket.h>
+#include <netinet/tcp.h>
+
+#include <basilreach/rules/digest.hpp>
+#include <basilreach/rules/name_syntax.hpp>
+#include <basilreach/settings/endpoint.hpp>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+constexpr duration publication_interval = std::chrono::seconds(1);
+
+// Each traffic thread numbers its sessions in a range of its own.
+constexpr unsigned session_index_shift = 48;
+
+traffic::engine_settings engine_settings_of(settings::daemon_settings const& it)
+{
+    traffic::engine_settings out;
+    out.data_centre = it.data_centre;
+    out.request_timeout = it.durations.request_timeout;
+    out.read_try_timeout = it.durations.read_try_timeout;
+    out.replica_wait = it.durations.replica_wait;
+    out.probe_after = it.durations.probe_after;
+    out.queue_limit = it.limits.queue_per_workspace;
+    out.initial_connections = 0;
+    return out;
+}
+
+// Indexed by traffic::decision_kind.
+constexpr std::array decision_names = {"route", "wait", "hold", "relay",
+                                       "refuse"};
+
+// Indexed by traffic::decision_reason.
+constexpr std::array reason_names = {
+    "pinned_transaction",
+    "primary_for_write",
+    "primary_without_position",
+    "primary_no_replica_qualifies",
+    "least_loaded_replica",
+    "no_primary",
+    "no_server",
+    "position_not_reached",
+    "tokens_missing",
+    "lease_missing",
+    "majority_reached",
+    "read_answer",
+    "refused"};
+
+static_assert(decision_names.size() ==
+              static_cast<std::size_t>(traffic::decision_kind::refuse) + 1);
+static_assert(reason_names.size() ==
+              static_cast<std::size_t>(traffic::decision_reason::refused) + 1);
+
+traffic::transaction_status to_status(PGTransactionStatusType it)
+{
+    if (it == PQTRANS_INERROR)
+        return traffic::transaction_status::failed_transaction;
+    return it == PQTRANS_INTRANS ? traffic::transaction_status::in_transaction
+                                 : traffic::transaction_status::idle;
+}
+
+} // namespace
+
+client_listener::client_listener(event_loop& loop,
+                                 std::function<void(ACE_SOCK_Stream)> accepted)
+    : loop_(loop), accepted_(std::move(accepted))
+{
+}
+
+client_listener::~client_listener()
+{
+    close();
+}
+
+bool client_listener::open(std::string const& address)
+{
+    auto const endpoint = settings::parse_endpoint(address);
+    if (!endpoint)
+        return false;
+    ACE_INET_Addr const local(endpoint->port, endpoint->ip.c_str());
+    // A restart must not wait for connections of the former process.
+    constexpr int reuse_address = 1;
+    constexpr int backlog = 4096;
+    if (acceptor_.open(local, reuse_address, PF_UNSPEC, backlog) != 0)
+        return false;
+    acceptor_.enable(ACE_NONBLOCK);
+    is_open_ = true;
+    return loop_.reactor().register_handler(
+               this, ACE_Event_Handler::ACCEPT_MASK) == 0;
+}
+
+void client_listener::close()
+{
+    if (!std::exchange(is_open_, false))
+        return;
+    loop_.reactor().remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK |
+                                             ACE_Event_Handler::DONT_CALL);
+    acceptor_.close();
+}
+
+ACE_HANDLE client_listener::get_handle() const
+{
+    return acceptor_.get_handle();
+}
+
+int client_listener::handle_input(ACE_HANDLE /*handle*/)
+{
+    ACE_SOCK_Stream stream;
+    if (acceptor_.accept(stream) == 0)
+    {
+        stream.enable(ACE_NONBLOCK);
+        int const on = 1;
+        stream.set_option(IPPROTO_TCP, TCP_NODELAY,
+                          const_cast<int*>(&on), sizeof(on));
+        accepted_(stream);
+    }
+    return 0;
+}
+
+// Indexed by the alternatives of traffic_message.
+traffic_thread::message_handler const traffic_thread::message_handlers[] = {
+    &traffic_thread::on_event, &traffic_thread::on_client,
+    &traffic_thread::on_admin_answer, &traffic_thread::on_drain,
+    &traffic_thread::on_stop};
+
+traffic_thread::traffic_thread(std::size_t index, daemon_context const& context)
+    : index_(index), context_(context), inbox_(loop_),
+      listener_(loop_, [this](ACE_SOCK_Stream it) { accept(it); }),
+      engine_(engine_settings_of(context.settings)),
+      view_(std::make_shared<traffic::control_view const>()),
+      next_session_(std::uint64_t{index + 1} << session_index_shift)
+{
+    make_owner();
+}
+
+traffic_thread::~traffic_thread()
+{
+    join();
+}
+
+void traffic_thread::make_owner()
+{
+    owner_.loop = &loop_;
+    owner_.authenticate = [this](auto database, auto key)
+    { return authenticate(database, key); };
+    owner_.is_known = [this](std::string_view database)
+    {
+        return database == rules::admin_console_name ||
+               view_->routes.contains(route_name(database));
+    };
+    owner_.ready = [this](client_connection& it) { hand_over(it); };
+    owner_.submit = [this](client_connection& it, traffic::statement_verb verb)
+    {
+        engine_.push(traffic::statement_received{
+            traffic::session_id{it.session()}, verb});
+    };
+    owner_.token_presented = [this](client_connection& it, log_position position)
+    {
+        engine_.push(traffic::token_presented{traffic::session_id{it.session()},
+                                              position});
+    };
+    owner_.admin = [this](client_connection& it, std::string text) {
+        context_.control->push(
+            admin_call{index_, it.session(), std::move(text)});
+    };
+    owner_.closed = [this](client_connection& it) { close_client(it); };
+}
+
+bool traffic_thread::listen(std::string const& address)
+{
+    return listener_.open(address);
+}
+
+void traffic_thread::start()
+{
+    thread_ = std::thread([this] { run(); });
+}
+
+void traffic_thread::join()
+{
+    if (thread_.joinable())
+        thread_.join();
+}
+
+void traffic_thread::post(traffic_message it)
+{
+    inbox_.push(std::move(it));
+}
+
+void traffic_thread::run()
+{
+    loop_.reactor().owner(ACE_OS::thr_self());
+    while (!is_stopping_)
+    {
+        for (auto& it : inbox_.take())
+            (this->*message_handlers[it.index()])(it);
+        tick();
+        loop_.run_once(std::min(engine_.next_deadline(), next_publication_));
+    }
+    listener_.close();
+    clients_.clear();
+    strangers_.clear();
+    servers_.clear();
+}
+
+void traffic_thread::tick()
+{
+    auto const now = read_clock();
+    for (auto const& it : engine_.tick(now))
+        std::visit([this](auto const& action) { perform(action); }, it);
+    context_.decisions->write(decisions_);
+    retired_.clear();
+    publish_metrics(now);
+    if (is_draining_ && !is_drained_ && clients_.empty())
+    {
+        is_drained_ = true;
+        context_.control->push(thread_drained{index_});
+    }
+}
+
+void traffic_thread::publish_metrics(instant now)
+{
+    if (now < next_publication_)
+        return;
+    next_publication_ = now + publication_interval;
+    context_.control->push(metrics_published{
+        index_,
+        {engine_.counts(), clients_.size() + strangers_.size(), reads_,
+         writes_}});
+}
+
+void traffic_thread::on_event(traffic_message& it)
+{
+    auto& event = std::get<traffic::event>(it);
+    if (auto const* change = std::get_if<traffic::control_changed>(&event))
+        view_ = change->view;
+    engine_.push(std::move(event));
+}
+
+void traffic_thread::on_client(traffic_message& it)
+{
+    auto client = std::move(std::get<client_handed_over>(it).client);
+    auto* const raw = client.get();
+    auto const session = ++next_session_;
+    raw->attach(owner_);
+    clients_.emplace(session, std::move(client));
+    raw->start_session(session);
+    open_session(*raw);
+}
+
+void traffic_thread::on_admin_answer(traffic_message& it)
+{
+    auto const& answer = std::get<admin_answer>(it);
+    if (auto* client = find_client(answer.session))
+        client->answer_admin(answer.reply);
+}
+
+void traffic_thread::on_drain(traffic_message& /*it*/)
+{
+    is_draining_ = true;
+    listener_.close();
+    engine_.push(traffic::drain_started{});
+    std::vector<client_connection*> consoles;
+    for (auto const& [session, client] : clients_)
+        if (client->identity().is_admin)
+            consoles.push_back(client.get());
+    for (auto* it : consoles)
+        it->end(traffic::refusal_reason::draining);
+    strangers_.clear();
+}
+
+void traffic_thread::on_stop(traffic_message& /*it*/)
+{
+    is_stopping_ = true;
+}
+
+void traffic_thread::accept(ACE_SOCK_Stream stream)
+{
+    auto client = std::make_unique<client_connection>(
+        stream, context_.settings.limits.message_bytes);
+    auto* const raw = client.get();
+    strangers_.emplace(raw, std::move(client));
+    raw->attach(owner_);
+}
+
+std::optional<client_identity>
+traffic_thread::authenticate(std::string_view database,
+                             std::optional<std::string_view> key) const
+{
+    client_identity identity;
+    if (database == rules::admin_console_name)
+    {
+        identity.is_admin = true;
+        if (!key || !rules::equal_digests(rules::digest_of_key(*key),
+                                          context_.settings.operator_key))
+            return std::nullopt;
+        return identity;
+    }
+    auto const route = view_->routes.find(route_name(database));
+    if (route == view_->routes.end())
+        return std::nullopt;
+    identity.route = route->first;
+    identity.group = route->second.group;
+    if (route->second.open)
+    {
+        identity.workspace = *route->second.open;
+        return identity;
+    }
+    if (!key)
+        return std::nullopt;
+    auto const digest = rules::digest_of_key(*key);
+    // All digests are compared, so that the time tells nothing about them.
+    for (auto const& [known, workspace] : view_->keys)
+        if (rules::equal_digests(known, digest))
+        {
+            identity.key = digest;
+            identity.workspace = workspace;
+        }
+    auto const& allowed = route->second.workspaces;
+    if (!identity.key ||
+        (!allowed.empty() && !allowed.contains(identity.workspace)))
+        return std::nullopt;
+    return identity;
+}
+
+std::size_t traffic_thread::owner_of(group_name const& group) const
+{
+    return std::hash<group_name>{}(group) % context_.threads.size();
+}
+
+void traffic_thread::hand_over(client_connection& client)
+{
+    auto const found = strangers_.find(&client);
+    auto owned = std::move(found->second);
+    strangers_.erase(found);
+    client.detach();
+    auto const target = client.identity().is_admin
+                            ? index_
+                            : owner_of(client.identity().group);
+    context_.threads[target]->post(client_handed_over{std::move(owned)});
+}
+
+void traffic_thread::open_session(client_connection& client)
+{
+    auto const& identity = client.identity();
+    if (identity.is_admin)
+        return;
+    traffic::session_opened event;
+    event.session = traffic::session_id{client.session()};
+    event.name = client.label();
+    event.route = identity.route;
+    event.workspace = identity.workspace;
+    event.key = identity.key;
+    event.position = client.presented_position();
+    event.read_only = client.is_read_only();
+    engine_.push(event);
+}
+
+void traffic_thread::close_client(client_connection& client)
+{
+    auto const stranger = strangers_.find(&client);
+    if (stranger != strangers_.end())
+    {
+        retired_.push_back(std::move(stranger->second));
+        strangers_.erase(stranger);
+        return;
+    }
+    auto const found = clients_.find(client.session());
+    if (found == clients_.end())
+        return;
+    if (!client.identity().is_admin)
+        engine_.push(
+            traffic::session_closed{traffic::session_id{client.session()}});
+    retired_.push_back(std::move(found->second));
+    clients_.erase(found);
+}
+
+client_connection* traffic_thread::find_client(std::uint64_t session)
+{
+    auto const it = clients_.find(session);
+    return it == clients_.end() ? nullptr : it->second.get();
+}
+
+server_observer traffic_thread::observe(traffic::connection_id id)
+{
+    server_observer it;
+    it.opened = [this, id] { engine_.push(traffic::connection_opened{id}); };
+    it.lost = [this, id] { engine_.push(traffic::connection_failed{id}); };
+    it.position_read = [this, id](std::optional<log_position> position)
+    {
+        if (position)
+            engine_.push(traffic::position_observed{id, *position});
+        else
+            engine_.push(traffic::connection_failed{id});
+    };
+    it.answered = [this, id](server_answer answer)
+    {
+        auto const slot = servers_.find(id);
+        if (slot == servers_.end())
+            return;
+        auto const status = PQresultStatus(answer.result.get());
+        traffic::answer_received event;
+        event.connection = id;
+        event.is_error = status != PGRES_TUPLES_OK &&
+                         status != PGRES_COMMAND_OK &&
+                         status != PGRES_EMPTY_QUERY;
+        event.status = to_status(answer.status);
+        event.position = answer.position;
+        if (auto* client = find_client(slot->second.session))
+            client->store_answer(std::move(answer));
+        slot->second.session = 0;
+        engine_.push(event);
+    };
+    return it;
+}
+
+void traffic_thread::perform(traffic::open_connection const& it)
+{
+    auto connection = std::make_unique<server_connection>(
+        loop_, context_.settings, context_.credential, observe(it.connection));
+    auto* const raw = connection.get();
+    servers_.emplace(it.connection,
+                     server_slot{it.connection, std::move(connection), 0});
+    raw->open({it.address, it.read_only});
+}
+
+void traffic_thread::perform(traffic::close_connection const& it)
+{
+    auto const found = servers_.find(it.connection);
+    if (found == servers_.end())
+        return;
+    found->second.connection->close();
+    retired_.push_back(std::move(found->second.connection));
+    servers_.erase(found);
+}
+
+void traffic_thread::perform(traffic::send_statement const& it)
+{
+    auto const slot = servers_.find(it.connection);
+    auto* client = find_client(static_cast<std::uint64_t>(it.session));
+    if (slot == servers_.end() || client == nullptr)
+        return;
+    slot->second.session = client->session();
+    slot->second.connection->send(client->current());
+}
+
+void traffic_thread::perform(traffic::ask_position const& it)
+{
+    auto const slot = servers_.find(it.connection);
+    if (slot != servers_.end())
+        slot->second.connection->ask_position();
+}
+
+void traffic_thread::perform(traffic::relay_answer const& it)
+{
+    auto* client = find_client(static_cast<std::uint64_t>(it.session));
+    if (client == nullptr)
+        return;
+    auto& histogram = it.is_read ? reads_ : writes_;
+    histogram.record(read_clock() - client->submitted_at());
+    client->relay(it.position);
+}
+
+void traffic_thread::perform(traffic::refuse const& it)
+{
+    if (auto* client = find_client(static_cast<std::uint64_t>(it.session)))
+        client->refuse(it);
+}
+
+void traffic_thread::perform(traffic::end_session const& it)
+{
+    if (auto* client = find_client(static_cast<std::uint64_t>(it.session)))
+        client->end(it.reason);
+}
+
+void traffic_thread::perform(traffic::ask_tokens const& it)
+{
+    context_.control->push(tokens_wanted{index_, it});
+}
+
+void traffic_thread::perform(traffic::connections_used const& it)
+{
+    context_.control->push(it);
+}
+
+void traffic_thread::perform(traffic::term_ended const& it)
+{
+    context_.control->push(it);
+}
+
+void traffic_thread::perform(traffic::adopted const& it)
+{
+    context_.control->push(view_adopted{index_, it.revision});
+}
+
+void traffic_thread::perform(traffic::log_decision const& it)
+{
+    telemetry::decision_record record;
+    record.decision = decision_names[static_cast<std::size_t>(it.kind)];
+    record.reason = reason_names[static_cast<std::size_t>(it.reason)];
+    record.request = it.request;
+    record.session = static_cast<std::uint64_t>(it.session);
+    if (it.server)
+        record.server = *it.server;
+    if (auto const* client = find_client(record.session))
+    {
+        record.session_label = client->label();
+        record.workspace = client->identity().workspace;
+        record.route = client->identity().route;
+        record.group = client->identity().group;
+    }
+    decisions_.push_back(std::move(record));
+}
+
+} // namespace basilreach::daemon
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -60,6 +60,7 @@
     session_id session;
     // The session's new position, when it changed.
     std::optional<log_position> position;
+    bool is_read = false;
 
     friend bool operator==(relay_answer const&, relay_answer const&) = default;
 };
@@ -187,6 +188,8 @@
 struct log_decision
 {
     session_id session;
+    // Counts the statements of the traffic thread.
+    std::uint64_t request = 0;
     decision_kind kind = decision_kind::route;
     decision_reason reason = decision_reason::refused;
     std::optional<server_name> server;
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -64,6 +64,7 @@
 
 struct request_row
 {
+    std::uint64_t number = 0;
     session_row_id session;
     statement_verb verb = statement_verb::other;
     request_state state = request_state::arrived;
@@ -218,6 +219,7 @@
     deadline_queue<timer_key> timers;
     std::vector<action> actions;
     engine_counts counts;
+    std::uint64_t last_request_number = 0;
 
     [[nodiscard]] bool has_lease() const
     {
--- /dev/null
+++ b/packages/traffic/include/basilreach/traffic/session_token.hpp
@@ -0,0 +1,43 @@
+#ifndef BASILREACH_TRAFFIC_SESSION_TOKEN_HPP
+#define BASILREACH_TRAFFIC_SESSION_TOKEN_HPP
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <string_view>
+
+#include <basilreach/base/log_position.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/base/result.hpp>
+
+namespace basilreach::traffic
+{
+
+// The positions that a session has reached, which it takes from one entry host
+// to another.
+struct session_token
+{
+    std::map<group_name, log_position> positions;
+
+    friend bool operator==(session_token const&,
+                           session_token const&) = default;
+};
+
+enum class token_error : std::uint8_t
+{
+    unknown_version,
+    bad_checksum,
+    malformed
+};
+
+// Returns "1:GROUP@TERM/OFFSET,...:CHECKSUM". The checksum finds cut and
+// mistyped tokens; a forged token only harms the session that presents it.
+[[nodiscard]] std::string print_token(session_token const& it);
+
+[[nodiscard]] result<session_token, token_error>
+parse_token(std::string_view text);
+
+} // namespace basilreach::traffic
+
+#endif
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -90,6 +90,7 @@
         return;
     auto* session = s.sessions.find(*id);
     detail::request_row row;
+    row.number = ++s.last_request_number;
     row.session = *id;
     row.verb = it.verb;
     row.deadline = s.now + s.settings.request_timeout;
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -211,7 +211,7 @@
                   : request.at_primary ? s.counts.reads_at_primaries
                                        : s.counts.reads_at_replicas;
     ++count;
-    s.actions.emplace_back(relay_answer{session->id, changed});
+    s.actions.emplace_back(relay_answer{session->id, changed, request.is_read});
     finish_request(s, id);
 }
 
