--- a/packages/consensus/include/basilreach/consensus/member.hpp
+++ b/packages/consensus/include/basilreach/consensus/member.hpp
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <set>
 #include <string>
@@ -173,8 +174,8 @@
     // Systems that run in this order in each step.
     void advance_commit();
     void apply_committed();
-    void confirm_reads();
     void start_read_round();
+    void confirm_reads();
     void replicate();
 
     void election_due();
@@ -213,8 +214,12 @@
     void change_membership(entry_kind kind, host_name const& host);
     void fail_reads();
 
+    [[nodiscard]] std::optional<refusal> check_change(entry_kind kind,
+                                                      host_name const& host);
+    [[nodiscard]] bool in_contact(host_name const& host);
     [[nodiscard]] peer* find_peer(host_name const& host);
     [[nodiscard]] bool hears_leader() const;
+    [[nodiscard]] bool may_lead() const;
     [[nodiscard]] bool is_up_to_date(std::uint64_t last_index,
                                      std::uint64_t last_term) const;
     // The greatest value that a majority of the voters has reached.
@@ -231,6 +236,7 @@
     std::uint64_t applied_index_ = 0;
     // When a leader was last heard or a vote was last given.
     instant heard_{};
+    // Whether heard_ has been set at all.
     bool heard_any_ = false;
     // When the votes of the current term were asked for.
     instant asked_votes_{};
--- a/packages/consensus/include/basilreach/consensus/step_result.hpp
+++ b/packages/consensus/include/basilreach/consensus/step_result.hpp
@@ -48,7 +48,10 @@
     // The learner misses more than catch_up_entries entries.
     learner_behind,
     // The change would leave the cluster without a voter.
-    last_voter
+    last_voter,
+    // The voters in contact would not be a majority after the change, so that
+    // nothing could be committed any more, not even the change.
+    quorum_at_risk
 };
 
 // Chosen by the caller of member::read.
--- /dev/null
+++ b/packages/consensus/test/faults_test.cpp
@@ -0,0 +1,147 @@
+#include "cluster.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+namespace basilreach::consensus::test
+{
+
+namespace
+{
+
+host_name any_host(cluster& it)
+{
+    return std::next(it.hosts.begin(),
+                     static_cast<std::ptrdiff_t>(it.random(it.hosts.size())))
+        ->first;
+}
+
+// Runs one random fault or request.
+void disturb(cluster& it, bool with_changes)
+{
+    auto const host = any_host(it);
+    bool const is_up = it.hosts[host].running.has_value();
+    auto const leader = it.leader();
+    auto const action = it.random(16);
+    if (action == 0 && is_up)
+        it.stop(host);
+    else if (action == 1 && !is_up)
+        it.start(host);
+    else if (action == 2 && it.cuts.empty())
+        it.isolate(host, it.random(3) != 0, it.random(3) != 0);
+    else if (action <= 3)
+        it.cuts.clear();
+    else if (action == 4 && is_up)
+        it.compact(host);
+    else if (action == 5 && is_up)
+        it.read(host);
+    else if (action <= 7 && !leader.empty())
+        it.read(leader);
+    else if (action == 8 && with_changes && !leader.empty())
+    {
+        using change = step_result (member::*)(host_name const&, instant);
+        static constexpr std::array<change, 3> changes{
+            &member::add_learner, &member::promote, &member::remove};
+        it.change(changes[it.random(3)], host.str());
+    }
+    else if (!leader.empty())
+        it.propose(leader, std::to_string(it.random(1'000'000)));
+}
+
+void heal(cluster& it)
+{
+    it.cuts.clear();
+    it.drop_percent = 0;
+    it.max_delay = 1ms;
+    for (auto const& [name, host] : it.hosts)
+        if (!host.running)
+            it.start(name);
+}
+
+} // namespace
+
+// Guards against lost or changed entries, two leaders in a term and stale
+// reads under loss, delay, reordering, partitions, crashes and changes.
+TEST_CASE("random faults break no guarantee")
+{
+    std::size_t committed = 0;
+    std::size_t reads = 0;
+    std::size_t terms = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed)
+    {
+        CAPTURE(seed);
+        cluster it{seed, seed % 2 == 0 ? std::vector<std::string>{"a", "b", "c"}
+                                       : std::vector<std::string>{"a", "b", "c",
+                                                                  "d", "e"}};
+        it.drop_percent = 5;
+        it.max_delay = 40ms;
+        for (int n = 0; n != 400; ++n)
+        {
+            disturb(it, seed % 3 == 0);
+            it.run_for(duration{it.random(100'000'000)});
+        }
+        heal(it);
+        // Hosts that were removed receive nothing more.
+        if (seed % 3 == 0)
+            it.run_for(5s);
+        else
+            CHECK(it.settles());
+        CHECK(!it.leader().empty());
+        CHECK(it.violations == std::vector<std::string>{});
+        committed += it.committed.size();
+        reads += it.confirmed_reads;
+        terms += it.leaders.size();
+    }
+    MESSAGE("300 seeds: " << committed << " entries, " << reads << " reads, "
+                          << terms << " leaders");
+}
+
+// Proves that the checker can fail: hosts that forget their vote elect two
+// leaders in one term.
+TEST_CASE("the checker finds a seeded violation")
+{
+    std::size_t found = 0;
+    for (std::uint64_t seed = 1; seed <= 50; ++seed)
+    {
+        cluster it{seed};
+        it.forget_hard_state = true;
+        it.max_delay = 40ms;
+        for (int n = 0; n != 200; ++n)
+        {
+            disturb(it, false);
+            it.run_for(duration{it.random(100'000'000)});
+        }
+        found += it.violations.size();
+    }
+    MESSAGE("violations found: " << found);
+    CHECK(found > 0);
+}
+
+// Guards against a restart that loses or repeats entries.
+TEST_CASE("all hosts agree after 1000 entries and a restart")
+{
+    cluster it{11};
+    REQUIRE(it.settles());
+    for (int n = 0; n != 1'000; ++n)
+        it.propose(it.leader(), std::to_string(n));
+    REQUIRE(it.settles());
+    auto const digest = it.hosts[it.leader()].digest;
+    auto const applied = it.hosts[it.leader()].applied;
+    it.compact(host_name{"a"});
+    for (auto const& [name, host] : it.hosts)
+        it.stop(name);
+    for (auto const& [name, host] : it.hosts)
+        it.start(name);
+    REQUIRE(it.run_until(
+        [&] { return it.hosts[it.leader()].applied > applied; }, 5s));
+    std::uint64_t again = 0;
+    for (std::uint64_t n = 1; n <= applied; ++n)
+        again = std::hash<std::string>{}(std::to_string(again) +
+                                         it.committed.at(n).payload);
+    CHECK(again == digest);
+    CHECK(it.settles());
+    CHECK(it.violations.empty());
+}
+
+} // namespace basilreach::consensus::test
