--- a/packages/storage/include/basilreach/storage/file_operations.hpp
+++ b/packages/storage/include/basilreach/storage/file_operations.hpp
@@ -1,6 +1,7 @@
 #ifndef BASILREACH_STORAGE_FILE_OPERATIONS_HPP
 #define BASILREACH_STORAGE_FILE_OPERATIONS_HPP
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -32,6 +33,9 @@
     // The names of the files in a directory, which is created when absent.
     std::function<file_result<std::vector<std::string>>(std::string const&)>
         list;
+    // Locks a file against other processes until the handle is closed; fails
+    // with EWOULDBLOCK when another process holds it.
+    std::function<file_result<int>(std::string const&)> lock;
     // The whole content of a file.
     std::function<file_result<std::string>(std::string const&)> read;
     // Opens a file for writing and creates it when absent.
--- a/packages/storage/include/basilreach/storage/store.hpp
+++ b/packages/storage/include/basilreach/storage/store.hpp
@@ -76,11 +76,15 @@
     corrupted,
     // A segment that must exist is absent.
     missing_segment,
+    // The log says that a later snapshot was saved than the one found.
+    missing_snapshot,
     // An entry, a segment or a write does not follow the one before it.
     wrong_order,
     disk_full,
     // Any other error of the operating system.
     io_error,
+    // Another process has opened the directory.
+    in_use,
     // The store refuses because an earlier operation failed.
     failed_before
 };
@@ -111,6 +115,8 @@
                             store_settings const&) = default;
 };
 
+struct raw_record;
+
 // The data directory of one control host. Everything is synced before a call
 // returns. After an error every later call fails with failed_before, because
 // the state of the files is then unknown until they are read again.
@@ -123,7 +129,6 @@
                                       file_operations files);
 
     store(store&& other) noexcept;
-    store& operator=(store&& other) noexcept;
     store(store const&) = delete;
     store& operator=(store const&) = delete;
     ~store();
@@ -142,54 +147,80 @@
     storage_result<void> install(snapshot const& base);
 
 private:
-    // A segment that has a successor.
     struct sealed_segment
     {
         std::uint64_t sequence = 0;
         std::uint64_t last_index = 0;
     };
 
+    // A place in a file, for errors.
+    struct location
+    {
+        std::string file;
+        std::uint64_t offset = 0;
+    };
+
+    using record_handler = storage_result<void> (store::*)(raw_record const&,
+                                                           location const&);
+
     store(store_settings settings, file_operations files);
 
     storage_result<void> load();
-    storage_result<void> load_snapshot(std::string const& data,
-                                       std::uint64_t& first_segment);
-    storage_result<void> load_segment(std::uint64_t sequence, bool is_last);
-    storage_result<void> apply_record(struct record_view const& view,
-                                      std::string const& file,
-                                      std::uint64_t offset);
-    storage_result<void> create_segment(std::uint64_t sequence);
-    storage_result<void> open_active(std::uint64_t sequence);
+    storage_result<void> load_snapshot(std::vector<std::string> const& names);
+    storage_result<void> load_segments(std::vector<std::uint64_t> const& found);
+    storage_result<void> load_segment(std::uint64_t sequence,
+                                      std::string const& data,
+                                      bool may_be_torn);
+    storage_result<void> check_loaded();
+    storage_result<void> on_start(raw_record const& it, location const& at);
+    storage_result<void> on_entry(raw_record const& it, location const& at);
+    storage_result<void> on_hard_state(raw_record const& it,
+                                       location const& at);
+    storage_result<void> on_truncate(raw_record const& it, location const& at);
+    storage_result<void> on_end(raw_record const& it, location const& at);
+    storage_result<void> on_snapshot(raw_record const& it, location const& at);
+
+    // Returns the size of the new file.
+    storage_result<std::uint64_t> create_segment(std::uint64_t sequence);
+    storage_result<void> append_and_sync(std::string_view data);
+    storage_result<void> seal();
     storage_result<void> roll();
     storage_result<void> save_snapshot(snapshot const& base,
                                        std::uint64_t first_segment);
-    storage_result<void> drop_segments_before(std::uint64_t sequence);
     storage_result<void> replace_file(std::string const& name,
                                       std::string_view data);
-    storage_result<void> write_all(int handle,
-                                   std::string const& name,
-                                   std::uint64_t offset,
-                                   std::string_view data);
+    storage_result<void>
+    write_all(int handle, location at, std::string_view data);
+
+    [[nodiscard]] std::uint64_t last_index() const
+    {
+        return last_index_.value_or(snapshot_index_);
+    }
 
     [[nodiscard]] std::string path(std::string const& name) const;
-    storage_error
-    fail(storage_errc code, std::string const& file, std::uint64_t offset);
-    storage_error
-    fail(file_error error, std::string const& file, std::uint64_t offset = 0);
+    storage_error fail(storage_errc code, location const& at);
+    storage_error fail(file_error error, location const& at);
 
     store_settings settings_;
     file_operations files_;
     contents contents_;
     hard_state hard_;
+    // Segments that have a successor, in order.
     std::vector<sealed_segment> sealed_;
+    std::uint64_t first_segment_ = 1;
     std::uint64_t active_sequence_ = 0;
     std::uint64_t active_bytes_ = 0;
     // The greatest index in the active segment, also of removed entries.
     std::uint64_t active_last_index_ = 0;
     int active_handle_ = -1;
+    int lock_handle_ = -1;
     std::uint64_t snapshot_index_ = 0;
-    // The last index of the log, if the segments hold any entry.
+    bool has_snapshot_ = false;
+    // The last index of the log, once the segments hold an entry.
     std::optional<std::uint64_t> last_index_;
+    // While loading: the segment that the last one read names as its
+    // successor, or 0 when its end is missing.
+    std::uint64_t named_successor_ = 0;
     bool failed_ = false;
 };
 
--- /dev/null
+++ b/packages/storage/src/snapshot_file.hpp
@@ -0,0 +1,30 @@
+#ifndef BASILREACH_STORAGE_SRC_SNAPSHOT_FILE_HPP
+#define BASILREACH_STORAGE_SRC_SNAPSHOT_FILE_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+#include <basilreach/storage/store.hpp>
+
+namespace basilreach::storage
+{
+
+// The content of the snapshot file: the snapshot and the first segment that
+// continues from it.
+struct snapshot_file
+{
+    snapshot base;
+    std::uint64_t first_segment = 0;
+};
+
+// The bytes of the file; the last eight are the checksum of the others.
+std::string encode_snapshot(snapshot_file const& it);
+
+// Reads the file, or returns nothing when it is damaged.
+std::optional<snapshot_file> parse_snapshot(std::string_view data);
+
+} // namespace basilreach::storage
+
+#endif
