--- a/packages/cli/test/admin_answer_test.cpp
+++ b/packages/cli/test/admin_answer_test.cpp
@@ -2,8 +2,8 @@
 
 #include <doctest/doctest.h>
 
-using namespace basilreach;
-using namespace basilreach::admin;
+namespace basilreach::admin
+{
 
 TEST_CASE("every answer to a change is read as it was written")
 {
@@ -44,3 +44,5 @@
         CHECK_FALSE(decode_change(broken).has_value());
     }
 }
+
+} // namespace basilreach::admin
--- a/packages/cli/test/admin_command_test.cpp
+++ b/packages/cli/test/admin_command_test.cpp
@@ -6,8 +6,8 @@
 
 #include <basilreach/rules/digest.hpp>
 
-using namespace basilreach;
-using namespace basilreach::admin;
+namespace basilreach::admin
+{
 
 namespace
 {
@@ -90,3 +90,5 @@
     REQUIRE(parsed.has_error());
     CHECK(parsed.error().reason == admin_reason::wrong_change_id);
 }
+
+} // namespace basilreach::admin
--- a/packages/rules/include/basilreach/rules/parse.hpp
+++ b/packages/rules/include/basilreach/rules/parse.hpp
@@ -53,7 +53,7 @@
 
 // Largest rules file in bytes. A whole file travels in one message between
 // daemons, and those are limited to 16 MiB.
-inline constexpr std::size_t largest_rules_text = 8 * 1024 * 1024;
+inline constexpr std::size_t largest_rules_text = std::size_t{8} << 20U;
 
 // Parses the text of a rules file. It is refused as a whole with every error
 // found, ordered by line and column.
--- a/packages/rules/src/parse.cpp
+++ b/packages/rules/src/parse.cpp
@@ -177,7 +177,14 @@
         for (auto const& it : workspace_references_)
             if (!rules_.workspaces.contains(workspace_name{it.text}))
                 refuse(it, rule_reason::unknown_workspace);
-        std::sort(errors_.begin(), errors_.end());
+        std::sort(errors_.begin(), errors_.end(),
+                  [](rule_error const& left, rule_error const& right)
+                  {
+                      return std::tie(left.line, left.column, left.reason,
+                                      left.word) <
+                             std::tie(right.line, right.column, right.reason,
+                                      right.word);
+                  });
         if (!errors_.empty())
             return failure(std::move(errors_));
         return success(std::move(rules_));
--- a/packages/rules/test/digest_test.cpp
+++ b/packages/rules/test/digest_test.cpp
@@ -4,7 +4,8 @@
 
 #include <doctest/doctest.h>
 
-using namespace basilreach::rules;
+namespace basilreach::rules
+{
 
 TEST_CASE("digests agree with the published test vector of SHA-256")
 {
@@ -42,3 +43,5 @@
     // Without a separator these two would be the same content.
     CHECK(change_id_of(1, "1x") != change_id_of(11, "x"));
 }
+
+} // namespace basilreach::rules
--- a/packages/rules/test/parse_test.cpp
+++ b/packages/rules/test/parse_test.cpp
@@ -6,8 +6,9 @@
 
 #include <basilreach/rules/digest.hpp>
 
-using namespace basilreach;
-using namespace basilreach::rules;
+namespace basilreach::rules
+{
+
 using namespace std::chrono_literals;
 
 namespace
@@ -116,3 +117,5 @@
     }
     CHECK_FALSE(parse_rule_reason("").has_value());
 }
+
+} // namespace basilreach::rules
--- a/packages/rules/test/print_test.cpp
+++ b/packages/rules/test/print_test.cpp
@@ -6,7 +6,8 @@
 
 #include <basilreach/rules/parse.hpp>
 
-using namespace basilreach::rules;
+namespace basilreach::rules
+{
 
 namespace
 {
@@ -67,3 +68,5 @@
                   "-route s group=g open=b # asked by ann: s\n");
     CHECK(diff_rules(before, before).empty());
 }
+
+} // namespace basilreach::rules
--- a/packages/settings/src/parse.cpp
+++ b/packages/settings/src/parse.cpp
@@ -177,8 +177,8 @@
     void
     observe(json::parse_event_t event, json const& parsed, std::size_t line)
     {
-        using enum json::parse_event_t;
-        if (event == key)
+        using event_t = json::parse_event_t;
+        if (event == event_t::key)
         {
             auto& it = levels_.back();
             it.key = parsed.get<std::string>();
@@ -188,15 +188,15 @@
                 report(path, settings_reason::duplicate_field,
                        "each field once");
         }
-        else if (event == object_end || event == array_end)
+        else if (event == event_t::object_end || event == event_t::array_end)
             levels_.pop_back();
         else
         {
             auto const path = next_path();
             lines_.try_emplace(path, line);
-            if (event == object_start)
+            if (event == event_t::object_start)
                 levels_.push_back({path, std::nullopt, {}, {}});
-            else if (event == array_start)
+            else if (event == event_t::array_start)
                 levels_.push_back({path, 0, {}, {}});
         }
     }
@@ -343,10 +343,7 @@
          &self::queue_per_workspace,
          {},
          range(1, 1000000)},
-        {"message_bytes",
-         &self::message_bytes,
-         {},
-         range(8 * 1024, 1024 * 1024 * 1024)},
+        {"message_bytes", &self::message_bytes, {}, range(8192, 1ULL << 30U)},
     });
 };
 
--- a/packages/settings/test/parse_test.cpp
+++ b/packages/settings/test/parse_test.cpp
@@ -7,8 +7,9 @@
 
 #include <basilreach/settings/endpoint.hpp>
 
-using namespace basilreach;
-using namespace basilreach::settings;
+namespace basilreach::settings
+{
+
 using namespace std::chrono_literals;
 
 namespace
@@ -160,3 +161,5 @@
                            "127.0.0.1:65536", "127.0.0.1:80x", "[]:80", ""})
         CHECK_FALSE(parse_endpoint(it).has_value());
 }
+
+} // namespace basilreach::settings
