control: Test by traces, a history checker and races of operators

Traces state their outcomes and run the real leader, lease holders and states under virtual time. The checker watches the whole history, because a violation such as two primaries in one term may show in no single stated outcome.

--- /dev/null
+++ b/packages/control/test/checker.hpp
@@ -0,0 +1,43 @@
+#ifndef BASILREACH_CONTROL_TEST_CHECKER_HPP
+#define BASILREACH_CONTROL_TEST_CHECKER_HPP
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <basilreach/base/log_position.hpp>
+#include <basilreach/base/name.hpp>
+
+namespace basilreach::control::test
+{
+
+// Watches a whole history and collects the violations of the invariants.
+class checker
+{
+public:
+    void primary(group_name const& group,
+                 std::uint64_t term,
+                 server_name const& server);
+    void
+    chosen(group_name const& group, std::uint64_t term, log_position position);
+    void acknowledged(group_name const& group, log_position position);
+    void state(std::uint64_t revision, std::uint64_t digest);
+    // A valid lease under a state older than what the leader says is in force.
+    void lease(daemon_name const& daemon,
+               std::uint64_t served,
+               std::uint64_t in_force);
+
+    std::vector<std::string> violations;
+
+private:
+    std::map<std::pair<group_name, std::uint64_t>, server_name> primaries_;
+    std::map<group_name, log_position> acknowledged_;
+    std::map<group_name, std::pair<std::uint64_t, log_position>> chosen_;
+    std::map<std::uint64_t, std::uint64_t> digests_;
+};
+
+} // namespace basilreach::control::test
+
+#endif
--- /dev/null
+++ b/packages/control/test/lease_test.cpp
@@ -0,0 +1,185 @@
+#include <doctest/doctest.h>
+
+#include "simulation.hpp"
+
+namespace
+{
+
+using namespace basilreach;
+using namespace basilreach::control;
+using namespace basilreach::control::test;
+
+instant at(int ms)
+{
+    return instant{milliseconds{ms}};
+}
+
+lease_holder make_holder(std::size_t threads = 1)
+{
+    return {daemon_name{"d1"}, data_centre_name{"a"}, 1, threads, {}, at(0)};
+}
+
+grant_lease grant_for(int echo, std::uint64_t incarnation = 1)
+{
+    return {daemon_name{"d1"}, incarnation, at(echo), std::chrono::seconds{3},
+            0};
+}
+
+} // namespace
+
+// Guards against a lease that an old, reordered, repeated or foreign grant
+// extends.
+TEST_CASE("a lease is counted from the send time of its renewal")
+{
+    auto holder = make_holder();
+    holder.tick(at(0));
+    holder.tick(at(100));
+    holder.tick(at(200));
+    struct row
+    {
+        grant_lease grant;
+        instant valid_until;
+    };
+    grant_lease none = grant_for(200);
+    none.lease = {};
+    row const rows[] = {
+        {grant_for(150), instant::min()},    // answers no renewal
+        {grant_for(100, 2), instant::min()}, // of another incarnation
+        {grant_for(100), at(3100)},
+        {grant_for(0), at(3100)},   // reordered
+        {grant_for(100), at(3100)}, // repeated
+        {none, at(3100)},           // nothing granted
+    };
+    for (auto const& it : rows)
+    {
+        holder.receive(it.grant);
+        holder.tick(at(250));
+        CHECK(holder.valid_until() == it.valid_until);
+    }
+    // Sent too long ago to be of use when it is answered.
+    holder.tick(at(700));
+    holder.tick(at(3800));
+    holder.receive(grant_for(700));
+    holder.tick(at(3801));
+    CHECK(holder.valid_until() == at(3100));
+}
+
+// Guards against a daemon that goes back to an older state, and against a
+// confirmation before the last traffic thread has adopted.
+TEST_CASE("a revision is confirmed once all threads have adopted it")
+{
+    auto holder = make_holder(2);
+    holder.tick(at(0));
+    holder.receive(state_offered{5});
+    CHECK(holder.tick(at(1)) == std::vector<holder_output>{adopt_state{5}});
+    holder.receive(state_offered{4});
+    CHECK(holder.tick(at(2)) ==
+          std::vector<holder_output>{state_refused{4, 5}});
+    holder.receive(adopted{0, 5});
+    holder.receive(adopted{1, 3});
+    holder.tick(at(3));
+    CHECK(holder.confirmed_revision() == 3);
+    holder.receive(write_acknowledged{group_name{"g"}, {1, 9}});
+    holder.receive(write_acknowledged{group_name{"g"}, {1, 7}});
+    holder.receive(adopted{1, 5});
+    auto const outputs = holder.tick(at(4));
+    REQUIRE(outputs.size() == 1);
+    auto const& renewal = std::get<lease_renewal>(outputs.front());
+    CHECK(renewal.confirmed_revision == 5);
+    CHECK(renewal.acknowledged.at(group_name{"g"}) == log_position{1, 9});
+    holder.receive(adopted{0, 4});
+    holder.receive(adopted{7, 9});
+    holder.tick(at(5));
+    CHECK(holder.confirmed_revision() == 5);
+}
+
+// Guards against a lease that outlives a stop, and against a grant after it.
+TEST_CASE("a stopped holder gives its lease back")
+{
+    auto holder = make_holder();
+    holder.tick(at(0));
+    holder.receive(grant_for(0));
+    holder.tick(at(1));
+    CHECK(holder.next_deadline() == at(100));
+    holder.tick(at(100));
+    CHECK(holder.next_deadline() == at(600));
+    holder.receive(stop_requested{});
+    CHECK(holder.next_deadline() == instant::min());
+    CHECK(holder.tick(at(101)).size() == 2);
+    holder.receive(grant_for(100));
+    CHECK(holder.tick(at(2000)).empty());
+    CHECK(holder.valid_until() == instant::min());
+    CHECK(holder.next_deadline() == never);
+}
+
+// Guards against a leader that stops waiting while the holder's lease is valid,
+// with the greatest clock rate error on either side. Without the margin the
+// lease of a slow holder outlives the leader's wait.
+TEST_CASE("the leader's wait outlives the lease at any clock rate in bounds")
+{
+    struct row
+    {
+        int leader_per_mille;
+        int holder_per_mille;
+    };
+    for (auto const& it : {row{0, 0}, row{10, 0}, row{0, 10}, row{-9, 0},
+                           row{0, -9}, row{5, -4}, row{-4, 5}})
+    {
+        lease_settings const settings;
+        // True time that passes until a clock has advanced by a duration.
+        auto const true_time = [](duration local, int per_mille)
+        {
+            return local * 1000 / (1000 + per_mille);
+        };
+        auto const lease_ends = true_time(settings.lease, it.holder_per_mille);
+        CAPTURE(it.leader_per_mille);
+        CAPTURE(it.holder_per_mille);
+        CHECK(true_time(with_clock_margin(settings.lease),
+                        it.leader_per_mille) >= lease_ends);
+        if (it.leader_per_mille > it.holder_per_mille)
+            CHECK(true_time(settings.lease, it.leader_per_mille) < lease_ends);
+
+        control_state state(parse_rules);
+        state.apply(
+            1, {{},
+                "test",
+                register_daemon{daemon_name{"d1"}, data_centre_name{"a"}}});
+        // Elected long before the grant.
+        leader lead(state, {}, at(-10'000));
+        lead.receive(lease_renewal{
+            daemon_name{"d1"}, data_centre_name{"a"}, 1, at(0), 1, {}});
+        lead.tick(at(0));
+        CHECK(lead.next_deadline() ==
+              at(0) + with_clock_margin(settings.lease));
+    }
+}
+
+// Guards against a tick whose cost grows with the number of daemons.
+TEST_CASE("a tick visits what is due and not every daemon")
+{
+    auto const visits = [](int daemons)
+    {
+        control_state state(parse_rules);
+        for (int n = 1; n <= daemons; ++n)
+            state.apply(static_cast<std::uint64_t>(n),
+                        {{},
+                         "test",
+                         register_daemon{daemon_name{std::to_string(n)},
+                                         data_centre_name{"a"}}});
+        leader lead(state, {}, at(0));
+        lead.tick(at(1));
+        auto const before = lead.rows_visited();
+        for (int ms = 2; ms != 102; ++ms)
+        {
+            lead.receive(lease_renewal{daemon_name{"1"},
+                                       data_centre_name{"a"},
+                                       1,
+                                       at(ms),
+                                       state.revision(),
+                                       {}});
+            lead.tick(at(ms));
+        }
+        return lead.rows_visited() - before;
+    };
+    CHECK(visits(10) == visits(5'000));
+}
--- /dev/null
+++ b/packages/control/test/promotion_test.cpp
@@ -0,0 +1,184 @@
+#include <string>
+
+#include <doctest/doctest.h>
+
+#include "simulation.hpp"
+
+namespace
+{
+
+using namespace basilreach;
+using namespace basilreach::control;
+using namespace basilreach::control::test;
+
+constexpr char const* first_primary = "0 start\n"
+                                      "1000 expect group serving s1 1\n"
+                                      "1000 position s1 1 100\n"
+                                      "1000 position s2 1 90\n"
+                                      "1000 position s3 1 95\n"
+                                      "1000 ack d1 95 acknowledged\n";
+
+// A leader driven by hand, with one group of three servers.
+struct bench
+{
+    control_state state{parse_rules};
+    std::optional<leader> lead;
+    instant now{std::chrono::seconds{100}};
+
+    std::vector<leader_output> commit(command_body body)
+    {
+        command const entry{{}, "test", std::move(body)};
+        auto const answer = state.apply(state.revision() + 1, entry);
+        if (!lead)
+            return {};
+        lead->receive(committed{state.revision(), entry, answer});
+        return lead->tick(now);
+    }
+
+    template <class Output>
+    static Output const* find(std::vector<leader_output> const& outputs)
+    {
+        for (auto const& it : outputs)
+            if (auto const* const found = std::get_if<Output>(&it))
+                return found;
+        return nullptr;
+    }
+
+    static bench with_servers()
+    {
+        bench it;
+        for (char const* server : {"s1", "s2", "s3"})
+            it.commit(announce_server{server_name{server}, group_name{"g"},
+                                      data_centre_name{"a"}, "127.0.0.1:1", 1});
+        return it;
+    }
+};
+
+} // namespace
+
+// Guards against a promotion that stops, starts from the beginning or assigns a
+// term twice when the leader dies at any step.
+TEST_CASE("a new leader resumes a promotion from the replicated phase")
+{
+    for (std::string const kind :
+         {"begin_fencing", "ask_positions", "choose", "promote", "confirm"})
+        for (std::string const side : {"before", "after"})
+        {
+            CAPTURE(kind);
+            CAPTURE(side);
+            simulation s;
+            auto const errors = s.run_all(
+                first_primary + std::string{"1000 crash "} + side + ' ' + kind +
+                "\n1000 set s1 cut on\n"
+                "1000 verdict s1 down 1\n"
+                "8000 expect group serving s3 2\n"
+                "8000 position s2 2 130\n"
+                "8000 position s3 2 130\n"
+                "8000 ack d2 130 acknowledged\n");
+            for (auto const& error : errors)
+                FAIL_CHECK(error);
+            CHECK(s.elections == 2);
+        }
+}
+
+// Guards against an answer to an earlier query that is counted after writes
+// were acknowledged above it.
+TEST_CASE("a late position of an earlier round is not counted")
+{
+    auto it = bench::with_servers();
+    it.lead.emplace(it.state, leader_settings{}, it.now);
+    auto outputs = it.lead->tick(it.now);
+    REQUIRE(bench::find<propose>(outputs) != nullptr);
+    outputs = it.commit(begin_fencing{group_name{"g"}, 0});
+    auto const* const query = bench::find<ask_positions>(outputs);
+    REQUIRE(query != nullptr);
+    CHECK(query->servers.size() == 3);
+    for (char const* server : {"s1", "s2", "s3"})
+        it.lead->receive(
+            position_reported{server_name{server}, query->round - 1, 0, 5});
+    CHECK(bench::find<propose>(it.lead->tick(it.now)) == nullptr);
+    for (char const* server : {"s3", "s2"})
+        it.lead->receive(
+            position_reported{server_name{server}, query->round, 0, 5});
+    CHECK(bench::find<propose>(it.lead->tick(it.now)) != nullptr);
+}
+
+// Guards against a first server that forms a majority on its own.
+TEST_CASE("a group gets its first primary when enough servers are announced")
+{
+    bench it;
+    it.lead.emplace(it.state, leader_settings{}, it.now);
+    for (std::uint64_t n = 1; n != 4; ++n)
+    {
+        auto const outputs = it.commit(announce_server{
+            server_name{"s" + std::to_string(n)}, group_name{"g"},
+            data_centre_name{"a"}, "127.0.0.1:1", 1});
+        CHECK((bench::find<propose>(outputs) != nullptr) == (n == 3));
+    }
+}
+
+// Guards against a proposal that is lost for ever, and against one that is sent
+// at each tick.
+TEST_CASE("a lost proposal is sent again at the retry interval")
+{
+    auto it = bench::with_servers();
+    it.lead.emplace(it.state, leader_settings{}, it.now);
+    CHECK(bench::find<propose>(it.lead->tick(it.now)) != nullptr);
+    CHECK(bench::find<propose>(it.lead->tick(it.now)) == nullptr);
+    CHECK(it.lead->next_deadline() == it.now + leader_settings{}.retry);
+    CHECK(bench::find<propose>(it.lead->tick(it.lead->next_deadline())) !=
+          nullptr);
+}
+
+// Guards against commands of a deposed leader that arrive late.
+TEST_CASE("the state refuses late and wrong steps of a promotion")
+{
+    auto it = bench::with_servers();
+    group_name const g{"g"};
+    server_name const s1{"s1"};
+    server_name const s2{"s2"};
+    struct row
+    {
+        command_body body;
+        std::size_t answer; // index in command_answer
+    };
+    constexpr std::size_t yes = 0;
+    constexpr std::size_t late = 2;
+    constexpr std::size_t no = 3;
+    std::uint64_t const fenced = it.state.revision() + 5;
+    row const rows[] = {
+        {choose_primary{g, 1, s1}, no},  // still serving
+        {confirm_primary{g, 0, s1}, no}, // nobody was chosen
+        {begin_fencing{g, 1}, no},       // a later term
+        {begin_fencing{group_name{"h"}, 0}, no},
+        {begin_fencing{g, 0}, yes},
+        {begin_fencing{g, 0}, yes}, // repeated
+        {choose_primary{g, 0, s1}, late},
+        {choose_primary{g, 1, server_name{"s9"}}, no},
+        {choose_primary{g, 1, s1}, yes},
+        {choose_primary{g, 1, s1}, yes},  // repeated
+        {choose_primary{g, 1, s2}, late}, // one server for each term
+        {confirm_primary{g, 1, s2}, no},
+        {begin_fencing{g, 1}, no}, // not yet serving
+        {choose_primary{g, 2, s2}, yes},
+        {confirm_primary{g, 1, s1}, late},
+        {confirm_primary{g, 2, s2}, yes},
+        {confirm_primary{g, 2, s2}, yes}, // repeated
+        {choose_primary{g, 3, s1}, no},   // serving again
+        {report_verdict{s1, 1, verdict::down}, yes},
+        {begin_fencing{g, 1}, late},
+        {begin_fencing{g, 2}, yes},
+        {choose_primary{g, 3, s1}, no}, // down
+        {announce_leaving{s2, 2}, yes},
+        {choose_primary{g, 3, s2}, no}, // leaving
+    };
+    for (std::size_t n = 0; n != std::size(rows); ++n)
+    {
+        CAPTURE(n);
+        auto const answer =
+            it.state.apply(it.state.revision() + 1, {{}, "test", rows[n].body});
+        CHECK(answer.index() == rows[n].answer);
+        if (n == 9)
+            CHECK(it.state.find(g)->fenced_at == fenced);
+    }
+}
--- /dev/null
+++ b/packages/control/test/trace_test.cpp
@@ -0,0 +1,77 @@
+#include <algorithm>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+#include <doctest/doctest.h>
+
+#include "simulation.hpp"
+
+namespace
+{
+
+using namespace basilreach;
+using namespace basilreach::control::test;
+
+} // namespace
+
+// Each file says in its first lines which failure it guards against.
+TEST_CASE("traces have the outcomes that they state")
+{
+    std::vector<std::filesystem::path> files;
+    for (auto const& it : std::filesystem::directory_iterator(
+             BASILREACH_SOURCE_DIR "/traces/control"))
+        files.push_back(it.path());
+    std::sort(files.begin(), files.end());
+    REQUIRE(files.size() >= 20);
+    for (auto const& file : files)
+    {
+        std::ifstream stream(file);
+        std::stringstream text;
+        text << stream.rdbuf();
+        simulation s;
+        auto const errors = s.run_all(text.str());
+        CAPTURE(file.filename().string());
+        for (auto const& error : errors)
+            FAIL_CHECK(error);
+    }
+}
+
+// Guards against a checker or a replay that passes whatever happens.
+TEST_CASE("the checker reports each seeded violation")
+{
+    group_name const g{"g"};
+    checker two_primaries;
+    two_primaries.primary(g, 2, server_name{"s1"});
+    two_primaries.primary(g, 2, server_name{"s1"});
+    CHECK(two_primaries.violations.empty());
+    two_primaries.primary(g, 2, server_name{"s2"});
+    CHECK(two_primaries.violations.size() == 1);
+
+    checker lost_write;
+    lost_write.acknowledged(g, {1, 10});
+    lost_write.chosen(g, 2, {1, 10});
+    CHECK(lost_write.violations.empty());
+    lost_write.chosen(g, 3, {1, 9});
+    CHECK(lost_write.violations.size() == 1);
+
+    checker late_acknowledgement;
+    late_acknowledgement.chosen(g, 2, {1, 10});
+    late_acknowledgement.acknowledged(g, {1, 11});
+    CHECK(late_acknowledgement.violations.size() == 1);
+
+    checker replicas;
+    replicas.state(4, 1);
+    replicas.state(4, 2);
+    CHECK(replicas.violations.size() == 1);
+
+    checker old_state;
+    old_state.lease(daemon_name{"d1"}, 4, 4);
+    CHECK(old_state.violations.empty());
+    old_state.lease(daemon_name{"d1"}, 4, 5);
+    CHECK(old_state.violations.size() == 1);
+
+    simulation s;
+    CHECK(s.run_all("0 leader\n0 server s1 1\n10 expect group serving s2 4\n")
+              .size() == 1);
+}
