--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -0,0 +1,159 @@
+#ifndef BASILREACH_DAEMON_CONTROL_HOST_HPP
+#define BASILREACH_DAEMON_CONTROL_HOST_HPP
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <basilreach/consensus/member.hpp>
+#include <basilreach/control/control_state.hpp>
+#include <basilreach/control/leader.hpp>
+#include <basilreach/daemon/link_table.hpp>
+#include <basilreach/daemon/placement_client.hpp>
+#include <basilreach/messages/message.hpp>
+#include <basilreach/storage/store.hpp>
+
+namespace basilreach::daemon
+{
+
+// How a control host reaches the rest of the daemon.
+struct control_host_outputs
+{
+    std::function<void(consensus::host_name const&, messages::message const&)>
+        to_host;
+    std::function<void(link_id, messages::message const&)> to_link;
+    // The control state has changed.
+    std::function<void()> state_changed;
+    // The data directory can no longer be written; the process must end.
+    std::function<void(storage::storage_error const&)> failed;
+};
+
+// The control role of a daemon: its part in the agreement, the replicated
+// control state and, while it leads, the leader's decisions.
+class control_host
+{
+public:
+    using open_result =
+        result<std::unique_ptr<control_host>, storage::storage_error>;
+
+    // Reads the data directory. With `joins` set, an empty one does not start
+    // a new cluster: the host waits for the leader to add it.
+    static open_result open(daemon_context const& context,
+                            event_loop& loop,
+                            control_host_outputs outputs,
+                            bool joins,
+                            instant now);
+
+    // Handles a message from a link.
+    void receive(link_id from, messages::message const& it);
+
+    void tick(instant now);
+
+    [[nodiscard]] instant next_deadline() const;
+
+    [[nodiscard]] control::control_state const& state() const
+    {
+        return *state_;
+    }
+
+    // The leader, or an empty name when unknown.
+    [[nodiscard]] consensus::host_name leader_name() const
+    {
+        return member_->state().leader;
+    }
+
+    [[nodiscard]] consensus::host_name const& self() const
+    {
+        return self_;
+    }
+
+private:
+    using handler = void (control_host::*)(link_id, messages::message const&);
+    using output_handler =
+        void (control_host::*)(control::leader_output const&);
+
+    struct origin
+    {
+        link_id link = 0;
+        std::uint64_t id = 0;
+    };
+
+    struct pending_read
+    {
+        origin from;
+        std::string text;
+    };
+
+    static handler const handlers[];
+    static output_handler const output_handlers[];
+
+    control_host(daemon_context const& context,
+                 event_loop& loop,
+                 control_host_outputs outputs,
+                 consensus::host_name self,
+                 storage::store store);
+
+    void start(storage::contents contents, bool joins, instant now);
+
+    void on_renewal(link_id from, messages::message const& it);
+    void on_return(link_id from, messages::message const& it);
+    void on_subscribe(link_id from, messages::message const& it);
+    void on_admin(link_id from, messages::message const& it);
+    void on_peer(link_id from, messages::message const& it);
+    void on_unexpected(link_id from, messages::message const& it);
+
+    void on_propose(control::leader_output const& it);
+    void on_grant(control::leader_output const& it);
+    void on_ask_positions(control::leader_output const& it);
+    void on_promote(control::leader_output const& it);
+    void on_in_force(control::leader_output const& it);
+    void on_placement(control::leader_output const& it);
+
+    void run(consensus::step_result step);
+    bool persist(consensus::step_result const& step);
+    void install(consensus::snapshot const& it);
+    void apply(consensus::log_entry const& entry);
+    void follow_role(consensus::role_state const& role);
+    void start_leading();
+    void compact();
+    void send_update(link_id to, std::uint64_t after);
+    void propose_initial_rules();
+    void promote_learners();
+    void answer(origin const& to, messages::admin_reply reply);
+    void answer_read(consensus::read_outcome const& it);
+    void refuse_pending();
+    bool redirect(link_id from);
+
+    daemon_context const& context_;
+    control_host_outputs outputs_;
+    consensus::host_name self_;
+    storage::store store_;
+    std::unique_ptr<control::control_state> state_;
+    std::unique_ptr<consensus::member> member_;
+    std::unique_ptr<control::leader> leader_;
+    placement_client placement_;
+    instant now_;
+    instant elected_at_;
+    std::uint64_t compacted_at_ = 0;
+    std::uint64_t applied_index_ = 0;
+    std::uint64_t last_read_ = 0;
+    instant next_promotion_check_ = never;
+
+    // Recent commands, for daemons that follow the state.
+    std::deque<messages::indexed_command> recent_;
+    std::map<link_id, std::uint64_t> subscribers_;
+    std::map<daemon_name, link_id> daemon_links_;
+    // Proposals by position in the log.
+    std::map<std::pair<std::uint64_t, std::uint64_t>, origin> proposals_;
+    std::map<std::uint64_t, pending_read> reads_;
+    std::vector<control::leader_input> leader_inputs_;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/lease_client.hpp
@@ -0,0 +1,89 @@
+#ifndef BASILREACH_DAEMON_LEASE_CLIENT_HPP
+#define BASILREACH_DAEMON_LEASE_CLIENT_HPP
+
+#include <cstdint>
+#include <functional>
+#include <set>
+#include <string>
+
+#include <basilreach/control/control_state.hpp>
+#include <basilreach/control/lease_holder.hpp>
+#include <basilreach/daemon/thread_messages.hpp>
+#include <basilreach/daemon/traffic_thread.hpp>
+#include <basilreach/messages/message.hpp>
+#include <basilreach/traffic/control_view.hpp>
+
+namespace basilreach::daemon
+{
+
+// The daemon's side of the control state: holds its lease, follows the state
+// and passes both on to the traffic threads.
+class lease_client
+{
+public:
+    // `to_leader` sends a message to the control host that is believed to lead.
+    lease_client(daemon_context const& context,
+                 std::function<void(messages::message const&)> to_leader,
+                 instant now);
+
+    void receive(control::grant_lease const& it);
+    void receive(messages::state_update const& it);
+    void receive(view_adopted const& it);
+    void receive(traffic::term_ended const& it);
+
+    // The state of the control host in this daemon has changed.
+    void follow(control::control_state const& state);
+
+    // Acts on a withdrawal at once, before it is committed.
+    void deny(control::key_digest const& key);
+
+    // Gives the lease back, for a planned stop.
+    void stop();
+
+    void tick(instant now);
+
+    [[nodiscard]] instant next_deadline() const
+    {
+        return holder_.next_deadline();
+    }
+
+    // When the last grant arrived.
+    [[nodiscard]] instant last_grant() const
+    {
+        return last_grant_;
+    }
+
+    // The state that the traffic threads work with.
+    [[nodiscard]] control::control_state const& state() const
+    {
+        return state_;
+    }
+
+private:
+    using output_handler =
+        void (lease_client::*)(control::holder_output const&);
+
+    static output_handler const output_handlers[];
+
+    void on_renewal(control::holder_output const& it);
+    void on_return(control::holder_output const& it);
+    void on_adopt(control::holder_output const& it);
+    void on_refused(control::holder_output const& it);
+    void on_lease(control::holder_output const& it);
+
+    void publish();
+    void post(traffic::event const& it) const;
+
+    daemon_context const& context_;
+    std::function<void(messages::message const&)> to_leader_;
+    control::lease_holder holder_;
+    control::control_state state_;
+    std::set<control::key_digest> denied_;
+    instant last_grant_;
+    // The leader's state is newer than this daemon's.
+    std::uint64_t leader_revision_ = 0;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/message_link.hpp
@@ -0,0 +1,73 @@
+#ifndef BASILREACH_DAEMON_MESSAGE_LINK_HPP
+#define BASILREACH_DAEMON_MESSAGE_LINK_HPP
+
+#include <functional>
+#include <string>
+
+#include <ace/Event_Handler.h>
+#include <ace/SOCK_Stream.h>
+
+#include <basilreach/daemon/event_loop.hpp>
+#include <basilreach/messages/frame.hpp>
+#include <basilreach/messages/message.hpp>
+
+namespace basilreach::daemon
+{
+
+struct link_observer
+{
+    std::function<void()> opened;
+    std::function<void(messages::message)> received;
+    // The connection has ended; the owner destroys the link later.
+    std::function<void()> closed;
+};
+
+// A TCP connection between two daemons that carries framed messages.
+class message_link : public ACE_Event_Handler
+{
+public:
+    message_link(event_loop& loop, link_observer observer);
+    ~message_link() override;
+    message_link(message_link const&) = delete;
+    message_link& operator=(message_link const&) = delete;
+
+    // Takes over an accepted connection.
+    void accept(ACE_SOCK_Stream stream);
+
+    // Connects to IP:PORT; the observer hears of success or failure.
+    void connect(std::string const& address);
+
+    // Queues a message. A link that is not open, or whose peer does not read,
+    // drops it: every sender repeats what it still needs.
+    void send(messages::message const& it);
+
+    void close();
+
+    [[nodiscard]] bool is_open() const
+    {
+        return is_open_;
+    }
+
+    int handle_input(ACE_HANDLE) override;
+    int handle_output(ACE_HANDLE) override;
+    ACE_HANDLE get_handle() const override;
+
+private:
+    void finish_connecting();
+    void read_frames();
+    void write();
+    void lose();
+
+    event_loop& loop_;
+    link_observer observer_;
+    ACE_SOCK_Stream stream_;
+    messages::frame_reader reader_;
+    std::string out_;
+    bool is_registered_ = false;
+    bool is_open_ = false;
+    bool waits_to_write_ = false;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/placement_client.hpp
@@ -0,0 +1,63 @@
+#ifndef BASILREACH_DAEMON_PLACEMENT_CLIENT_HPP
+#define BASILREACH_DAEMON_PLACEMENT_CLIENT_HPP
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/control/leader.hpp>
+#include <basilreach/daemon/event_loop.hpp>
+#include <basilreach/daemon/server_connection.hpp>
+
+namespace basilreach::daemon
+{
+
+// Asks backend servers for their positions and orders promotions on behalf of
+// the leading control host. Each question uses a connection of its own, since
+// changes of primary are rare.
+class placement_client
+{
+public:
+    placement_client(event_loop& loop,
+                     settings::daemon_settings const& settings,
+                     settings::backend_credential const& credential,
+                     std::function<void(control::leader_input)> answered);
+
+    void ask_position(server_name const& server,
+                      std::string const& address,
+                      std::uint64_t round);
+
+    void promote(server_name const& server,
+                 std::string const& address,
+                 std::uint64_t term);
+
+    // Ends questions that are due and destroys those that have ended.
+    void tick(instant now);
+
+    [[nodiscard]] instant next_deadline() const
+    {
+        return deadlines_.next();
+    }
+
+private:
+    using reply = std::function<void(server_answer const&)>;
+
+    void ask(std::string const& address, statement question, reply on_answer);
+    void end(std::uint64_t id);
+
+    event_loop& loop_;
+    settings::daemon_settings const& settings_;
+    settings::backend_credential const& credential_;
+    std::function<void(control::leader_input)> answered_;
+    std::map<std::uint64_t, std::unique_ptr<server_connection>> questions_;
+    deadline_queue<std::uint64_t> deadlines_;
+    std::vector<std::uint64_t> ended_;
+    std::uint64_t last_id_ = 0;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- a/packages/daemon/include/basilreach/daemon/server_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/server_connection.hpp
@@ -71,7 +71,8 @@
     std::string address;
     bool read_only = false;
 
-    friend bool operator==(server_target const&, server_target const&) = default;
+    friend bool operator==(server_target const&,
+                           server_target const&) = default;
 };
 
 // What a connection reports to its owner. `lost` and `answered` may destroy the
--- a/packages/daemon/src/client_connection.cpp
+++ b/packages/daemon/src/client_connection.cpp
@@ -79,8 +79,8 @@
     text = trim(text);
     variable_statement it;
     it.is_set = text.size() > 3 && (text[1] == 'E' || text[1] == 'e');
-    text = trim(text.substr(std::min(text.find_first_of(" \t\n"),
-                                     text.size())));
+    text =
+        trim(text.substr(std::min(text.find_first_of(" \t\n"), text.size())));
     auto const end = std::min(text.find_first_of(" \t\n="), text.size());
     for (auto const c : text.substr(0, end))
         it.name += static_cast<char>(std::tolower(static_cast<int>(c)));
@@ -246,7 +246,8 @@
         return;
     // The decoder yields startup messages first; nothing but a password may
     // follow them until the client is authenticated.
-    bool const is_password = std::holds_alternative<pgwire::password_message>(it);
+    bool const is_password =
+        std::holds_alternative<pgwire::password_message>(it);
     bool const is_early = it.index() <= 3;
     bool const is_allowed = phase_ == phase::startup    ? is_early
                             : phase_ == phase::password ? is_password
@@ -706,8 +707,8 @@
         return;
     while (out_offset_ < out_.size())
     {
-        auto const n = stream_.send(out_.data() + out_offset_,
-                                    out_.size() - out_offset_);
+        auto const n =
+            stream_.send(out_.data() + out_offset_, out_.size() - out_offset_);
         if (n > 0)
         {
             out_offset_ += static_cast<std::size_t>(n);
--- /dev/null
+++ b/packages/daemon/src/control_host.cpp
@@ -0,0 +1,600 @@
+#include <basilreach/daemon/control_host.hpp>
+
+#include <chrono>
+#include <fstream>
+#include <sstream>
+#include <utility>
+
+#include <easylogging++.h>
+
+#include <basilreach/daemon/view_builder.hpp>
+#include <basilreach/messages/codec.hpp>
+#include <basilreach/rules/digest.hpp>
+
+#include "admin_replies.hpp"
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// Applied entries after which a snapshot replaces the log.
+constexpr std::uint64_t compaction_interval = 1000;
+
+// Commands kept for daemons that follow; one further behind gets a snapshot.
+constexpr std::size_t recent_limit = 1000;
+
+// Interval at which the leader tries to make voters of learners.
+constexpr duration promotion_interval = std::chrono::milliseconds(200);
+
+consensus::host_name own_name(settings::daemon_settings const& it)
+{
+    for (auto const& host : it.control_hosts)
+        if (host.name == it.name)
+            return make_host_name(host);
+    return consensus::host_name(it.name.str() + '=' +
+                                it.control_listen.value_or(""));
+}
+
+std::vector<consensus::host_name>
+to_hosts(std::vector<std::string> const& names)
+{
+    std::vector<consensus::host_name> out;
+    for (auto const& it : names)
+        out.emplace_back(it);
+    return out;
+}
+
+std::vector<std::string>
+to_strings(std::vector<consensus::host_name> const& names)
+{
+    std::vector<std::string> out;
+    for (auto const& it : names)
+        out.push_back(it.str());
+    return out;
+}
+
+storage::snapshot to_stored(consensus::snapshot const& it)
+{
+    return {it.index, it.term, to_strings(it.members.voters),
+            to_strings(it.members.learners), it.state};
+}
+
+consensus::durable_state to_durable(storage::contents contents)
+{
+    consensus::durable_state out;
+    out.hard = {contents.hard.term, consensus::host_name(contents.hard.vote)};
+    if (contents.base)
+        out.base = {contents.base->index,
+                    contents.base->term,
+                    {to_hosts(contents.base->voters),
+                     to_hosts(contents.base->learners)},
+                    std::move(contents.base->state)};
+    for (auto& it : contents.entries)
+        out.entries.push_back({it.index, it.term,
+                               static_cast<consensus::entry_kind>(it.kind),
+                               std::move(it.payload)});
+    return out;
+}
+
+// The first voters of a new cluster are the control hosts of the settings.
+consensus::snapshot first_snapshot(settings::daemon_settings const& it)
+{
+    consensus::snapshot out;
+    for (auto const& host : it.control_hosts)
+        out.members.voters.push_back(make_host_name(host));
+    std::sort(out.members.voters.begin(), out.members.voters.end());
+    return out;
+}
+
+consensus::member_settings
+to_member_settings(settings::daemon_settings const& it,
+                   consensus::host_name self)
+{
+    consensus::member_settings out;
+    out.seed = std::hash<consensus::host_name>{}(self);
+    out.self = std::move(self);
+    out.election_timeout_min = it.durations.election_timeout_min;
+    out.election_timeout_max = it.durations.election_timeout_max;
+    out.heartbeat = it.durations.heartbeat;
+    return out;
+}
+
+control::leader_settings to_leader_settings(settings::daemon_settings const& it)
+{
+    control::leader_settings out;
+    out.leases.lease = it.durations.control_lease;
+    out.leases.renewal = it.durations.lease_renewal;
+    out.step_down = it.durations.election_timeout_max;
+    return out;
+}
+
+std::string read_file(std::string const& path)
+{
+    std::ifstream file(path);
+    std::ostringstream text;
+    text << file.rdbuf();
+    return text.str();
+}
+
+} // namespace
+
+// Indexed by the alternatives of messages::message.
+control_host::handler const control_host::handlers[] = {
+    &control_host::on_renewal,    &control_host::on_return,
+    &control_host::on_unexpected, &control_host::on_subscribe,
+    &control_host::on_unexpected, &control_host::on_unexpected,
+    &control_host::on_admin,      &control_host::on_unexpected,
+    &control_host::on_unexpected, &control_host::on_unexpected,
+    &control_host::on_unexpected, &control_host::on_unexpected,
+    &control_host::on_peer};
+
+// Indexed by the alternatives of control::leader_output.
+control_host::output_handler const control_host::output_handlers[] = {
+    &control_host::on_propose,       &control_host::on_grant,
+    &control_host::on_ask_positions, &control_host::on_promote,
+    &control_host::on_in_force,      &control_host::on_placement};
+
+control_host::open_result control_host::open(daemon_context const& context,
+                                             event_loop& loop,
+                                             control_host_outputs outputs,
+                                             bool joins,
+                                             instant now)
+{
+    storage::store_settings settings;
+    settings.directory = *context.settings.data_directory;
+    auto store = storage::store::open(settings, storage::system_files());
+    if (!store)
+        return store.error();
+    auto contents = store.value().take_contents();
+    std::unique_ptr<control_host> host(
+        new control_host(context, loop, std::move(outputs),
+                         own_name(context.settings), std::move(store.value())));
+    host->start(std::move(contents), joins, now);
+    return host;
+}
+
+control_host::control_host(daemon_context const& context,
+                           event_loop& loop,
+                           control_host_outputs outputs,
+                           consensus::host_name self,
+                           storage::store store)
+    : context_(context), outputs_(std::move(outputs)), self_(std::move(self)),
+      store_(std::move(store)),
+      state_(std::make_unique<control::control_state>(make_rules_parser())),
+      placement_(loop,
+                 context.settings,
+                 context.credential,
+                 [this](control::leader_input it)
+                 { leader_inputs_.push_back(std::move(it)); })
+{
+    static_assert(std::size(handlers) ==
+                  std::variant_size_v<messages::message>);
+    static_assert(std::size(output_handlers) ==
+                  std::variant_size_v<control::leader_output>);
+}
+
+void control_host::start(storage::contents contents, bool joins, instant now)
+{
+    now_ = now;
+    auto durable = to_durable(std::move(contents));
+    bool const is_new = durable.base.members.voters.empty() &&
+                        durable.entries.empty() && durable.hard.term == 0;
+    if (is_new && !joins)
+    {
+        durable.base = first_snapshot(context_.settings);
+        if (auto const done = store_.install(to_stored(durable.base)); !done)
+            return outputs_.failed(done.error());
+    }
+    if (!durable.base.state.empty())
+        install(durable.base);
+    compacted_at_ = durable.base.index;
+    applied_index_ = durable.base.index;
+    member_ = std::make_unique<consensus::member>(
+        to_member_settings(context_.settings, self_), std::move(durable), now);
+}
+
+void control_host::receive(link_id from, messages::message const& it)
+{
+    now_ = read_clock();
+    (this->*handlers[it.index()])(from, it);
+}
+
+// Tells a daemon where the leader is when this host does not lead.
+bool control_host::redirect(link_id from)
+{
+    if (leader_)
+        return false;
+    outputs_.to_link(from,
+                     messages::not_leader{daemon_name(leader_name().str())});
+    return true;
+}
+
+void control_host::on_renewal(link_id from, messages::message const& it)
+{
+    if (redirect(from))
+        return;
+    auto const& renewal = std::get<control::lease_renewal>(it);
+    daemon_links_[renewal.daemon] = from;
+    leader_inputs_.emplace_back(renewal);
+}
+
+void control_host::on_return(link_id /*from*/, messages::message const& it)
+{
+    if (leader_)
+        leader_inputs_.emplace_back(std::get<control::lease_returned>(it));
+}
+
+void control_host::on_subscribe(link_id from, messages::message const& it)
+{
+    auto const revision = std::get<messages::subscribe>(it).revision;
+    subscribers_[from] = state_->revision();
+    if (revision < state_->revision())
+        send_update(from, revision);
+}
+
+void control_host::on_unexpected(link_id /*from*/, messages::message const& it)
+{
+    LOG(WARNING) << "event=unexpected_message kind=" << it.index();
+}
+
+void control_host::on_peer(link_id /*from*/, messages::message const& it)
+{
+    run(member_->receive(std::get<consensus::peer_message>(it), now_));
+}
+
+void control_host::send_update(link_id to, std::uint64_t after)
+{
+    messages::state_update update;
+    bool const has_gap = recent_.empty() || recent_.front().index > after + 1;
+    if (has_gap)
+        update.snapshot = state_->parts();
+    else
+        for (auto const& it : recent_)
+            if (it.index > after)
+                update.commands.push_back(it);
+    outputs_.to_link(to, update);
+}
+
+void control_host::answer(origin const& to, messages::admin_reply reply)
+{
+    reply.id = to.id;
+    outputs_.to_link(to.link, reply);
+}
+
+void control_host::on_admin(link_id from, messages::message const& it)
+{
+    if (redirect(from))
+        return;
+    auto const& request = std::get<messages::admin_request>(it);
+    origin const to{from, request.id};
+    auto const parsed = admin::parse_command(request.text);
+    if (!parsed)
+        return answer(to,
+                      make_error("42601", admin::to_string(parsed.error())));
+    if (auto const entry = to_control_command(parsed.value()))
+    {
+        auto step = member_->propose(messages::encode_command(*entry), now_);
+        if (step.accepted)
+            proposals_[{step.accepted->index, step.accepted->term}] = to;
+        else
+            answer(to, make_error("57P03", "the control host cannot accept "
+                                           "the change now"));
+        return run(std::move(step));
+    }
+    if (auto const* add = std::get_if<admin::add_control_host>(&parsed.value()))
+    {
+        auto step = member_->add_learner(
+            make_host_name({add->host, add->address, add->data_centre}), now_);
+        if (step.accepted)
+            proposals_[{step.accepted->index, step.accepted->term}] = to;
+        else
+            answer(to, make_error("55000", "the membership cannot change now"));
+        return run(std::move(step));
+    }
+    if (auto const* remove =
+            std::get_if<admin::remove_control_host>(&parsed.value()))
+    {
+        consensus::host_name target;
+        for (auto const& host : member_->members().voters)
+            if (host.str().starts_with(remove->host.str() + '='))
+                target = host;
+        auto step = member_->remove(target, now_);
+        if (step.accepted)
+            proposals_[{step.accepted->index, step.accepted->term}] = to;
+        else
+            answer(to, make_error("55000", "the membership cannot change now"));
+        return run(std::move(step));
+    }
+    // What remains reads the state, which must not be stale.
+    auto const id = ++last_read_;
+    reads_[id] = {to, request.text};
+    run(member_->read(consensus::read_id{id}, now_));
+}
+
+void control_host::answer_read(consensus::read_outcome const& it)
+{
+    auto const found = reads_.find(static_cast<std::uint64_t>(it.id));
+    if (found == reads_.end())
+        return;
+    auto const read = std::move(found->second);
+    reads_.erase(found);
+    if (!it.confirmed)
+        return answer(read.from, make_error("57P03", "the leader changed"));
+    auto const parsed = admin::parse_command(read.text);
+    auto const* show = std::get_if<admin::show>(&parsed.value());
+    if (show == nullptr)
+        return answer(read.from, make_error("0A000", "not supported here"));
+    if (show->subject == admin::show_subject::rules)
+        return answer(read.from, make_reply(encode(show_rules(*state_))));
+    if (show->subject == admin::show_subject::history)
+        return answer(read.from, make_reply(encode(show_history(*state_))));
+    auto rows = show_status(*state_);
+    rows.push_back({"control", "leader", "name", self_.str()});
+    for (auto const& host : member_->members().voters)
+        rows.push_back({"control_host", host.str(), "role", "voter"});
+    for (auto const& host : member_->members().learners)
+        rows.push_back({"control_host", host.str(), "role", "learner"});
+    rows.push_back(
+        {"control", "state", "in_force",
+         std::to_string(leader_ ? leader_->revision_in_force() : 0)});
+    answer(read.from, make_reply(encode(rows)));
+}
+
+bool control_host::persist(consensus::step_result const& step)
+{
+    if (step.install)
+    {
+        if (auto const done = store_.install(to_stored(*step.install)); !done)
+        {
+            outputs_.failed(done.error());
+            return false;
+        }
+        install(*step.install);
+        compacted_at_ = step.install->index;
+        applied_index_ = step.install->index;
+        outputs_.state_changed();
+    }
+    storage::write_batch batch;
+    if (step.hard)
+        batch.hard = {step.hard->term, step.hard->vote.str()};
+    batch.truncate_from = step.truncate_from;
+    for (auto const& it : step.append)
+        batch.append.push_back({it.index, it.term,
+                                static_cast<std::uint8_t>(it.kind),
+                                it.payload});
+    if (batch == storage::write_batch{})
+        return true;
+    if (auto const done = store_.write(batch); !done)
+    {
+        outputs_.failed(done.error());
+        return false;
+    }
+    return true;
+}
+
+void control_host::run(consensus::step_result step)
+{
+    if (!persist(step))
+        return;
+    for (auto const& it : step.send)
+        outputs_.to_host(it.to, it);
+    if (step.role)
+        follow_role(*step.role);
+    bool const has_commands = !step.apply.empty();
+    for (auto const& it : step.apply)
+        apply(it);
+    for (auto const& it : step.reads)
+        answer_read(it);
+    if (!has_commands)
+        return;
+    for (auto& [link, revision] : subscribers_)
+        if (std::exchange(revision, state_->revision()) < state_->revision())
+            send_update(link, recent_.back().index - 1);
+    outputs_.state_changed();
+    compact();
+}
+
+void control_host::install(consensus::snapshot const& it)
+{
+    auto const parts = messages::decode_parts(it.state);
+    if (!parts)
+        return outputs_.failed(
+            {storage::storage_errc::corrupted, "snapshot", 0, 0});
+    auto state =
+        control::control_state::restore(parts.value(), make_rules_parser());
+    if (!state)
+        return outputs_.failed(
+            {storage::storage_errc::corrupted, "snapshot", 0, 0});
+    // The leader refers to the state, and no leader installs a snapshot.
+    *state_ = std::move(state.value());
+    recent_.clear();
+}
+
+void control_host::apply(consensus::log_entry const& entry)
+{
+    applied_index_ = entry.index;
+    auto const pending = proposals_.find({entry.index, entry.term});
+    std::optional<messages::admin_reply> reply;
+    if (entry.kind == consensus::entry_kind::command)
+    {
+        auto const it = messages::decode_command(entry.payload);
+        if (!it)
+            return outputs_.failed(
+                {storage::storage_errc::corrupted, "log", entry.index, 0});
+        auto const answered = state_->apply(entry.index, it.value());
+        recent_.push_back({entry.index, it.value()});
+        if (recent_.size() > recent_limit)
+            recent_.pop_front();
+        if (leader_)
+            leader_inputs_.emplace_back(
+                control::committed{entry.index, it.value(), answered});
+        reply = make_reply(it.value(), answered);
+    }
+    else
+        reply = make_reply(encode(admin::change_answer{
+            admin::change_outcome::accepted, entry.index, {}, {}, {}}));
+    if (pending != proposals_.end())
+    {
+        answer(pending->second, *reply);
+        proposals_.erase(pending);
+    }
+    auto const role = member_->state();
+    if (!leader_ && role.role == consensus::member_role::leader &&
+        entry.term == role.term)
+        start_leading();
+}
+
+void control_host::follow_role(consensus::role_state const& role)
+{
+    LOG(INFO) << "event=control_role term=" << role.term
+              << " role=" << static_cast<int>(role.role)
+              << " leader=" << role.leader.str();
+    if (role.role == consensus::member_role::leader)
+    {
+        elected_at_ = now_;
+        return;
+    }
+    leader_.reset();
+    leader_inputs_.clear();
+    next_promotion_check_ = never;
+    refuse_pending();
+}
+
+// An accepted proposal may still be committed by the next leader, so the caller
+// must resend it under the same id to learn its answer.
+void control_host::refuse_pending()
+{
+    for (auto const& [position, to] : std::exchange(proposals_, {}))
+        outputs_.to_link(
+            to.link, messages::not_leader{daemon_name(leader_name().str())});
+    for (auto const& [id, read] : std::exchange(reads_, {}))
+        outputs_.to_link(read.from.link, messages::not_leader{
+                                             daemon_name(leader_name().str())});
+}
+
+void control_host::start_leading()
+{
+    leader_ = std::make_unique<control::leader>(
+        *state_, to_leader_settings(context_.settings), elected_at_);
+    next_promotion_check_ = now_ + promotion_interval;
+    if (state_->parts().rules_version == 0 &&
+        context_.settings.initial_rules_file)
+        propose_initial_rules();
+}
+
+void control_host::propose_initial_rules()
+{
+    auto const text = read_file(*context_.settings.initial_rules_file);
+    control::command it{control::change_id(rules::change_id_of(0, text)),
+                        "initial_rules_file", control::apply_rules{0, text}};
+    run(member_->propose(messages::encode_command(it), now_));
+}
+
+void control_host::compact()
+{
+    if (applied_index_ < compacted_at_ + compaction_interval)
+        return;
+    consensus::snapshot base;
+    base.index = applied_index_;
+    base.term = member_->term_at(applied_index_);
+    base.members = member_->members_at(applied_index_);
+    base.state = messages::encode_parts(state_->parts());
+    if (auto const done = store_.compact(to_stored(base)); !done)
+        return outputs_.failed(done.error());
+    member_->compact(std::move(base));
+    compacted_at_ = applied_index_;
+}
+
+void control_host::promote_learners()
+{
+    next_promotion_check_ = now_ + promotion_interval;
+    // One change is open at a time; the others follow at the next check.
+    if (!member_->members().learners.empty())
+        run(member_->promote(member_->members().learners.front(), now_));
+}
+
+void control_host::tick(instant now)
+{
+    now_ = now;
+    if (member_->next_deadline() <= now)
+        run(member_->tick(now));
+    if (next_promotion_check_ <= now)
+        promote_learners();
+    placement_.tick(now);
+    if (!leader_)
+        return;
+    for (auto& it : std::exchange(leader_inputs_, {}))
+        leader_->receive(std::move(it));
+    for (auto const& it : leader_->tick(now))
+    {
+        // An output can end the leadership, for instance by a failed write.
+        if (!leader_)
+            return;
+        (this->*output_handlers[it.index()])(it);
+    }
+}
+
+instant control_host::next_deadline() const
+{
+    if (leader_ && !leader_inputs_.empty())
+        return instant::min();
+    auto const own = std::min({member_->next_deadline(), next_promotion_check_,
+                               placement_.next_deadline()});
+    return leader_ ? std::min(own, leader_->next_deadline()) : own;
+}
+
+void control_host::on_propose(control::leader_output const& it)
+{
+    run(member_->propose(
+        messages::encode_command(std::get<control::propose>(it).entry), now_));
+}
+
+void control_host::on_grant(control::leader_output const& it)
+{
+    auto const& grant = std::get<control::grant_lease>(it);
+    auto const link = daemon_links_.find(grant.daemon);
+    if (link != daemon_links_.end())
+        outputs_.to_link(link->second, grant);
+}
+
+void control_host::on_ask_positions(control::leader_output const& it)
+{
+    auto const& ask = std::get<control::ask_positions>(it);
+    for (auto const& server : ask.servers)
+        if (auto const* entry = state_->find(server))
+            placement_.ask_position(server, entry->address, ask.round);
+}
+
+void control_host::on_promote(control::leader_output const& it)
+{
+    auto const& order = std::get<control::promote>(it);
+    if (auto const* entry = state_->find(order.server))
+        placement_.promote(order.server, entry->address, order.term);
+}
+
+void control_host::on_in_force(control::leader_output const& it)
+{
+    auto const& change = std::get<control::change_in_force>(it);
+    LOG(INFO) << "event=change_in_force revision=" << change.revision
+              << " elapsed_us="
+              << std::chrono::duration_cast<std::chrono::microseconds>(
+                     change.elapsed)
+                     .count();
+}
+
+void control_host::on_placement(control::leader_output const& it)
+{
+    auto const& decision = std::get<control::placement_decision>(it);
+    telemetry::decision_record record;
+    record.decision = "place";
+    record.reason = control::to_string(decision.reason);
+    record.group = decision.group;
+    if (decision.server)
+        record.server = *decision.server;
+    std::vector<telemetry::decision_record> records = {record};
+    context_.decisions->write(records);
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/src/control_thread.cpp
@@ -0,0 +1,403 @@
+#include <basilreach/daemon/control_thread.hpp>
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+#include <easylogging++.h>
+
+#include <basilreach/daemon/view_builder.hpp>
+
+#include "admin_replies.hpp"
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// Time within which the leader must answer a console before the call fails.
+constexpr duration call_timeout = std::chrono::seconds(5);
+
+// Interval at which an unanswered call is sent again. Every command may be
+// repeated: it carries an id or a sequence number.
+constexpr duration call_retry = std::chrono::milliseconds(300);
+
+// Time without any grant after which another control host is asked.
+constexpr duration leader_patience = std::chrono::milliseconds(400);
+
+std::string milliseconds(duration it)
+{
+    return std::to_string(
+        std::chrono::duration<double, std::milli>(it).count());
+}
+
+} // namespace
+
+// Indexed by the alternatives of control_note.
+control_thread::note_handler const control_thread::note_handlers[] = {
+    &control_thread::on_adopted,       &control_thread::on_term_ended,
+    &control_thread::on_tokens_wanted, &control_thread::on_connections_used,
+    &control_thread::on_admin_call,    &control_thread::on_metrics,
+    &control_thread::on_drained,       &control_thread::on_stop};
+
+// Indexed by the alternatives of messages::message.
+control_thread::message_handler const control_thread::message_handlers[] = {
+    &control_thread::to_control_host, &control_thread::to_control_host,
+    &control_thread::on_grant,        &control_thread::to_control_host,
+    &control_thread::on_update,       &control_thread::on_not_leader,
+    &control_thread::to_control_host, &control_thread::on_admin_reply,
+    &control_thread::to_control_host, &control_thread::ignore,
+    &control_thread::to_control_host, &control_thread::ignore,
+    &control_thread::to_control_host};
+
+control_thread::control_thread(daemon_context& context)
+    : context_(context), inbox_(loop_),
+      links_(loop_,
+             [this](link_id from, messages::message it)
+             { receive(from, std::move(it)); })
+{
+    static_assert(std::size(note_handlers) ==
+                  std::variant_size_v<control_note>);
+    static_assert(std::size(message_handlers) ==
+                  std::variant_size_v<messages::message>);
+}
+
+daemon_error control_thread::start(bool joins)
+{
+    auto const now = read_clock();
+    auto const& settings = context_.settings;
+    metrics_.resize(context_.threads.size());
+    for (auto const& it : settings.control_hosts)
+        known_hosts_.push_back(make_host_name(it));
+    // A control host in the same data centre is asked first.
+    for (std::size_t n = 0; n != settings.control_hosts.size(); ++n)
+        if (settings.control_hosts[n].data_centre == settings.data_centre)
+            guess_ = n;
+    guessed_at_ = now;
+    lease_ = std::make_unique<lease_client>(
+        context_, [this](messages::message const& it) { to_leader(it); }, now);
+    if (!settings.roles.contains(settings::daemon_role::control))
+        return daemon_error::none;
+    if (!links_.listen(*settings.control_listen))
+        return daemon_error::cannot_listen;
+    control_host_outputs outputs;
+    outputs.to_host =
+        [this](consensus::host_name const& to, messages::message const& it)
+    {
+        links_.send(to, it);
+    };
+    outputs.to_link = [this](link_id to, messages::message const& it)
+    {
+        if (to == local_link)
+            local_.push_back(it);
+        else
+            links_.send(to, it);
+    };
+    outputs.state_changed = [this]
+    {
+        state_changed_ = true;
+    };
+    outputs.failed = [this](storage::storage_error const& it)
+    {
+        LOG(ERROR) << "event=data_directory_failed file=" << it.file
+                   << " offset=" << it.offset
+                   << " code=" << static_cast<int>(it.code)
+                   << " errno=" << it.system_error;
+        error_ = daemon_error::data_directory;
+    };
+    auto const report = outputs.failed;
+    auto host =
+        control_host::open(context_, loop_, std::move(outputs), joins, now);
+    if (!host)
+    {
+        report(host.error());
+        return error_;
+    }
+    host_ = std::move(host.value());
+    lease_->follow(host_->state());
+    return error_;
+}
+
+daemon_error control_thread::run()
+{
+    loop_.reactor().owner(ACE_OS::thr_self());
+    while (error_ == daemon_error::none && drain_ != drain_phase::done)
+    {
+        for (auto& it : inbox_.take())
+            (this->*note_handlers[it.index()])(it);
+        auto const now = read_clock();
+        rotate_leader(now);
+        if (host_)
+            host_->tick(now);
+        if (std::exchange(state_changed_, false))
+            lease_->follow(host_->state());
+        deliver_local();
+        lease_->tick(now);
+        deliver_local();
+        expire_calls(now);
+        follow_drain(now);
+        links_.remove_closed();
+        loop_.run_once(next_deadline());
+    }
+    return error_;
+}
+
+instant control_thread::next_deadline() const
+{
+    if (!local_.empty() || state_changed_)
+        return instant::min();
+    auto const own =
+        std::min({lease_->next_deadline(), resends_.next(), drain_deadline_});
+    return host_ ? std::min(own, host_->next_deadline()) : own;
+}
+
+void control_thread::receive(link_id from, messages::message it)
+{
+    (this->*message_handlers[it.index()])(from, it);
+}
+
+// Messages to this daemon itself are handled like those of others, but not
+// while their sender is still on the stack.
+void control_thread::deliver_local()
+{
+    for (auto& it : std::exchange(local_, {}))
+        receive(local_link, std::move(it));
+}
+
+consensus::host_name control_thread::leader_guess() const
+{
+    if (host_ && !host_->leader_name().empty())
+        return host_->leader_name();
+    return known_hosts_[guess_];
+}
+
+void control_thread::to_leader(messages::message const& it)
+{
+    auto const leader = leader_guess();
+    if (host_ && leader == host_->self())
+        local_.push_back(it);
+    else
+        links_.send(leader, it);
+}
+
+void control_thread::rotate_leader(instant now)
+{
+    if (host_ || now < std::max(lease_->last_grant(), guessed_at_) +
+                           context_.settings.durations.lease_renewal +
+                           leader_patience)
+        return;
+    guessed_at_ = now;
+    guess_ = (guess_ + 1) % known_hosts_.size();
+}
+
+void control_thread::to_control_host(link_id from, messages::message& it)
+{
+    if (host_)
+        host_->receive(from, it);
+}
+
+void control_thread::on_grant(link_id /*from*/, messages::message& it)
+{
+    lease_->receive(std::get<control::grant_lease>(it));
+}
+
+void control_thread::on_update(link_id /*from*/, messages::message& it)
+{
+    if (!host_)
+        lease_->receive(std::get<messages::state_update>(it));
+}
+
+void control_thread::on_not_leader(link_id /*from*/, messages::message& it)
+{
+    auto const& leader = std::get<messages::not_leader>(it).leader;
+    consensus::host_name const name(leader.str());
+    if (host_ || name.empty())
+        return;
+    auto const found =
+        std::find(known_hosts_.begin(), known_hosts_.end(), name);
+    guess_ = static_cast<std::size_t>(found - known_hosts_.begin());
+    // A host that joined later is known from the others.
+    if (found == known_hosts_.end())
+        known_hosts_.push_back(name);
+    guessed_at_ = read_clock();
+}
+
+void control_thread::on_admin_reply(link_id /*from*/, messages::message& it)
+{
+    auto& reply = std::get<messages::admin_reply>(it);
+    answer_call(reply.id, std::move(reply));
+}
+
+void control_thread::ignore(link_id /*from*/, messages::message& /*it*/)
+{
+}
+
+void control_thread::on_adopted(control_note& it)
+{
+    lease_->receive(std::get<view_adopted>(it));
+}
+
+void control_thread::on_term_ended(control_note& it)
+{
+    lease_->receive(std::get<traffic::term_ended>(it));
+}
+
+void control_thread::on_tokens_wanted(control_note& it)
+{
+    auto const& wanted = std::get<tokens_wanted>(it);
+    context_.threads[wanted.thread]->post(traffic::tokens_granted{
+        wanted.ask.workspace, wanted.ask.waiting + wanted.ask.spent + 100,
+        read_clock() + std::chrono::seconds(1)});
+}
+
+void control_thread::on_connections_used(control_note& /*it*/)
+{
+}
+
+void control_thread::on_metrics(control_note& it)
+{
+    auto& published = std::get<metrics_published>(it);
+    metrics_[published.thread] = std::move(published.metrics);
+}
+
+void control_thread::on_admin_call(control_note& it)
+{
+    auto& call = std::get<admin_call>(it);
+    auto const id = ++last_call_;
+    auto const parsed = admin::parse_command(call.text);
+    auto const now = read_clock();
+    calls_[id] = {std::move(call), now + call_timeout};
+    if (!parsed)
+        return answer_call(
+            id, make_error("42601", admin::to_string(parsed.error())));
+    if (auto const* withdraw =
+            std::get_if<admin::withdraw_key>(&parsed.value()))
+        lease_->deny(withdraw->digest);
+    if (auto const* show = std::get_if<admin::show>(&parsed.value());
+        show != nullptr && show->subject == admin::show_subject::metrics)
+        return answer_call(id, show_metrics());
+    if (std::holds_alternative<admin::stop>(parsed.value()))
+    {
+        answer_call(id, make_reply(encode(admin::change_answer{
+                            admin::change_outcome::accepted, 0, {}, {}, {}})));
+        return start_drain();
+    }
+    send_call(id);
+}
+
+void control_thread::send_call(std::uint64_t id)
+{
+    to_leader(messages::admin_request{id, calls_.at(id).call.text});
+    resends_.set(id, read_clock() + call_retry);
+}
+
+void control_thread::expire_calls(instant now)
+{
+    while (auto const id = resends_.pop_due(now))
+    {
+        if (calls_.at(*id).deadline <= now)
+            answer_call(*id, make_error("08007", "no control host has "
+                                                 "answered; the outcome is "
+                                                 "unknown"));
+        else
+            send_call(*id);
+    }
+}
+
+void control_thread::answer_call(std::uint64_t id, messages::admin_reply reply)
+{
+    auto const found = calls_.find(id);
+    if (found == calls_.end())
+        return;
+    auto const& call = found->second.call;
+    context_.threads[call.thread]->post(
+        admin_answer{call.session, std::move(reply)});
+    resends_.erase(id);
+    calls_.erase(found);
+}
+
+messages::admin_reply control_thread::show_metrics() const
+{
+    std::vector<admin::metric_row> rows;
+    traffic_metrics sum;
+    for (auto const& it : metrics_)
+    {
+        auto const& c = it.counts;
+        sum.clients += it.clients;
+        sum.counts.sessions += c.sessions;
+        sum.counts.connections += c.connections;
+        sum.counts.reads_at_replicas += c.reads_at_replicas;
+        sum.counts.reads_at_primaries += c.reads_at_primaries;
+        sum.counts.writes += c.writes;
+        sum.counts.refused_not_run += c.refused_not_run;
+        sum.counts.outcome_unknown += c.outcome_unknown;
+        sum.counts.silent_connections += c.silent_connections;
+        sum.counts.connections_opened += c.connections_opened;
+        sum.reads += it.reads;
+        sum.writes += it.writes;
+    }
+    auto const add = [&rows](char const* name, std::string labels, auto value)
+    {
+        rows.push_back({name, std::move(labels), std::to_string(value)});
+    };
+    add("clients", "", sum.clients);
+    add("sessions", "", sum.counts.sessions);
+    add("server_connections", "", sum.counts.connections);
+    add("server_connections_opened_total", "", sum.counts.connections_opened);
+    add("silent_connections_total", "", sum.counts.silent_connections);
+    add("reads_total", "server=replica", sum.counts.reads_at_replicas);
+    add("reads_total", "server=primary", sum.counts.reads_at_primaries);
+    add("writes_total", "", sum.counts.writes);
+    add("refused_total", "outcome=not_run", sum.counts.refused_not_run);
+    add("refused_total", "outcome=unknown", sum.counts.outcome_unknown);
+    add("decisions_dropped_total", "", context_.decisions->dropped());
+    auto const add_times =
+        [&rows](char const* name, telemetry::latency_histogram const& it)
+    {
+        for (auto const& [label, share] :
+             {std::pair("quantile=0.5", 0.5), std::pair("quantile=0.99", 0.99)})
+            rows.push_back({name, label, milliseconds(it.quantile(share))});
+        rows.push_back({name, "count", std::to_string(it.count())});
+    };
+    add_times("read_ms", sum.reads);
+    add_times("write_ms", sum.writes);
+    return make_reply(encode(rows));
+}
+
+void control_thread::on_stop(control_note& /*it*/)
+{
+    start_drain();
+}
+
+// The balancer has to see the end of the listener before sessions end, so the
+// phases are: listener closed, sessions drained, lease given back.
+void control_thread::start_drain()
+{
+    if (drain_ != drain_phase::none)
+        return;
+    LOG(INFO) << "event=drain_started";
+    drain_ = drain_phase::draining;
+    drain_deadline_ = read_clock() + context_.settings.durations.drain_deadline;
+    for (auto* thread : context_.threads)
+        thread->post(drain_requested{});
+}
+
+void control_thread::on_drained(control_note& /*it*/)
+{
+    ++drained_threads_;
+}
+
+void control_thread::follow_drain(instant now)
+{
+    if (drain_ != drain_phase::draining ||
+        (drained_threads_ < context_.threads.size() && now < drain_deadline_))
+        return;
+    LOG(INFO) << "event=drained";
+    lease_->stop();
+    lease_->tick(now);
+    deliver_local();
+    drain_ = drain_phase::done;
+}
+
+} // namespace basilreach::daemon
--- a/packages/daemon/src/event_loop.cpp
+++ b/packages/daemon/src/event_loop.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <chrono>
 
+#include <ace/ACE.h>
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/Time_Value.h>
 
@@ -12,8 +13,16 @@
 namespace
 {
 
-// File handles that one reactor can serve.
-constexpr std::size_t handle_limit = 65'536;
+// File handles that one reactor can serve. The reactor refuses to open when
+// this exceeds the limit of the process, which is raised as far as allowed.
+constexpr int wanted_handles = 65'536;
+
+std::size_t handle_limit()
+{
+    ACE::set_handle_limit(-1);
+    return static_cast<std::size_t>(
+        std::min(wanted_handles, ACE::max_handles()));
+}
 
 // Handlers run before the decisions get their turn. One handler runs for each
 // call of the reactor, so a tick would otherwise follow each single message.
@@ -31,19 +40,18 @@
 }
 
 event_loop::event_loop()
-    : reactor_(new ACE_Dev_Poll_Reactor(handle_limit), true)
+    : reactor_(new ACE_Dev_Poll_Reactor(handle_limit()), true)
 {
 }
 
 void event_loop::run_once(instant deadline)
 {
     auto const now = read_clock();
-    auto const wait =
-        deadline <= now ? duration::zero()
-                        : std::min<duration>(deadline - now, longest_wait);
+    auto const wait = deadline <= now
+                          ? duration::zero()
+                          : std::min<duration>(deadline - now, longest_wait);
     // Rounded up: waking early would only lead to another wait.
-    auto const us =
-        std::chrono::ceil<std::chrono::microseconds>(wait).count();
+    auto const us = std::chrono::ceil<std::chrono::microseconds>(wait).count();
     ACE_Time_Value time(static_cast<time_t>(us / 1'000'000),
                         static_cast<suseconds_t>(us % 1'000'000));
     if (reactor_.handle_events(time) <= 0)
--- /dev/null
+++ b/packages/daemon/src/lease_client.cpp
@@ -0,0 +1,168 @@
+#include <basilreach/daemon/lease_client.hpp>
+
+#include <chrono>
+#include <utility>
+
+#include <easylogging++.h>
+
+#include <basilreach/daemon/view_builder.hpp>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+control::lease_settings lease_settings_of(settings::daemon_settings const& it)
+{
+    control::lease_settings out;
+    out.lease = it.durations.control_lease;
+    out.renewal = it.durations.lease_renewal;
+    return out;
+}
+
+// Differs for each start of a daemon on the same host.
+std::uint64_t make_incarnation()
+{
+    return static_cast<std::uint64_t>(
+        std::chrono::system_clock::now().time_since_epoch().count());
+}
+
+} // namespace
+
+// Indexed by the alternatives of control::holder_output.
+lease_client::output_handler const lease_client::output_handlers[] = {
+    &lease_client::on_renewal, &lease_client::on_return,
+    &lease_client::on_adopt, &lease_client::on_refused,
+    &lease_client::on_lease};
+
+lease_client::lease_client(
+    daemon_context const& context,
+    std::function<void(messages::message const&)> to_leader,
+    instant now)
+    : context_(context), to_leader_(std::move(to_leader)),
+      holder_(context.settings.name,
+              context.settings.data_centre,
+              make_incarnation(),
+              context.threads.size(),
+              lease_settings_of(context.settings),
+              now),
+      state_(make_rules_parser()), last_grant_(now)
+{
+    static_assert(std::size(output_handlers) ==
+                  std::variant_size_v<control::holder_output>);
+}
+
+void lease_client::post(traffic::event const& it) const
+{
+    for (auto* thread : context_.threads)
+        thread->post(it);
+}
+
+void lease_client::receive(control::grant_lease const& it)
+{
+    last_grant_ = read_clock();
+    leader_revision_ = it.revision;
+    holder_.receive(it);
+    if (it.revision > state_.revision())
+        to_leader_(
+            messages::subscribe{context_.settings.name, state_.revision()});
+}
+
+void lease_client::receive(messages::state_update const& it)
+{
+    auto const before = state_.revision();
+    if (it.snapshot && it.snapshot->revision > before)
+    {
+        auto restored =
+            control::control_state::restore(*it.snapshot, make_rules_parser());
+        if (restored)
+            state_ = std::move(restored.value());
+    }
+    for (auto const& [index, entry] : it.commands)
+        if (index > state_.revision())
+            (void)state_.apply(index, entry);
+    if (state_.revision() > before)
+        holder_.receive(control::state_offered{state_.revision()});
+}
+
+void lease_client::follow(control::control_state const& state)
+{
+    if (state.revision() <= state_.revision())
+        return;
+    state_ = state;
+    holder_.receive(control::state_offered{state_.revision()});
+}
+
+void lease_client::receive(view_adopted const& it)
+{
+    holder_.receive(control::adopted{it.thread, it.revision});
+}
+
+void lease_client::receive(traffic::term_ended const& it)
+{
+    if (it.acknowledged)
+        holder_.receive(
+            control::write_acknowledged{it.group, *it.acknowledged});
+}
+
+void lease_client::deny(control::key_digest const& key)
+{
+    if (denied_.insert(key).second)
+        publish();
+}
+
+void lease_client::stop()
+{
+    holder_.receive(control::stop_requested{});
+}
+
+void lease_client::tick(instant now)
+{
+    for (auto const& it : holder_.tick(now))
+        (this->*output_handlers[it.index()])(it);
+}
+
+void lease_client::publish()
+{
+    auto const view = build_view(state_, denied_);
+    post(traffic::control_changed{view});
+    for (auto const& [name, group] : view->groups)
+        if (group.primary)
+            holder_.receive(control::group_serving{name});
+}
+
+void lease_client::on_renewal(control::holder_output const& it)
+{
+    to_leader_(std::get<control::lease_renewal>(it));
+    // A daemon that has no state yet learns the leader's revision only from a
+    // grant, and gets a grant only with the leader's state.
+    if (state_.revision() < leader_revision_ || state_.revision() == 0)
+        to_leader_(
+            messages::subscribe{context_.settings.name, state_.revision()});
+}
+
+void lease_client::on_return(control::holder_output const& it)
+{
+    to_leader_(std::get<control::lease_returned>(it));
+}
+
+void lease_client::on_adopt(control::holder_output const& /*it*/)
+{
+    publish();
+}
+
+void lease_client::on_refused(control::holder_output const& it)
+{
+    auto const& refused = std::get<control::state_refused>(it);
+    LOG(WARNING) << "event=old_state_refused revision=" << refused.revision
+                 << " served=" << refused.served;
+}
+
+void lease_client::on_lease(control::holder_output const& it)
+{
+    post(traffic::lease_changed{
+        std::get<control::lease_updated>(it).valid_until});
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/src/link_table.cpp
@@ -0,0 +1,97 @@
+#include <basilreach/daemon/link_table.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// Pause between two attempts to reach a control host.
+constexpr duration reconnect_pause = std::chrono::milliseconds(100);
+
+} // namespace
+
+consensus::host_name make_host_name(settings::control_host const& it)
+{
+    return consensus::host_name(it.name.str() + '=' + it.address);
+}
+
+std::string address_of(consensus::host_name const& it)
+{
+    return it.str().substr(it.str().find('=') + 1);
+}
+
+link_table::link_table(event_loop& loop, receiver received)
+    : loop_(loop), received_(std::move(received)),
+      listener_(loop, [this](ACE_SOCK_Stream it) { accept(it); })
+{
+}
+
+bool link_table::listen(std::string const& address)
+{
+    return listener_.open(address);
+}
+
+std::unique_ptr<message_link> link_table::make_link(link_id id)
+{
+    link_observer it;
+    it.opened = [] {
+    };
+    it.received = [this, id](messages::message m)
+    {
+        received_(id, std::move(m));
+    };
+    it.closed = [this, id]
+    {
+        closed_.push_back(id);
+    };
+    return std::make_unique<message_link>(loop_, std::move(it));
+}
+
+void link_table::accept(ACE_SOCK_Stream stream)
+{
+    auto const id = ++last_id_;
+    auto const& link = links_.emplace(id, make_link(id)).first->second;
+    link->accept(stream);
+}
+
+void link_table::send(consensus::host_name const& to,
+                      messages::message const& it)
+{
+    auto& row = outgoing_[to];
+    auto const link = links_.find(row.link);
+    if (link != links_.end())
+        return link->second->send(it);
+    auto const now = read_clock();
+    if (now < row.next_attempt)
+        return;
+    row.next_attempt = now + reconnect_pause;
+    row.link = ++last_id_;
+    auto const& opened =
+        links_.emplace(row.link, make_link(row.link)).first->second;
+    opened->connect(address_of(to));
+}
+
+void link_table::send(link_id to, messages::message const& it)
+{
+    auto const link = links_.find(to);
+    if (link != links_.end())
+        link->second->send(it);
+}
+
+bool link_table::is_open(link_id id) const
+{
+    auto const link = links_.find(id);
+    return link != links_.end() && link->second->is_open();
+}
+
+void link_table::remove_closed()
+{
+    for (auto const id : std::exchange(closed_, {}))
+        links_.erase(id);
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/src/main.cpp
@@ -0,0 +1,147 @@
+#include <csignal>
+#include <iostream>
+#include <memory>
+#include <thread>
+#include <vector>
+
+#include <ace/ACE.h>
+#include <ace/Init_ACE.h>
+#include <easylogging++.h>
+#include <gflags/gflags.h>
+
+#include <basilreach/daemon/control_thread.hpp>
+#include <basilreach/daemon/traffic_thread.hpp>
+#include <basilreach/settings/parse.hpp>
+#include <basilreach/telemetry/decision_log.hpp>
+#include <basilreach/telemetry/log_output.hpp>
+
+DEFINE_string(settings, "", "path of the settings file, JSON with comments");
+DEFINE_bool(check_settings, false, "check the settings file and exit");
+DEFINE_bool(join,
+            false,
+            "start with an empty data directory as a control host that the "
+            "leader adds, instead of as a member of a new cluster");
+
+namespace
+{
+
+using namespace basilreach;
+
+constexpr char usage[] =
+    "database proxy with session consistency\n\n"
+    "  basilreachd --settings=FILE [--check_settings] [--join]\n\n"
+    "Exit status: 0 stopped as asked, 1 cannot start or go on, 2 usage or "
+    "settings.";
+
+constexpr int exit_failure = 1;
+constexpr int exit_usage = 2;
+
+template <class Value>
+std::optional<Value> report(result<Value, settings::settings_errors> loaded)
+{
+    if (loaded)
+        return std::move(loaded.value());
+    for (auto const& it : loaded.error())
+        std::cerr << settings::to_string(it) << '\n';
+    return std::nullopt;
+}
+
+telemetry::log_threshold threshold_of(settings::log_level it)
+{
+    return static_cast<telemetry::log_threshold>(it);
+}
+
+// Signals are taken by one thread that waits for them, so that no handler runs
+// in the middle of anything.
+void block_signals(sigset_t& set)
+{
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    pthread_sigmask(SIG_BLOCK, &set, nullptr);
+    std::signal(SIGPIPE, SIG_IGN);
+}
+
+int run(daemon::daemon_context& context)
+{
+    sigset_t signals;
+    block_signals(signals);
+    telemetry::decision_log decisions;
+    context.decisions = &decisions;
+    daemon::control_thread control(context);
+    context.control = &control.notes();
+    std::vector<std::unique_ptr<daemon::traffic_thread>> threads;
+    for (std::size_t n = 0; n != context.settings.traffic_threads; ++n)
+    {
+        threads.push_back(std::make_unique<daemon::traffic_thread>(n, context));
+        context.threads.push_back(threads.back().get());
+    }
+    if (!threads.front()->listen(context.settings.client_listen))
+    {
+        LOG(ERROR) << "event=cannot_listen address="
+                   << context.settings.client_listen;
+        return exit_failure;
+    }
+    auto error = control.start(FLAGS_join);
+    if (error != daemon::daemon_error::none)
+    {
+        LOG(ERROR) << "event=cannot_start code=" << static_cast<int>(error);
+        return exit_failure;
+    }
+    for (auto const& it : threads)
+        it->start();
+    std::thread waiter(
+        [&signals, &control]
+        {
+            int number = 0;
+            sigwait(&signals, &number);
+            control.notes().push(daemon::stop_requested{});
+        });
+    LOG(INFO) << "event=started daemon=" << context.settings.name.str()
+              << " address=" << context.settings.client_listen;
+    error = control.run();
+    for (auto const& it : threads)
+        it->post(daemon::thread_stop{});
+    for (auto const& it : threads)
+        it->join();
+    // Ends the waiter when the stop came from the admin console.
+    pthread_kill(waiter.native_handle(), SIGTERM);
+    waiter.join();
+    LOG(INFO) << "event=stopped";
+    return error == daemon::daemon_error::none ? 0 : exit_failure;
+}
+
+} // namespace
+
+int main(int argc, char* argv[])
+{
+    gflags::SetUsageMessage(usage);
+    gflags::SetVersionString(BASILREACH_VERSION);
+    gflags::ParseCommandLineFlags(&argc, &argv, true);
+    if (FLAGS_settings.empty() || argc > 1)
+    {
+        std::cerr << usage << '\n';
+        return exit_usage;
+    }
+    daemon::daemon_context context;
+    auto loaded = report(settings::load_daemon_settings(FLAGS_settings));
+    if (!loaded)
+        return exit_usage;
+    context.settings = std::move(*loaded);
+    if (context.settings.backend_credential_file)
+    {
+        auto credential = report(settings::load_backend_credential(
+            *context.settings.backend_credential_file));
+        if (!credential)
+            return exit_usage;
+        context.credential = std::move(*credential);
+    }
+    if (FLAGS_check_settings)
+        return 0;
+    ACE::init();
+    telemetry::set_log_output(context.settings.log.directory,
+                              threshold_of(context.settings.log.level));
+    auto const status = run(context);
+    ACE::fini();
+    return status;
+}
--- /dev/null
+++ b/packages/daemon/src/message_link.cpp
@@ -0,0 +1,184 @@
+#include <basilreach/daemon/message_link.hpp>
+
+#include <array>
+#include <utility>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Connector.h>
+#include <easylogging++.h>
+#include <netinet/tcp.h>
+
+#include <basilreach/messages/codec.hpp>
+#include <basilreach/settings/endpoint.hpp>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+constexpr std::size_t receive_bytes = std::size_t{64} << 10U;
+
+// Bytes that wait for a peer that does not read. A snapshot fits in.
+constexpr std::size_t send_limit = std::size_t{64} << 20U;
+
+void set_no_delay(ACE_SOCK_Stream& stream)
+{
+    int on = 1;
+    stream.set_option(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+}
+
+} // namespace
+
+message_link::message_link(event_loop& loop, link_observer observer)
+    : loop_(loop), observer_(std::move(observer))
+{
+}
+
+message_link::~message_link()
+{
+    close();
+}
+
+ACE_HANDLE message_link::get_handle() const
+{
+    return stream_.get_handle();
+}
+
+void message_link::accept(ACE_SOCK_Stream stream)
+{
+    stream_ = stream;
+    stream_.enable(ACE_NONBLOCK);
+    set_no_delay(stream_);
+    is_open_ = true;
+    is_registered_ = true;
+    loop_.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
+}
+
+void message_link::connect(std::string const& address)
+{
+    auto const endpoint = settings::parse_endpoint(address);
+    if (!endpoint)
+        return lose();
+    ACE_INET_Addr const remote(endpoint->port, endpoint->ip.c_str());
+    ACE_SOCK_Connector connector;
+    ACE_Time_Value none(0, 0);
+    if (connector.connect(stream_, remote, &none) != 0 &&
+        errno != EWOULDBLOCK && errno != EINPROGRESS)
+        return lose();
+    stream_.enable(ACE_NONBLOCK);
+    is_registered_ = true;
+    waits_to_write_ = true;
+    loop_.reactor().register_handler(this, ACE_Event_Handler::READ_MASK |
+                                               ACE_Event_Handler::WRITE_MASK);
+}
+
+void message_link::finish_connecting()
+{
+    int error = 0;
+    int n = sizeof(error);
+    if (stream_.get_option(SOL_SOCKET, SO_ERROR, &error, &n) != 0 || error != 0)
+        return lose();
+    set_no_delay(stream_);
+    is_open_ = true;
+    observer_.opened();
+}
+
+int message_link::handle_input(ACE_HANDLE /*handle*/)
+{
+    static thread_local std::array<char, receive_bytes> buf;
+    auto const n = stream_.recv(buf.data(), buf.size());
+    if (n < 0 && (errno == EWOULDBLOCK || errno == EINTR))
+        return 0;
+    if (n <= 0)
+    {
+        lose();
+        return 0;
+    }
+    reader_.feed({buf.data(), static_cast<std::size_t>(n)});
+    read_frames();
+    return 0;
+}
+
+void message_link::read_frames()
+{
+    while (is_open_)
+    {
+        auto frame = reader_.next();
+        if (!frame)
+            return lose();
+        if (!frame.value())
+            return;
+        auto it = messages::decode(*frame.value());
+        if (!it)
+        {
+            LOG(WARNING) << "event=malformed_message code="
+                         << static_cast<int>(it.error());
+            return lose();
+        }
+        observer_.received(std::move(it.value()));
+    }
+}
+
+int message_link::handle_output(ACE_HANDLE /*handle*/)
+{
+    if (!is_open_)
+        finish_connecting();
+    if (is_open_)
+        write();
+    return 0;
+}
+
+void message_link::send(messages::message const& it)
+{
+    if (!is_open_)
+        return;
+    auto const bytes = messages::encode(it);
+    if (out_.size() + bytes.size() > send_limit)
+        return;
+    messages::append_frame(out_, bytes);
+    if (!waits_to_write_)
+        write();
+}
+
+void message_link::write()
+{
+    std::size_t sent = 0;
+    while (sent < out_.size())
+    {
+        auto const n = stream_.send(out_.data() + sent, out_.size() - sent);
+        if (n < 0 && errno == EINTR)
+            continue;
+        if (n <= 0)
+            break;
+        sent += static_cast<std::size_t>(n);
+    }
+    if (sent < out_.size() && errno != EWOULDBLOCK)
+        return lose();
+    out_.erase(0, sent);
+    bool const waits = !out_.empty();
+    if (waits == std::exchange(waits_to_write_, waits))
+        return;
+    if (waits)
+        loop_.reactor().schedule_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+    else
+        loop_.reactor().cancel_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+}
+
+void message_link::close()
+{
+    if (std::exchange(is_registered_, false))
+        loop_.reactor().remove_handler(this,
+                                       ACE_Event_Handler::ALL_EVENTS_MASK |
+                                           ACE_Event_Handler::DONT_CALL);
+    is_open_ = false;
+    stream_.close();
+}
+
+void message_link::lose()
+{
+    close();
+    observer_.closed();
+}
+
+} // namespace basilreach::daemon
--- a/packages/daemon/src/server_connection.cpp
+++ b/packages/daemon/src/server_connection.cpp
@@ -87,12 +87,9 @@
 
 // Indexed by step.
 server_connection::step_handler const server_connection::step_handlers[] = {
-    &server_connection::on_claim,
-    &server_connection::on_prepare,
-    &server_connection::on_statement,
-    &server_connection::on_statement_sync,
-    &server_connection::on_position,
-    &server_connection::on_position_sync};
+    &server_connection::on_claim,     &server_connection::on_prepare,
+    &server_connection::on_statement, &server_connection::on_statement_sync,
+    &server_connection::on_position,  &server_connection::on_position_sync};
 
 server_connection::server_connection(
     event_loop& loop,
@@ -118,9 +115,8 @@
         return lose();
     auto const port = std::to_string(endpoint->port);
     std::array<char const*, 9> const keywords = {
-        "hostaddr", "port",           "user",    "password",
-        "dbname",   "gssencmode",     "sslmode", "options",
-        nullptr};
+        "hostaddr",   "port",    "user",    "password", "dbname",
+        "gssencmode", "sslmode", "options", nullptr};
     std::array<char const*, 9> const values = {
         endpoint->ip.c_str(),
         port.c_str(),
@@ -232,9 +228,7 @@
                                      it.parameter_types.end());
         expect(step::prepare);
         expect(step::statement);
-        return PQsendPrepare(connection_,
-                             "",
-                             it.text.c_str(),
+        return PQsendPrepare(connection_, "", it.text.c_str(),
                              static_cast<int>(types.size()),
                              types.data()) != 0 &&
                PQsendDescribePrepared(connection_, "") != 0;
@@ -250,13 +244,10 @@
     }
     bound_values const bound(it);
     expect(step::statement);
-    return PQsendQueryParams(connection_,
-                             it.text.c_str(),
+    return PQsendQueryParams(connection_, it.text.c_str(),
                              static_cast<int>(bound.values.size()),
-                             bound.types.data(),
-                             bound.values.data(),
-                             bound.lengths.data(),
-                             bound.formats.data(),
+                             bound.types.data(), bound.values.data(),
+                             bound.lengths.data(), bound.formats.data(),
                              it.result_format) != 0;
 }
 
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -32,7 +32,6 @@
     out.replica_wait = it.durations.replica_wait;
     out.probe_after = it.durations.probe_after;
     out.queue_limit = it.limits.queue_per_workspace;
-    out.initial_connections = 0;
     return out;
 }
 
@@ -41,20 +40,19 @@
                                        "refuse"};
 
 // Indexed by traffic::decision_reason.
-constexpr std::array reason_names = {
-    "pinned_transaction",
-    "primary_for_write",
-    "primary_without_position",
-    "primary_no_replica_qualifies",
-    "least_loaded_replica",
-    "no_primary",
-    "no_server",
-    "position_not_reached",
-    "tokens_missing",
-    "lease_missing",
-    "majority_reached",
-    "read_answer",
-    "refused"};
+constexpr std::array reason_names = {"pinned_transaction",
+                                     "primary_for_write",
+                                     "primary_without_position",
+                                     "primary_no_replica_qualifies",
+                                     "least_loaded_replica",
+                                     "no_primary",
+                                     "no_server",
+                                     "position_not_reached",
+                                     "tokens_missing",
+                                     "lease_missing",
+                                     "majority_reached",
+                                     "read_answer",
+                                     "refused"};
 
 static_assert(decision_names.size() ==
               static_cast<std::size_t>(traffic::decision_kind::refuse) + 1);
@@ -120,8 +118,8 @@
     {
         stream.enable(ACE_NONBLOCK);
         int const on = 1;
-        stream.set_option(IPPROTO_TCP, TCP_NODELAY,
-                          const_cast<int*>(&on), sizeof(on));
+        stream.set_option(IPPROTO_TCP, TCP_NODELAY, const_cast<int*>(&on),
+                          sizeof(on));
         accepted_(stream);
     }
     return 0;
@@ -152,28 +150,38 @@
 {
     owner_.loop = &loop_;
     owner_.authenticate = [this](auto database, auto key)
-    { return authenticate(database, key); };
+    {
+        return authenticate(database, key);
+    };
     owner_.is_known = [this](std::string_view database)
     {
         return database == rules::admin_console_name ||
                view_->routes.contains(route_name(database));
     };
-    owner_.ready = [this](client_connection& it) { hand_over(it); };
+    owner_.ready = [this](client_connection& it)
+    {
+        hand_over(it);
+    };
     owner_.submit = [this](client_connection& it, traffic::statement_verb verb)
     {
         engine_.push(traffic::statement_received{
             traffic::session_id{it.session()}, verb});
     };
-    owner_.token_presented = [this](client_connection& it, log_position position)
+    owner_.token_presented =
+        [this](client_connection& it, log_position position)
     {
         engine_.push(traffic::token_presented{traffic::session_id{it.session()},
                                               position});
     };
-    owner_.admin = [this](client_connection& it, std::string text) {
+    owner_.admin = [this](client_connection& it, std::string text)
+    {
         context_.control->push(
             admin_call{index_, it.session(), std::move(text)});
     };
-    owner_.closed = [this](client_connection& it) { close_client(it); };
+    owner_.closed = [this](client_connection& it)
+    {
+        close_client(it);
+    };
 }
 
 bool traffic_thread::listen(std::string const& address)
@@ -344,9 +352,8 @@
     auto owned = std::move(found->second);
     strangers_.erase(found);
     client.detach();
-    auto const target = client.identity().is_admin
-                            ? index_
-                            : owner_of(client.identity().group);
+    auto const target =
+        client.identity().is_admin ? index_ : owner_of(client.identity().group);
     context_.threads[target]->post(client_handed_over{std::move(owned)});
 }
 
@@ -394,8 +401,14 @@
 server_observer traffic_thread::observe(traffic::connection_id id)
 {
     server_observer it;
-    it.opened = [this, id] { engine_.push(traffic::connection_opened{id}); };
-    it.lost = [this, id] { engine_.push(traffic::connection_failed{id}); };
+    it.opened = [this, id]
+    {
+        engine_.push(traffic::connection_opened{id});
+    };
+    it.lost = [this, id]
+    {
+        engine_.push(traffic::connection_failed{id});
+    };
     it.position_read = [this, id](std::optional<log_position> position)
     {
         if (position)
--- /dev/null
+++ b/packages/daemon/src/view_builder.cpp
@@ -0,0 +1,77 @@
+#include <basilreach/daemon/view_builder.hpp>
+
+#include <utility>
+
+#include <basilreach/rules/parse.hpp>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+void add_servers(control::control_parts const& parts,
+                 traffic::control_view& view)
+{
+    for (auto const& [name, it] : parts.servers)
+        if (!it.is_removed)
+            view.servers.emplace(
+                name, traffic::server_view{it.group, it.data_centre, it.address,
+                                           it.health == control::verdict::down,
+                                           it.is_leaving});
+}
+
+void add_groups(control::control_state const& state,
+                traffic::control_view& view)
+{
+    for (auto const& [name, it] : state.parts().groups)
+    {
+        traffic::group_view group;
+        group.term = it.term;
+        if (it.phase == control::group_phase::serving)
+            group.primary = it.primary;
+        // Until a chosen server has accepted its term, replicas still show
+        // the previous one.
+        if (it.phase == control::group_phase::choosing && it.term > 0)
+            group.term = it.term - 1;
+        auto const& limits = state.rules()->server_limits;
+        auto const limit = limits.find(name);
+        if (limit != limits.end())
+            group.slots = limit->second.slots;
+        view.groups.emplace(name, group);
+    }
+}
+
+} // namespace
+
+traffic::control_view_ptr
+build_view(control::control_state const& state,
+           std::set<control::key_digest> const& denied)
+{
+    auto view = std::make_shared<traffic::control_view>();
+    view->revision = state.revision();
+    view->routes = state.rules()->routes;
+    view->keys = state.rules()->keys;
+    for (auto const& it : denied)
+        view->keys.erase(it);
+    add_servers(state.parts(), *view);
+    add_groups(state, *view);
+    return view;
+}
+
+control::rules_parser make_rules_parser()
+{
+    return [](std::string_view text)
+               -> result<rules::rule_set, control::rules_errors>
+    {
+        auto parsed = rules::parse_rules(text);
+        if (parsed)
+            return std::move(parsed.value());
+        control::rules_errors errors;
+        for (auto const& it : parsed.error())
+            errors.lines.push_back(rules::to_string(it));
+        return errors;
+    };
+}
+
+} // namespace basilreach::daemon
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -281,8 +281,8 @@
     std::optional<server_name> name;
     if (server)
         name = s.servers.find(*server)->name;
-    s.actions.emplace_back(
-        log_decision{s.sessions.find(request.session)->id, kind, reason, name});
+    s.actions.emplace_back(log_decision{s.sessions.find(request.session)->id,
+                                        request.number, kind, reason, name});
 }
 
 } // namespace basilreach::traffic::detail
