--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -118,7 +118,7 @@
     void make_owner();
     void accept(ACE_SOCK_Stream stream);
     void open_session(client_connection& client);
-    void hand_over(client_connection& client);
+    void hand_over(client_connection* key);
     void close_client(client_connection& client);
     void publish_metrics(instant now);
     [[nodiscard]] client_connection* find_client(std::uint64_t session);
@@ -141,6 +141,7 @@
     // Clients that have not been authenticated.
     std::unordered_map<client_connection*, std::unique_ptr<client_connection>>
         strangers_;
+    std::vector<client_connection*> authenticated_;
     std::unordered_map<traffic::connection_id, server_slot> servers_;
     // Handlers that may be on the stack are destroyed after the tick.
     std::vector<std::unique_ptr<ACE_Event_Handler>> retired_;
--- a/packages/daemon/src/event_loop.cpp
+++ b/packages/daemon/src/event_loop.cpp
@@ -5,7 +5,9 @@
 
 #include <ace/ACE.h>
 #include <ace/Dev_Poll_Reactor.h>
+#include <ace/OS_NS_unistd.h>
 #include <ace/Time_Value.h>
+#include <sys/timerfd.h>
 
 namespace basilreach::daemon
 {
@@ -28,9 +30,6 @@
 // call of the reactor, so a tick would otherwise follow each single message.
 constexpr int handler_batch = 128;
 
-// Longest sleep; bounds the effect of a deadline computed from a wrong time.
-constexpr duration longest_wait = std::chrono::seconds(1);
-
 } // namespace
 
 instant read_clock()
@@ -39,29 +38,76 @@
         std::chrono::steady_clock::now().time_since_epoch()));
 }
 
+wake_timer::wake_timer(ACE_Reactor& reactor)
+    : handle_(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
+{
+    ACE_Event_Handler::reactor(&reactor);
+    reactor.register_handler(this, ACE_Event_Handler::READ_MASK);
+}
+
+wake_timer::~wake_timer()
+{
+    reactor()->remove_handler(this, ACE_Event_Handler::ALL_EVENTS_MASK |
+                                        ACE_Event_Handler::DONT_CALL);
+    ACE_OS::close(handle_);
+}
+
+void wake_timer::set(instant deadline)
+{
+    if (deadline == deadline_)
+        return;
+    deadline_ = deadline;
+    itimerspec time{};
+    if (deadline != never)
+    {
+        // A time of zero would disarm the timer.
+        auto const ns = std::max<duration::rep>(
+            1, deadline.time_since_epoch().count());
+        time.it_value.tv_sec = ns / std::nano::den;
+        time.it_value.tv_nsec = ns % std::nano::den;
+    }
+    timerfd_settime(handle_, TFD_TIMER_ABSTIME, &time, nullptr);
+}
+
+int wake_timer::handle_input(ACE_HANDLE /*handle*/)
+{
+    std::uint64_t expirations = 0;
+    (void)ACE_OS::read(handle_, &expirations, sizeof(expirations));
+    deadline_ = never;
+    return 0;
+}
+
+ACE_HANDLE wake_timer::get_handle() const
+{
+    return handle_;
+}
+
 event_loop::event_loop()
-    : reactor_(new ACE_Dev_Poll_Reactor(handle_limit()), true)
+    : reactor_(new ACE_Dev_Poll_Reactor(handle_limit()), true),
+      timer_(reactor_)
 {
 }
 
 void event_loop::run_once(instant deadline)
 {
-    auto const now = read_clock();
-    auto const wait = deadline <= now
-                          ? duration::zero()
-                          : std::min<duration>(deadline - now, longest_wait);
-    // Rounded up: waking early would only lead to another wait.
-    auto const us = std::chrono::ceil<std::chrono::microseconds>(wait).count();
-    ACE_Time_Value time(static_cast<time_t>(us / 1'000'000),
-                        static_cast<suseconds_t>(us % 1'000'000));
-    if (reactor_.handle_events(time) <= 0)
-        return;
-    for (int n = 1; n < handler_batch; ++n)
+    ACE_Time_Value none(0, 0);
+    if (deadline <= read_clock())
     {
-        ACE_Time_Value none(0, 0);
         if (reactor_.handle_events(none) <= 0)
             return;
     }
+    else
+    {
+        timer_.set(deadline);
+        if (reactor_.handle_events() <= 0)
+            return;
+    }
+    for (int n = 1; n < handler_batch; ++n)
+    {
+        ACE_Time_Value no_wait(0, 0);
+        if (reactor_.handle_events(no_wait) <= 0)
+            return;
+    }
 }
 
 void event_loop::wake()
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -158,9 +158,11 @@
         return database == rules::admin_console_name ||
                view_->routes.contains(route_name(database));
     };
+    // The client is on the stack now; another thread gets it in the next tick.
+    // Handing it over at once let both threads use it, which crashed.
     owner_.ready = [this](client_connection& it)
     {
-        hand_over(it);
+        authenticated_.push_back(&it);
     };
     owner_.submit = [this](client_connection& it, traffic::statement_verb verb)
     {
@@ -227,6 +229,8 @@
     for (auto const& it : engine_.tick(now))
         std::visit([this](auto const& action) { perform(action); }, it);
     context_.decisions->write(decisions_);
+    for (auto* client : std::exchange(authenticated_, {}))
+        hand_over(client);
     retired_.clear();
     publish_metrics(now);
     if (is_draining_ && !is_drained_ && clients_.empty())
@@ -346,11 +350,15 @@
     return std::hash<group_name>{}(group) % context_.threads.size();
 }
 
-void traffic_thread::hand_over(client_connection& client)
+void traffic_thread::hand_over(client_connection* key)
 {
-    auto const found = strangers_.find(&client);
+    auto const found = strangers_.find(key);
+    // The client may have gone since its authentication.
+    if (found == strangers_.end())
+        return;
     auto owned = std::move(found->second);
     strangers_.erase(found);
+    auto& client = *owned;
     client.detach();
     auto const target =
         client.identity().is_admin ? index_ : owner_of(client.identity().group);
