--- /dev/null
+++ b/packages/settings/include/basilreach/settings/read_file.hpp
@@ -0,0 +1,16 @@
+#ifndef BASILREACH_SETTINGS_READ_FILE_HPP
+#define BASILREACH_SETTINGS_READ_FILE_HPP
+
+#include <optional>
+#include <string>
+
+namespace basilreach::settings
+{
+
+// Returns the bytes of a file, or nothing when it cannot be read. A directory
+// cannot be read; it does not count as an empty file.
+[[nodiscard]] std::optional<std::string> read_file(std::string const& file);
+
+} // namespace basilreach::settings
+
+#endif
--- a/packages/settings/src/parse.cpp
+++ b/packages/settings/src/parse.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <array>
 #include <cstddef>
-#include <fstream>
 #include <iterator>
 #include <limits>
 #include <map>
@@ -16,6 +15,7 @@
 #include <basilreach/rules/digest.hpp>
 #include <basilreach/rules/name_syntax.hpp>
 #include <basilreach/settings/endpoint.hpp>
+#include <basilreach/settings/read_file.hpp>
 
 namespace basilreach::settings
 {
@@ -697,13 +697,12 @@
 template <class Value>
 result<Value, settings_errors> load(std::string const& file)
 {
-    std::ifstream in{file, std::ios::binary};
-    std::string const text{std::istreambuf_iterator<char>{in}, {}};
-    if (!in.is_open() || in.bad())
+    auto const text = read_file(file);
+    if (!text)
         return failure(
             settings_errors{{file, std::nullopt, "",
                              settings_reason::unreadable, "a readable file"}});
-    return parse<Value>(file, text);
+    return parse<Value>(file, *text);
 }
 
 } // namespace
--- a/packages/settings/test/parse_test.cpp
+++ b/packages/settings/test/parse_test.cpp
@@ -133,6 +133,15 @@
     CHECK(errors_of("[]") == "1  wrong type\n");
 }
 
+TEST_CASE("the example is an accepted file with both roles")
+{
+    auto const loaded = load_daemon_settings(BASILREACH_SOURCE_DIR
+                                             "/examples/entry_control.json");
+    REQUIRE(loaded.has_value());
+    CHECK(loaded.value().roles.size() == 2);
+    CHECK(loaded.value().control_hosts.size() == 3);
+}
+
 TEST_CASE("an unreadable file is an error and not an empty file")
 {
     auto const loaded = load_daemon_settings("/nonexistent/settings.json");
@@ -140,6 +149,8 @@
     CHECK(to_string(loaded.error().front()) ==
           "/nonexistent/settings.json: unreadable file, expected a readable "
           "file");
+    CHECK(load_daemon_settings("/").error().front().reason ==
+          settings_reason::unreadable);
 }
 
 TEST_CASE("errors of a credential never quote the password")
