cli: Add the command line for operators

Operators reach any daemon through its admin console. Subcommands are a table of argument names, command templates and printers, so each is a thin client of one admin command. The exit status keeps a refusal apart from an unknown outcome. The examples have the sizes of today's users and are checked by tests.

--- /dev/null
+++ b/packages/cli/src/command_line.cpp
@@ -0,0 +1,472 @@
+#include <basilreach/cli/command_line.hpp>
+
+#include <algorithm>
+#include <array>
+#include <cstddef>
+#include <istream>
+#include <iterator>
+#include <ostream>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <basilreach/base/result.hpp>
+#include <basilreach/rules/digest.hpp>
+#include <basilreach/rules/parse.hpp>
+#include <basilreach/rules/print.hpp>
+#include <basilreach/settings/read_file.hpp>
+
+namespace basilreach::cli
+{
+
+namespace
+{
+
+using arguments = std::span<std::string const>;
+
+// A table that a daemon answered, and whether an earlier try of the command
+// may have taken effect.
+struct reply
+{
+    admin::result_table table;
+    bool may_have_run = false;
+};
+
+struct subcommand
+{
+    std::string_view words;
+    // Names of the arguments; optional ones are in brackets.
+    std::string_view parameters;
+    std::string_view help;
+    exit_status (*run)(environment const&, subcommand const&, arguments);
+    // For run == forward: the admin command, where $1 is the first argument,
+    // and the printer of its answer.
+    std::string_view command = {};
+    exit_status (*print)(environment const&, reply const&) = nullptr;
+};
+
+std::vector<std::string_view> split(std::string_view text)
+{
+    std::vector<std::string_view> parts;
+    while (!text.empty())
+    {
+        auto const end = std::min(text.find(' '), text.size());
+        parts.push_back(text.substr(0, end));
+        text.remove_prefix(std::min(end + 1, text.size()));
+    }
+    return parts;
+}
+
+exit_status
+fail(environment const& env, exit_status status, std::string_view message)
+{
+    env.err << "basilreach: " << message << '\n';
+    return status;
+}
+
+// Files
+
+std::optional<std::string> read_file(environment const& env,
+                                     std::string const& file)
+{
+    auto text = settings::read_file(file);
+    if (!text)
+        fail(env, exit_status::usage, "cannot read " + file);
+    return text;
+}
+
+void print_errors(environment const& env,
+                  std::string const& file,
+                  std::vector<rules::rule_error> const& errors)
+{
+    for (auto const& it : errors)
+        env.err << file << ':' << rules::to_string(it) << '\n';
+}
+
+struct rules_file
+{
+    std::string text;
+    rules::rule_set rules;
+};
+
+// Reads and checks a rules file; prints what is wrong with it.
+result<rules_file, exit_status> read_rules(environment const& env,
+                                           std::string const& file)
+{
+    auto text = read_file(env, file);
+    if (!text)
+        return failure(exit_status::usage);
+    auto parsed = rules::parse_rules(*text);
+    if (parsed.has_value())
+        return success(rules_file{*std::move(text), std::move(parsed).value()});
+    print_errors(env, file, parsed.error());
+    return failure(exit_status::refused);
+}
+
+// Answers
+
+exit_status report(environment const& env, rejected const& it, bool /*is_show*/)
+{
+    fail(env, exit_status::refused, it.message + " (" + it.sqlstate + ")");
+    return exit_status::refused;
+}
+
+exit_status
+report(environment const& env, unreachable const& it, bool /*is_show*/)
+{
+    return fail(env, exit_status::no_daemon,
+                "no daemon reached: " + it.message);
+}
+
+exit_status report(environment const& env, lost const& it, bool is_show)
+{
+    if (is_show)
+        return fail(env, exit_status::no_daemon,
+                    "no daemon answered: " + it.message);
+    return fail(env, exit_status::unknown, "outcome unknown: " + it.message);
+}
+
+exit_status
+report(environment const& /*env*/, answered const& /*it*/, bool /*is_show*/)
+{
+    return exit_status::done;
+}
+
+// Sends a command and returns its answer. Every other outcome is
+// printed and returned as the exit status.
+result<reply, exit_status> ask(environment const& env,
+                               admin::admin_command const& command)
+{
+    auto sent = env.submit(command);
+    if (!sent)
+        return failure(exit_status::usage);
+    if (auto* const answer = std::get_if<answered>(&sent->outcome))
+        return success(reply{std::move(answer->table), sent->may_have_run});
+    auto const is_show = std::holds_alternative<admin::show>(command);
+    auto const status =
+        std::visit([&](auto const& it) { return report(env, it, is_show); },
+                   sent->outcome);
+    if (!is_show && sent->may_have_run && status != exit_status::unknown)
+        return failure(fail(env, exit_status::unknown,
+                            "outcome unknown: an earlier try was not "
+                            "answered"));
+    return failure(status);
+}
+
+exit_status unreadable(environment const& env)
+{
+    return fail(env, exit_status::unknown, "the answer cannot be read");
+}
+
+exit_status print_change(environment const& env, reply const& it)
+{
+    using admin::change_outcome;
+    auto const change = admin::decode_change(it.table);
+    if (!change)
+        return unreadable(env);
+    auto const version = std::to_string(change->version);
+    if (change->outcome == change_outcome::accepted ||
+        change->outcome == change_outcome::repeated)
+    {
+        env.out << admin::to_string(change->outcome) << ": version " << version
+                << '\n';
+        return exit_status::done;
+    }
+    std::string message{admin::to_string(change->outcome)};
+    if (change->outcome == change_outcome::conflict)
+        message += ": change " + change->change_id + " has version " + version;
+    if (!change->reason.empty())
+        message += ": " + change->reason;
+    fail(env, exit_status::refused, message);
+    // Only a change of the rules is recognised when it is sent again; after a
+    // lost answer, another command is refused by its own first sending.
+    if (it.may_have_run && change->change_id.empty())
+        return fail(env, exit_status::unknown,
+                    "outcome unknown: an earlier try was not answered");
+    return exit_status::refused;
+}
+
+// Writes a cell so that it stays in its line and column.
+void print_cell(std::ostream& out, std::string_view cell)
+{
+    for (char const c : cell)
+    {
+        constexpr std::string_view special = "\\\t\n";
+        auto const n = special.find(c);
+        if (n == std::string_view::npos)
+            out << c;
+        else
+            out << '\\' << "\\tn"[n];
+    }
+}
+
+template <class Row>
+exit_status print_table(environment const& env, reply const& it)
+{
+    if (!admin::decode_rows<Row>(it.table))
+        return unreadable(env);
+    auto const print_line = [&](std::vector<std::string> const& cells)
+    {
+        for (std::size_t n = 0; n != cells.size(); ++n)
+        {
+            env.out << (n == 0 ? "" : "\t");
+            print_cell(env.out, cells[n]);
+        }
+        env.out << '\n';
+    };
+    print_line(it.table.columns);
+    for (auto const& cells : it.table.rows)
+        print_line(cells);
+    return exit_status::done;
+}
+
+exit_status print_metrics(environment const& env, reply const& it)
+{
+    auto const rows = admin::decode_rows<admin::metric_row>(it.table);
+    if (!rows)
+        return unreadable(env);
+    for (auto const& row : *rows)
+    {
+        env.out << row.name;
+        if (!row.labels.empty())
+            env.out << '{' << row.labels << '}';
+        env.out << ' ' << row.value << '\n';
+    }
+    return exit_status::done;
+}
+
+exit_status print_rules_text(environment const& env, reply const& it)
+{
+    auto const rows = admin::decode_rows<admin::rules_row>(it.table);
+    if (!rows || rows->size() != 1)
+        return unreadable(env);
+    env.out << rows->front().text;
+    env.err << "version " << rows->front().version << '\n';
+    return exit_status::done;
+}
+
+// Subcommands
+
+// Asks for the rules in force; other outcomes are printed.
+result<admin::rules_row, exit_status> current_rules(environment const& env)
+{
+    auto answer = ask(env, admin::show{admin::show_subject::rules});
+    if (answer.has_error())
+        return failure(answer.error());
+    auto const rows =
+        admin::decode_rows<admin::rules_row>(answer.value().table);
+    if (!rows || rows->size() != 1)
+        return failure(unreadable(env));
+    return success(rows->front());
+}
+
+exit_status
+check_rules(environment const& env, subcommand const& /*self*/, arguments args)
+{
+    auto const file = read_rules(env, args[0]);
+    if (file.has_error())
+        return file.error();
+    auto const& it = file.value().rules;
+    env.out << args[0] << ": " << it.workspaces.size() << " workspaces, "
+            << it.keys.size() << " keys, " << it.routes.size() << " routes, "
+            << it.server_limits.size() << " server limits\n";
+    return exit_status::done;
+}
+
+exit_status
+diff_files(environment const& env, subcommand const& /*self*/, arguments args)
+{
+    // The last file is the newer side.
+    auto const after = read_rules(env, args.back());
+    if (after.has_error())
+        return after.error();
+    rules::rule_set before;
+    if (args.size() == 2)
+    {
+        auto const file = read_rules(env, args[0]);
+        if (file.has_error())
+            return file.error();
+        before = file.value().rules;
+    }
+    else
+    {
+        auto const running = current_rules(env);
+        if (running.has_error())
+            return running.error();
+        auto parsed = rules::parse_rules(running.value().text);
+        if (parsed.has_error())
+            return unreadable(env);
+        before = std::move(parsed).value();
+    }
+    for (auto const& it : rules::diff_rules(before, after.value().rules))
+        env.out << rules::to_string(it);
+    return exit_status::done;
+}
+
+exit_status
+apply_file(environment const& env, subcommand const& /*self*/, arguments args)
+{
+    auto file = read_rules(env, args[0]);
+    if (file.has_error())
+        return file.error();
+    auto base = env.base;
+    if (!base)
+    {
+        auto const running = current_rules(env);
+        if (running.has_error())
+            return running.error();
+        base = running.value().version;
+    }
+    auto& text = file.value().text;
+    auto id = rules::change_id_of(*base, text);
+    auto const answer =
+        ask(env, admin::apply_rules{*base, id, std::move(text)});
+    auto status =
+        answer.has_error() ? answer.error() : print_change(env, answer.value());
+    if (answer.has_value())
+        if (auto const change = admin::decode_change(answer.value().table))
+            print_errors(env, args[0], change->errors);
+    // With the same base, the same change is sent again and not a second one.
+    if (status == exit_status::unknown)
+        env.err << "basilreach: to ask again: rules apply --base=" << *base
+                << ' ' << args[0] << '\n';
+    return status;
+}
+
+exit_status digest_key(environment const& env,
+                       subcommand const& /*self*/,
+                       arguments /*args*/)
+{
+    std::string key{std::istreambuf_iterator<char>{env.in}, {}};
+    if (key.ends_with('\n'))
+        key.pop_back();
+    if (key.ends_with('\r'))
+        key.pop_back();
+    if (key.empty() || key.find('\n') != std::string::npos)
+        return fail(env, exit_status::usage,
+                    "standard input must hold one line with the key");
+    env.out << rules::print_digest(rules::digest_of_key(key)) << '\n';
+    return exit_status::done;
+}
+
+// Builds the admin command from its template and sends it.
+exit_status
+forward(environment const& env, subcommand const& self, arguments args)
+{
+    std::string text;
+    // Column of each argument in the text.
+    std::vector<std::size_t> columns;
+    for (auto const word : split(self.command))
+    {
+        text += text.empty() ? "" : " ";
+        if (word.starts_with('$'))
+        {
+            columns.push_back(text.size() + 1);
+            text += admin::quote(args[columns.size() - 1]);
+        }
+        else
+            text += word;
+    }
+    auto const command = admin::parse_command(text);
+    if (command.has_error())
+    {
+        auto const& error = command.error();
+        auto const at = std::find(columns.begin(), columns.end(), error.column);
+        auto const n = static_cast<std::size_t>(at - columns.begin());
+        // The argument is not repeated: it may be a key instead of a digest.
+        return fail(env, exit_status::usage,
+                    n == columns.size()
+                        ? admin::to_string(error)
+                        : std::string{split(self.parameters)[n]} +
+                              ": expected " + error.expected);
+    }
+    auto const answer = ask(env, command.value());
+    return answer.has_error() ? answer.error()
+                              : self.print(env, answer.value());
+}
+
+constexpr auto subcommands = std::to_array<subcommand>({
+    {"rules check", "FILE", "check a rules file", check_rules},
+    {"rules diff", "FILE [FILE2]",
+     "compare two files, or the running system with a file", diff_files},
+    {"rules apply", "FILE", "put a rules file into force", apply_file},
+    {"rules show", "", "print the rules in force", forward, "SHOW RULES",
+     print_rules_text},
+    {"rules history", "", "print the changes of the rules", forward,
+     "SHOW HISTORY", print_table<admin::history_row>},
+    {"key digest", "", "read a key from standard input, print its digest",
+     digest_key},
+    {"key withdraw", "DIGEST", "withdraw a key at once", forward,
+     "WITHDRAW KEY $1", print_change},
+    {"status", "", "print the state of the system", forward, "SHOW STATUS",
+     print_table<admin::status_row>},
+    {"metrics", "", "print the metrics of one daemon", forward, "SHOW METRICS",
+     print_metrics},
+    {"verdict", "SERVER up|down SEQUENCE", "report a server up or down",
+     forward, "VERDICT $1 $2 SEQUENCE $3", print_change},
+    {"server announce", "SERVER GROUP DATA_CENTRE ADDRESS SEQUENCE",
+     "announce a backend server", forward,
+     "ANNOUNCE SERVER $1 GROUP $2 DATA CENTRE $3 ADDRESS $4 SEQUENCE $5",
+     print_change},
+    {"server leaving", "SERVER SEQUENCE", "announce that a server leaves",
+     forward, "ANNOUNCE LEAVING $1 SEQUENCE $2", print_change},
+    {"control add", "NAME ADDRESS DATA_CENTRE", "add a control host", forward,
+     "ADD CONTROL HOST $1 ADDRESS $2 DATA CENTRE $3", print_change},
+    {"control remove", "NAME", "remove a control host", forward,
+     "REMOVE CONTROL HOST $1", print_change},
+    {"stop", "", "stop the daemon, gracefully", forward, "STOP", print_change},
+});
+
+// Returns whether the words start with those of the subcommand.
+bool matches(subcommand const& it, arguments words)
+{
+    auto const expected = split(it.words);
+    return words.size() >= expected.size() &&
+           std::equal(expected.begin(), expected.end(), words.begin());
+}
+
+} // namespace
+
+exit_status run(environment const& env, std::span<std::string const> words)
+{
+    auto const* const it = std::find_if(subcommands.begin(), subcommands.end(),
+                                        [&](subcommand const& entry)
+                                        { return matches(entry, words); });
+    if (it == subcommands.end())
+        return fail(env, exit_status::usage,
+                    "unknown command; see basilreach --help");
+    auto const args = words.subspan(split(it->words).size());
+    auto const parameters = split(it->parameters);
+    auto const required = std::count_if(parameters.begin(), parameters.end(),
+                                        [](std::string_view name)
+                                        { return !name.starts_with('['); });
+    if (args.size() < static_cast<std::size_t>(required) ||
+        args.size() > parameters.size())
+        return fail(env, exit_status::usage,
+                    "usage: basilreach " + std::string{it->words} +
+                        (parameters.empty() ? "" : " ") +
+                        std::string{it->parameters});
+    return it->run(env, *it, args);
+}
+
+std::string help_text()
+{
+    std::string text = "usage: basilreach [FLAGS] COMMAND\n\ncommands:\n";
+    for (auto const& it : subcommands)
+    {
+        text += "  " + std::string{it.words};
+        text += (it.parameters.empty() ? "" : " ") + std::string{it.parameters};
+        text += "\n      " + std::string{it.help} + "\n";
+    }
+    return text + R"(
+exit status:
+  0  done
+  1  refused, or another change won
+  2  wrong arguments or settings, or an unreadable file
+  3  no daemon answered, and nothing was changed
+  4  outcome unknown: the change may have been made
+)";
+}
+
+} // namespace basilreach::cli
--- /dev/null
+++ b/packages/cli/test/command_line_test.cpp
@@ -0,0 +1,164 @@
+#include <basilreach/cli/command_line.hpp>
+
+#include <sstream>
+#include <string>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <basilreach/rules/digest.hpp>
+
+namespace basilreach::cli
+{
+
+namespace
+{
+
+std::string const example = BASILREACH_SOURCE_DIR "/examples/rules.txt";
+
+// Runs a command line against answers in order.
+struct fixture
+{
+    std::vector<submission> answers;
+    std::optional<std::uint64_t> base = {};
+    std::vector<admin::admin_command> sent = {};
+    std::string out = {};
+    std::string err = {};
+
+    exit_status run(std::vector<std::string> const& words)
+    {
+        std::istringstream in_stream;
+        std::ostringstream out_stream;
+        std::ostringstream err_stream;
+        auto const status =
+            cli::run({in_stream, out_stream, err_stream, base,
+                      [this](admin::admin_command const& it)
+                      {
+                          sent.push_back(it);
+                          return std::optional{answers.at(sent.size() - 1)};
+                      }},
+                     words);
+        out = out_stream.str();
+        err = err_stream.str();
+        return status;
+    }
+};
+
+submission change(admin::change_answer const& it, bool may_have_run = false)
+{
+    return {answered{admin::encode(it)}, may_have_run};
+}
+
+submission rules_in_force(std::uint64_t version, std::string const& text)
+{
+    return {answered{admin::encode({admin::rules_row{version, "id", text}})},
+            false};
+}
+
+using admin::change_outcome;
+
+} // namespace
+
+TEST_CASE("rules apply starts from the version in force")
+{
+    fixture it{{rules_in_force(4, ""),
+                change({change_outcome::accepted, 5, "id", "", {}})}};
+    CHECK(it.run({"rules", "apply", example}) == exit_status::done);
+    CHECK(it.out == "accepted: version 5\n");
+    auto const& apply = std::get<admin::apply_rules>(it.sent.at(1));
+    CHECK(apply.base_version == 4);
+    CHECK(apply.change_id == rules::change_id_of(4, apply.text));
+}
+
+TEST_CASE("a given base is used without asking, and a conflict names the "
+          "winner")
+{
+    fixture it{{change({change_outcome::conflict, 9, "winner", "", {}})}, 8};
+    CHECK(it.run({"rules", "apply", example}) == exit_status::refused);
+    CHECK(it.err == "basilreach: conflict: change winner has version 9\n");
+}
+
+TEST_CASE("places that the daemon refuses are printed as those found here")
+{
+    fixture it{{change({change_outcome::refused,
+                        0,
+                        "id",
+                        "",
+                        {{1, 2, rules::rule_reason::bad_name, "x"}}})},
+               8};
+    CHECK(it.run({"rules", "apply", example}) == exit_status::refused);
+    CHECK(it.err == "basilreach: refused\n" + example + ":1:2: bad name: x\n");
+}
+
+TEST_CASE("an unknown outcome says how to ask again for the same change")
+{
+    fixture it{{rules_in_force(4, ""), {lost{"x"}, true}}};
+    CHECK(it.run({"rules", "apply", example}) == exit_status::unknown);
+    CHECK(it.err == "basilreach: outcome unknown: x\n"
+                    "basilreach: to ask again: rules apply --base=4 " +
+                        example + "\n");
+}
+
+TEST_CASE("a verdict refused after a lost answer may be refused by itself")
+{
+    admin::change_answer const superseded{
+        change_outcome::superseded, 7, "", "", {}};
+    std::vector<std::string> const words{"verdict", "s", "down", "3"};
+    CHECK(fixture{{change(superseded)}}.run(words) == exit_status::refused);
+    CHECK(fixture{{change(superseded, true)}}.run(words) ==
+          exit_status::unknown);
+}
+
+TEST_CASE("each outcome without an answer has its exit status")
+{
+    auto const status_of = [](submission const& it, std::string const& word)
+    {
+        return fixture{{it}}.run({word});
+    };
+    CHECK(status_of({unreachable{}, false}, "stop") == exit_status::no_daemon);
+    CHECK(status_of({lost{}, true}, "stop") == exit_status::unknown);
+    CHECK(status_of({lost{}, true}, "status") == exit_status::no_daemon);
+    CHECK(status_of({rejected{"57P03", ""}, false}, "stop") ==
+          exit_status::refused);
+    CHECK(status_of({rejected{"08007", ""}, true}, "stop") ==
+          exit_status::unknown);
+    CHECK(status_of({answered{}, false}, "stop") == exit_status::unknown);
+}
+
+TEST_CASE("arguments reach the daemon as values and never as commands")
+{
+    fixture it{{change({change_outcome::accepted, 1, "", "", {}})}};
+    CHECK(it.run({"server", "announce", "db-1", "g", "bne", "[::1]:5", "9"}) ==
+          exit_status::done);
+    CHECK(it.sent.front() == admin::admin_command{admin::announce_server{
+                                 server_name{"db-1"}, group_name{"g"},
+                                 data_centre_name{"bne"}, "[::1]:5", 9}});
+    CHECK(fixture{}.run({"verdict", "s' UP SEQUENCE 1; --", "up", "1"}) ==
+          exit_status::usage);
+}
+
+TEST_CASE("rows are printed one a line, whatever their cells hold")
+{
+    fixture it{{{answered{admin::encode({admin::history_row{
+                     1, "id", "ann:\ta\nb\\", "accepted"}})},
+                 false}}};
+    CHECK(it.run({"rules", "history"}) == exit_status::done);
+    CHECK(it.out == "version\tchange_id\tauthor\tanswer\n"
+                    "1\tid\tann:\\ta\\nb\\\\\taccepted\n");
+    fixture metrics{
+        {{answered{admin::encode({admin::metric_row{"n", "a=b", "1"},
+                                  admin::metric_row{"m", "", "2"}})},
+          false}}};
+    CHECK(metrics.run({"metrics"}) == exit_status::done);
+    CHECK(metrics.out == "n{a=b} 1\nm 2\n");
+}
+
+TEST_CASE("a diff against the running system shows what a file would change")
+{
+    fixture it{
+        {rules_in_force(1, "workspace z rate=1 burst=1 # asked by a: b")}};
+    CHECK(it.run({"rules", "diff", "/dev/null"}) == exit_status::done);
+    CHECK(it.out == "-workspace z rate=1 burst=1 # asked by a: b\n");
+}
+
+} // namespace basilreach::cli
--- /dev/null
+++ b/packages/cli/test/console_test.cpp
@@ -0,0 +1,168 @@
+#include <basilreach/cli/console.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <future>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <doctest/doctest.h>
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace basilreach::cli
+{
+
+namespace
+{
+
+using namespace std::chrono_literals;
+
+// A server message of the PostgreSQL protocol.
+std::string message(char type, std::string const& body)
+{
+    auto const size = static_cast<std::uint32_t>(body.size() + 4);
+    std::string text{type};
+    for (auto const shift : {24U, 16U, 8U, 0U})
+        text += static_cast<char>((size >> shift) & 255U);
+    return text + body;
+}
+
+std::string zeros(std::size_t n)
+{
+    return std::string(n, '\0');
+}
+
+std::string error(std::string_view state, std::string_view text)
+{
+    return message('E', "SFATAL" + zeros(1) + "C" + std::string{state} +
+                            zeros(1) + "M" + std::string{text} + zeros(2));
+}
+
+std::string const ask_password = message('R', zeros(3) + "\3");
+std::string const idle = message('Z', "I");
+std::string const welcome = message('R', zeros(4)) + idle;
+
+// Accepts one connection on loopback, and answers each request with the next
+// text. It closes the connection after the last one, or when the caller does.
+class scripted_server
+{
+public:
+    explicit scripted_server(std::vector<std::string> answers)
+    {
+        listener_ = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t size = sizeof(at);
+        auto* const generic = reinterpret_cast<sockaddr*>(&at);
+        REQUIRE(bind(listener_, generic, size) == 0);
+        REQUIRE(listen(listener_, 1) == 0);
+        REQUIRE(getsockname(listener_, generic, &size) == 0);
+        address = "127.0.0.1:" + std::to_string(ntohs(at.sin_port));
+        received_ =
+            std::async(std::launch::async, [this, script = std::move(answers)]
+                       { return serve(script); });
+    }
+
+    scripted_server(scripted_server const&) = delete;
+    scripted_server& operator=(scripted_server const&) = delete;
+
+    ~scripted_server()
+    {
+        close(listener_);
+    }
+
+    // Returns all that was received, after the connection has ended.
+    std::string received()
+    {
+        return received_.get();
+    }
+
+    std::string address;
+
+private:
+    std::string serve(std::vector<std::string> const& answers) const
+    {
+        auto const connection = accept(listener_, nullptr, nullptr);
+        std::string all;
+        std::string buf(4096, '\0');
+        for (std::size_t n = 0;; ++n)
+        {
+            auto const size = recv(connection, buf.data(), buf.size(), 0);
+            if (size <= 0)
+                break;
+            all.append(buf, 0, static_cast<std::size_t>(size));
+            if (n == answers.size())
+                break;
+            send(connection, answers[n].data(), answers[n].size(),
+                 MSG_NOSIGNAL);
+        }
+        close(connection);
+        return all;
+    }
+
+    int listener_ = -1;
+    std::future<std::string> received_;
+};
+
+// Sends STATUS to a server that plays the answers.
+try_outcome play(std::vector<std::string> const& answers,
+                 std::chrono::milliseconds limit = 5s)
+{
+    scripted_server server{answers};
+    return console_transport("the key", limit)(server.address, "SHOW STATUS");
+}
+
+} // namespace
+
+TEST_CASE("rows of an answer are read, and the key is the password")
+{
+    std::string const column = "name" + zeros(1) + zeros(4) + zeros(2) +
+                               zeros(3) + "\x19" + "\xff\xff" + zeros(4) +
+                               zeros(2);
+    scripted_server server{
+        {ask_password, welcome,
+         message('T', zeros(1) + "\1" + column) +
+             message('D', zeros(1) + "\1" + zeros(3) + "\2" + "ab") +
+             message('C', "SHOW 1" + zeros(1)) + idle}};
+    auto const outcome =
+        console_transport("the key", 5s)(server.address, "SHOW STATUS");
+    CHECK(outcome == try_outcome{answered{{{"name"}, {{"ab"}}}}});
+    auto const received = server.received();
+    CHECK(received.find("database" + zeros(1) + "basilreach" + zeros(1)) !=
+          std::string::npos);
+    CHECK(received.find(message('p', "the key" + zeros(1))) !=
+          std::string::npos);
+    CHECK(received.find(message('Q', "SHOW STATUS" + zeros(1))) !=
+          std::string::npos);
+}
+
+TEST_CASE("an error is told apart from a lost answer")
+{
+    CHECK(play({ask_password, welcome,
+                error("57P03", "not run: no leader") + idle}) ==
+          try_outcome{rejected{"57P03", "not run: no leader"}});
+    // The connection ends after the command was received.
+    CHECK(std::holds_alternative<lost>(play({ask_password, welcome})));
+    // The command is received, then nothing follows.
+    CHECK(std::holds_alternative<lost>(
+        play({ask_password, welcome, "", ""}, 200ms)));
+}
+
+TEST_CASE("before the command is sent, nothing may have run")
+{
+    CHECK(std::holds_alternative<unreachable>(play({ask_password})));
+    CHECK(std::holds_alternative<unreachable>(play({"", ""}, 200ms)));
+    CHECK(std::holds_alternative<unreachable>(
+        play({ask_password, error("57P03", "stopping")})));
+    auto const refused = play({ask_password, error("28P01", "wrong key")});
+    REQUIRE(std::holds_alternative<rejected>(refused));
+    CHECK(std::get<rejected>(refused).sqlstate == "28P01");
+}
+
+} // namespace basilreach::cli
--- a/packages/rules/test/print_test.cpp
+++ b/packages/rules/test/print_test.cpp
@@ -1,5 +1,7 @@
 #include <basilreach/rules/print.hpp>
 
+#include <fstream>
+#include <iterator>
 #include <string>
 
 #include <doctest/doctest.h>
@@ -30,6 +32,18 @@
     CHECK(print_rules(parse_rules(canonical).value()) == canonical);
 }
 
+TEST_CASE("the example has the sizes of today's users")
+{
+    std::ifstream in{BASILREACH_SOURCE_DIR "/examples/rules.txt"};
+    std::string const text{std::istreambuf_iterator<char>{in}, {}};
+    auto const rules = parse_rules(text);
+    REQUIRE(rules.has_value());
+    CHECK(rules.value().workspaces.size() == 8);
+    CHECK(rules.value().keys.size() == 8);
+    CHECK(rules.value().server_limits.size() == 3);
+    CHECK(parse_rules(print_rules(rules.value())).value() == rules.value());
+}
+
 TEST_CASE("printing removes order, blanks and defaults")
 {
     auto const rules =
