--- /dev/null
+++ b/packages/settings/src/fields.hpp
@@ -0,0 +1,231 @@
+#ifndef BASILREACH_SETTINGS_SRC_FIELDS_HPP
+#define BASILREACH_SETTINGS_SRC_FIELDS_HPP
+
+#include <array>
+#include <chrono>
+#include <cstdint>
+#include <limits>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <variant>
+#include <vector>
+
+#include <basilreach/rules/digest.hpp>
+#include <basilreach/rules/name_syntax.hpp>
+#include <basilreach/settings/daemon_settings.hpp>
+#include <basilreach/settings/endpoint.hpp>
+
+namespace basilreach::settings::detail
+{
+
+using std::chrono::milliseconds;
+
+// What a text must look like.
+struct text_format
+{
+    bool (*accepts)(std::string_view);
+    std::string_view expected;
+};
+
+inline constexpr text_format any_text{
+    [](std::string_view text) { return !text.empty(); }, "a non-empty text"};
+inline constexpr text_format name_format{
+    rules::is_name, "1 to 63 letters, digits, '_', '-' or '.'"};
+inline constexpr text_format endpoint_format{
+    [](std::string_view text) { return parse_endpoint(text).has_value(); },
+    "a numeric IP address and a port, such as 127.0.0.1:5432"};
+inline constexpr text_format digest_format{
+    [](std::string_view text) { return rules::parse_digest(text).has_value(); },
+    "64 hexadecimal digits"};
+
+// Accepted values: a format for texts, an inclusive range for numbers and for
+// durations in milliseconds.
+struct bounds
+{
+    text_format const* format = &any_text;
+    std::uint64_t low = 0;
+    std::uint64_t high = std::numeric_limits<std::uint32_t>::max();
+};
+
+constexpr bounds range(std::uint64_t low, std::uint64_t high)
+{
+    return {&any_text, low, high};
+}
+
+constexpr bounds range(milliseconds low, milliseconds high)
+{
+    return range(static_cast<std::uint64_t>(low.count()),
+                 static_cast<std::uint64_t>(high.count()));
+}
+
+enum class presence : std::uint8_t
+{
+    optional,
+    required
+};
+
+// A field of an object. Its kind is the type of the member that it sets.
+template <class Owner>
+struct field
+{
+    using member = std::variant<std::string Owner::*,
+                                std::optional<std::string> Owner::*,
+                                std::uint32_t Owner::*,
+                                duration Owner::*,
+                                daemon_name Owner::*,
+                                data_centre_name Owner::*,
+                                rules::key_digest Owner::*,
+                                log_level Owner::*,
+                                std::set<daemon_role> Owner::*,
+                                std::vector<control_host> Owner::*,
+                                duration_settings Owner::*,
+                                limit_settings Owner::*,
+                                log_settings Owner::*>;
+
+    std::string_view name;
+    member target;
+    presence needed = presence::optional;
+    bounds accepted = {};
+};
+
+// The table of fields of each object.
+template <class Owner>
+struct fields_of;
+
+template <>
+struct fields_of<control_host>
+{
+    using self = control_host;
+    static constexpr auto table = std::to_array<field<self>>({
+        {"name", &self::name, presence::required, {&name_format}},
+        {"address", &self::address, presence::required, {&endpoint_format}},
+        {"data_centre", &self::data_centre, presence::required, {&name_format}},
+    });
+};
+
+template <>
+struct fields_of<duration_settings>
+{
+    using self = duration_settings;
+    using ms = milliseconds;
+    static constexpr auto table = std::to_array<field<self>>({
+        {"control_lease_ms",
+         &self::control_lease,
+         {},
+         range(ms{100}, ms{60000})},
+        {"lease_renewal_ms",
+         &self::lease_renewal,
+         {},
+         range(ms{10}, ms{10000})},
+        {"request_timeout_ms",
+         &self::request_timeout,
+         {},
+         range(ms{10}, ms{600000})},
+        {"read_try_timeout_ms",
+         &self::read_try_timeout,
+         {},
+         range(ms{1}, ms{600000})},
+        {"replica_wait_ms", &self::replica_wait, {}, range(ms{0}, ms{1000})},
+        {"probe_after_ms", &self::probe_after, {}, range(ms{100}, ms{600000})},
+        {"drain_period_ms", &self::drain_period, {}, range(ms{0}, ms{600000})},
+        {"drain_deadline_ms",
+         &self::drain_deadline,
+         {},
+         range(ms{0}, ms{3600000})},
+        {"lost_host_hold_ms",
+         &self::lost_host_hold,
+         {},
+         range(ms{0}, ms{600000})},
+        {"election_timeout_min_ms",
+         &self::election_timeout_min,
+         {},
+         range(ms{50}, ms{30000})},
+        {"election_timeout_max_ms",
+         &self::election_timeout_max,
+         {},
+         range(ms{50}, ms{30000})},
+        {"heartbeat_ms", &self::heartbeat, {}, range(ms{5}, ms{10000})},
+    });
+};
+
+template <>
+struct fields_of<limit_settings>
+{
+    using self = limit_settings;
+    static constexpr auto table = std::to_array<field<self>>({
+        {"queue_per_workspace",
+         &self::queue_per_workspace,
+         {},
+         range(1, 1000000)},
+        {"message_bytes", &self::message_bytes, {}, range(8192, 1ULL << 30U)},
+    });
+};
+
+template <>
+struct fields_of<log_settings>
+{
+    using self = log_settings;
+    static constexpr auto table = std::to_array<field<self>>({
+        {"directory", &self::directory},
+        {"level", &self::level},
+    });
+};
+
+template <>
+struct fields_of<daemon_settings>
+{
+    using self = daemon_settings;
+    static constexpr auto table = std::to_array<field<self>>({
+        {"name", &self::name, presence::required, {&name_format}},
+        {"data_centre", &self::data_centre, presence::required, {&name_format}},
+        {"roles", &self::roles, presence::required},
+        {"data_directory", &self::data_directory},
+        {"traffic_threads", &self::traffic_threads, {}, range(1, 256)},
+        {"client_listen",
+         &self::client_listen,
+         presence::required,
+         {&endpoint_format}},
+        {"control_listen", &self::control_listen, {}, {&endpoint_format}},
+        {"control_hosts", &self::control_hosts, presence::required,
+         range(1, 19)},
+        {"operator_key_sha256",
+         &self::operator_key,
+         presence::required,
+         {&digest_format}},
+        {"backend_credential_file", &self::backend_credential_file},
+        {"backend_database", &self::backend_database},
+        {"positions_query", &self::positions_query},
+        {"initial_rules_file", &self::initial_rules_file},
+        {"durations", &self::durations},
+        {"limits", &self::limits},
+        {"log", &self::log},
+    });
+};
+
+template <>
+struct fields_of<backend_credential>
+{
+    using self = backend_credential;
+    static constexpr auto table = std::to_array<field<self>>({
+        {"user", &self::user, presence::required},
+        {"password", &self::password, presence::required},
+    });
+};
+
+inline constexpr auto role_words =
+    std::to_array<std::pair<std::string_view, daemon_role>>(
+        {{"entry", daemon_role::entry}, {"control", daemon_role::control}});
+
+inline constexpr auto level_words =
+    std::to_array<std::pair<std::string_view, log_level>>(
+        {{"debug", log_level::debug},
+         {"info", log_level::info},
+         {"warning", log_level::warning},
+         {"error", log_level::error}});
+
+} // namespace basilreach::settings::detail
+
+#endif
