cli: Report a refusal of rules as final after a lost answer

The content id tells a change from its own first sending, so only the commands without one stay unknown. A superseded answer now prints the stored sequence number, which the reporter has to exceed.

--- a/packages/cli/include/basilreach/cli/admin_answer.hpp
+++ b/packages/cli/include/basilreach/cli/admin_answer.hpp
@@ -41,7 +41,8 @@
 {
     change_outcome outcome = change_outcome::refused;
     // APPLY RULES: rules version of this change, or of the winner of a
-    // conflict. Other commands: revision of the control state. Zero if none.
+    // conflict. Other commands: revision of the control state; when superseded,
+    // the stored sequence number. Zero if none.
     std::uint64_t version = 0;
     // APPLY RULES: content id of the change with that version.
     std::string change_id;
--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -176,12 +176,12 @@
     std::string message{admin::to_string(change->outcome)};
     if (change->outcome == change_outcome::conflict)
         message += ": change " + change->change_id + " has version " + version;
+    if (change->outcome == change_outcome::superseded)
+        message += ": the stored sequence number is " + version;
     if (!change->reason.empty())
         message += ": " + change->reason;
     fail(env, exit_status::refused, message);
-    // Only a change of the rules is recognised when it is sent again; after a
-    // lost answer, another command is refused by its own first sending.
-    if (it.may_have_run && change->change_id.empty())
+    if (it.may_have_run)
         return fail(env, exit_status::unknown,
                     "outcome unknown: an earlier try was not answered");
     return exit_status::refused;
@@ -320,8 +320,11 @@
     }
     auto& text = file.value().text;
     auto id = rules::change_id_of(*base, text);
-    auto const answer =
-        ask(env, admin::apply_rules{*base, id, std::move(text)});
+    auto answer = ask(env, admin::apply_rules{*base, id, std::move(text)});
+    // The content id tells a change from its own first sending, so a refusal
+    // is final even after a lost answer. Other commands carry no such id.
+    if (answer.has_value())
+        answer.value().may_have_run = false;
     auto status =
         answer.has_error() ? answer.error() : print_change(env, answer.value());
     if (answer.has_value())
--- a/packages/cli/test/command_line_test.cpp
+++ b/packages/cli/test/command_line_test.cpp
@@ -90,6 +90,14 @@
     CHECK(it.err == "basilreach: refused\n" + example + ":1:2: bad name: x\n");
 }
 
+TEST_CASE("rules refused after a lost answer are refused for certain")
+{
+    fixture it{
+        {change({change_outcome::refused, 0, "", "invalid rules", {}}, true)},
+        8};
+    CHECK(it.run({"rules", "apply", example}) == exit_status::refused);
+}
+
 TEST_CASE("an unknown outcome says how to ask again for the same change")
 {
     fixture it{{rules_in_force(4, ""), {lost{"x"}, true}}};
@@ -104,7 +112,10 @@
     admin::change_answer const superseded{
         change_outcome::superseded, 7, "", "", {}};
     std::vector<std::string> const words{"verdict", "s", "down", "3"};
-    CHECK(fixture{{change(superseded)}}.run(words) == exit_status::refused);
+    fixture it{{change(superseded)}};
+    CHECK(it.run(words) == exit_status::refused);
+    CHECK(it.err ==
+          "basilreach: superseded: the stored sequence number is 7\n");
     CHECK(fixture{{change(superseded, true)}}.run(words) ==
           exit_status::unknown);
 }
