--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -169,8 +169,11 @@
     if (change->outcome == change_outcome::accepted ||
         change->outcome == change_outcome::repeated)
     {
-        env.out << admin::to_string(change->outcome) << ": version " << version
-                << '\n';
+        env.out << admin::to_string(change->outcome);
+        // STOP has no version.
+        if (change->version != 0)
+            env.out << ": version " << version;
+        env.out << '\n';
         return exit_status::done;
     }
     std::string message{admin::to_string(change->outcome)};
--- a/packages/cli/test/command_line_test.cpp
+++ b/packages/cli/test/command_line_test.cpp
@@ -120,6 +120,13 @@
           exit_status::unknown);
 }
 
+TEST_CASE("an answer without a version prints none")
+{
+    fixture it{{change({change_outcome::accepted, 0, "", "", {}})}};
+    CHECK(it.run({"stop"}) == exit_status::done);
+    CHECK(it.out == "accepted\n");
+}
+
 TEST_CASE("each outcome without an answer has its exit status")
 {
     auto const status_of = [](submission const& it, std::string const& word)
