stand_in: Satisfy the linter and the sanitizer build

The tests move into the namespaces of what they test instead of importing them. Matching a statement no longer returns an optional variant, which g++ 12 reports as uninitialized when sanitizers are on.

--- a/packages/pgwire/test/decoder_test.cpp
+++ b/packages/pgwire/test/decoder_test.cpp
@@ -8,9 +8,11 @@
 #include <string>
 #include <vector>
 
-using namespace basilreach::pgwire;
 using namespace std::string_literals;
 
+namespace basilreach::pgwire
+{
+
 namespace
 {
 
@@ -210,3 +212,5 @@
     CHECK(it.next(input).value().has_value());
     CHECK(test::largest_allocation <= limit);
 }
+
+} // namespace basilreach::pgwire
--- a/packages/pgwire/test/encoder_test.cpp
+++ b/packages/pgwire/test/encoder_test.cpp
@@ -4,9 +4,11 @@
 
 #include <array>
 
-using namespace basilreach::pgwire;
 using namespace std::string_literals;
 
+namespace basilreach::pgwire
+{
+
 // Guards against wrong length fields and field order; the expected bytes are
 // those of the protocol's documentation.
 TEST_CASE("messages have the documented bytes")
@@ -41,3 +43,5 @@
     append_parameter_status(out, "a\0z"s, "b");
     CHECK(out == "S\0\0\0\10a\0b\0"s);
 }
+
+} // namespace basilreach::pgwire
--- a/packages/pgwire/test/startup_options_test.cpp
+++ b/packages/pgwire/test/startup_options_test.cpp
@@ -2,7 +2,8 @@
 
 #include <doctest/doctest.h>
 
-using basilreach::pgwire::parse_startup_options;
+namespace basilreach::pgwire
+{
 
 TEST_CASE("settings are found in every form")
 {
@@ -13,3 +14,5 @@
     CHECK(seen[1] == std::pair<std::string, std::string>{"c", "x y"});
     CHECK(seen[2] == std::pair<std::string, std::string>{"d_e", "2"});
 }
+
+} // namespace basilreach::pgwire
--- a/testing/stand_in/include/basilreach/stand_in/store.hpp
+++ b/testing/stand_in/include/basilreach/stand_in/store.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <set>
 #include <string>
+#include <utility>
 #include <variant>
 #include <vector>
 
@@ -50,8 +51,8 @@
     std::string workspace;
     std::string request;
 
-    friend auto operator<=>(claim_request const&,
-                            claim_request const&) = default;
+    friend bool operator==(claim_request const&,
+                           claim_request const&) = default;
 };
 
 // A change of the data, as the log carries it.
@@ -62,7 +63,8 @@
 struct store
 {
     std::map<std::string, item> items;
-    std::set<claim_request> claims;
+    // Workspace and request id of every claim.
+    std::set<std::pair<std::string, std::string>> claims;
 
     void apply(operation const& change);
     void apply(std::vector<operation> const& changes);
--- a/testing/stand_in/src/announcer.cpp
+++ b/testing/stand_in/src/announcer.cpp
@@ -13,7 +13,7 @@
 constexpr int retry_ms = 200;
 constexpr int attempt_ms = 2000;
 
-ACE_Time_Value milliseconds(int count)
+ACE_Time_Value milliseconds(std::int64_t count)
 {
     return ACE_Time_Value{count / 1000, (count % 1000) * 1000};
 }
--- a/testing/stand_in/src/database_group.cpp
+++ b/testing/stand_in/src/database_group.cpp
@@ -232,13 +232,13 @@
             if (it.activity != client_activity::idle)
                 return;
         }
-        else if (it.activity == client_activity::waiting_for_slot)
-            return;
-        else if (!it.simple_statements.empty())
+        else if (it.activity == client_activity::idle &&
+                 !it.simple_statements.empty())
             next_simple_statement(id, it);
-        else if (it.in_simple_query)
+        else if (it.activity == client_activity::idle && it.in_simple_query)
             finish_simple_query(id, it);
-        else if (it.inbox.empty())
+        else if (it.activity == client_activity::waiting_for_slot ||
+                 it.inbox.empty())
             return;
         else
         {
@@ -896,7 +896,8 @@
 {
     claim_request const claim{it.running.arguments[0], it.running.arguments[1]};
     bool const used =
-        replication_[it.server].data.claims.contains(claim) ||
+        replication_[it.server].data.claims.contains(
+            {claim.workspace, claim.request}) ||
         std::find(it.current.changes.begin(), it.current.changes.end(),
                   operation{claim}) != it.current.changes.end();
     if (used)
--- a/testing/stand_in/src/statement.cpp
+++ b/testing/stand_in/src/statement.cpp
@@ -118,8 +118,11 @@
     return tokens;
 }
 
-// Returns what a token stands for in the place of `?` or `%`.
-std::optional<argument> captured(std::string_view place, token const& it)
+// Adds what a token stands for in the place of `?` or `%`; returns whether the
+// token may stand there.
+bool capture(std::string_view place,
+             token const& it,
+             std::vector<argument>& arguments)
 {
     if (it.kind == token_kind::parameter)
     {
@@ -127,13 +130,15 @@
         std::from_chars(it.text.data(), it.text.data() + it.text.size(),
                         number);
         if (number == 0 || place != "?")
-            return std::nullopt;
-        return argument{number - 1};
+            return false;
+        arguments.emplace_back(number - 1);
+        return true;
     }
     if (it.kind == token_kind::symbol ||
         (it.kind == token_kind::word && place == "?"))
-        return std::nullopt;
-    return argument{it.text};
+        return false;
+    arguments.emplace_back(it.text);
+    return true;
 }
 
 std::optional<std::vector<argument>> match(std::string_view pattern,
@@ -151,10 +156,8 @@
         auto const& it = tokens[n++];
         if (expected == "?" || expected == "%")
         {
-            auto value = captured(expected, it);
-            if (!value)
+            if (!capture(expected, it, arguments))
                 return std::nullopt;
-            arguments.push_back(*std::move(value));
         }
         else if (it.kind == token_kind::string || lower(it.text) != expected)
             return std::nullopt;
--- a/testing/stand_in/src/store.cpp
+++ b/testing/stand_in/src/store.cpp
@@ -27,7 +27,7 @@
 
     void operator()(claim_request const& it) const
     {
-        data.claims.insert(it);
+        data.claims.emplace(it.workspace, it.request);
     }
 };
 
--- a/testing/stand_in/test/replication_test.cpp
+++ b/testing/stand_in/test/replication_test.cpp
@@ -3,8 +3,9 @@
 #include <doctest/doctest.h>
 
 using namespace std::chrono_literals;
-using namespace basilreach;
-using namespace basilreach::stand_in;
+
+namespace basilreach::stand_in
+{
 
 // Guards against a superseded primary that keeps writes which the group lost,
 // and against a replica that claims a position before it has the data.
@@ -63,3 +64,5 @@
     CHECK(group[0].data == group[2].data);
     CHECK(group.position(0) == log_position{2, 10'002});
 }
+
+} // namespace basilreach::stand_in
--- a/testing/stand_in/test/server_loop_test.cpp
+++ b/testing/stand_in/test/server_loop_test.cpp
@@ -11,8 +11,9 @@
 #include <poll.h>
 
 using namespace std::chrono_literals;
-using namespace basilreach;
-using namespace basilreach::stand_in;
+
+namespace basilreach::stand_in
+{
 
 namespace
 {
@@ -315,3 +316,5 @@
     pq_result const answer{PQgetResult(second.get()), PQclear};
     CHECK(outcome(answer.get()).empty());
 }
+
+} // namespace basilreach::stand_in
--- a/testing/stand_in/test/statement_test.cpp
+++ b/testing/stand_in/test/statement_test.cpp
@@ -2,7 +2,8 @@
 
 #include <doctest/doctest.h>
 
-using namespace basilreach::stand_in;
+namespace basilreach::stand_in
+{
 
 // Guards against literals that are taken apart at their quotes or semicolons.
 TEST_CASE("statements are recognised by their form")
@@ -18,3 +19,5 @@
     CHECK(split_statements("BEGIN; x 'a;b' ;; COMMIT;") ==
           std::vector<std::string>{"BEGIN", " x 'a;b' ", " COMMIT"});
 }
+
+} // namespace basilreach::stand_in
