stand_in: Test the announcement of servers

A server that never becomes known leaves its group without it, and nothing else in the tests would show that. The console of the test refuses the first query, so that the retry is seen too. A listening socket that cannot be opened again is reported on stderr.

--- a/testing/stand_in/src/server_loop.cpp
+++ b/testing/stand_in/src/server_loop.cpp
@@ -5,7 +5,7 @@
 #include <array>
 #include <chrono>
 #include <cstddef>
-#include <deque>
+#include <iostream>
 #include <unordered_map>
 #include <utility>
 
@@ -352,8 +352,10 @@
     void apply(set_listening const& action)
     {
         listeners_[action.server]->shut();
-        if (action.listening)
-            listeners_[action.server]->listen(ports[action.server]);
+        if (action.listening &&
+            listeners_[action.server]->listen(ports[action.server]) == 0)
+            std::cerr << "cannot listen on port " << ports[action.server]
+                      << '\n';
     }
 
     void start_announcers()
--- a/testing/stand_in/test/server_loop_test.cpp
+++ b/testing/stand_in/test/server_loop_test.cpp
@@ -1,12 +1,19 @@
+#include <basilreach/pgwire/decoder.hpp>
+#include <basilreach/pgwire/encoder.hpp>
 #include <basilreach/stand_in/server_loop.hpp>
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
 #include <memory>
 #include <string>
 #include <thread>
 #include <vector>
 
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
+#include <ace/SOCK_Stream.h>
 #include <libpq-fe.h>
 #include <poll.h>
 
@@ -25,13 +32,14 @@
 class running_group
 {
 public:
-    explicit running_group(group_settings settings = {})
+    explicit running_group(group_settings settings = {},
+                           announcement announce = {})
     {
         settings.servers = {server_name{"a"}, server_name{"b"},
                             server_name{"c"}};
         settings.user = "proxy";
         settings.password = "secret";
-        auto opened = server_loop::open(settings, {0, 0, 0});
+        auto opened = server_loop::open(settings, {0, 0, 0}, announce);
         REQUIRE(opened.has_value());
         loop_ = std::move(opened).value();
         thread_ = std::thread([this] { loop_->run(); });
@@ -317,4 +325,114 @@
     CHECK(outcome(answer.get()).empty());
 }
 
+namespace
+{
+
+// An admin console that refuses the first query and accepts the later ones.
+class console
+{
+public:
+    console()
+    {
+        REQUIRE(acceptor_.open(
+                    ACE_INET_Addr{std::uint16_t{0}, INADDR_LOOPBACK}) == 0);
+        thread_ = std::jthread([this] { serve(); });
+    }
+
+    [[nodiscard]] std::string address() const
+    {
+        ACE_INET_Addr local;
+        acceptor_.get_local_addr(local);
+        return "127.0.0.1:" + std::to_string(local.get_port_number());
+    }
+
+    // Waits until every query has been received or a time limit has passed.
+    std::vector<std::string> queries()
+    {
+        thread_.join();
+        return seen_;
+    }
+
+private:
+    // One refused query and one accepted query for each of three servers.
+    static constexpr std::size_t expected = 4;
+
+    void serve()
+    {
+        ACE_Time_Value limit{5};
+        while (seen_.size() != expected)
+        {
+            ACE_SOCK_Stream stream;
+            if (acceptor_.accept(stream, nullptr, &limit) != 0)
+                return;
+            pgwire::decoder decoder;
+            std::array<char, 1024> buf;
+            for (ssize_t n = 0;
+                 (n = stream.recv(buf.data(), buf.size(), &limit)) > 0;)
+            {
+                std::string_view input{buf.data(), static_cast<std::size_t>(n)};
+                std::string out;
+                while (auto const message = decoder.next(input).value())
+                    answer(*message, out);
+                stream.send_n(out.data(), out.size(), &limit);
+            }
+            stream.close();
+        }
+    }
+
+    void answer(pgwire::frontend_message const& message, std::string& out)
+    {
+        if (std::holds_alternative<pgwire::ssl_request>(message))
+            out.push_back(pgwire::encryption_refused);
+        if (std::holds_alternative<pgwire::startup_message>(message))
+            pgwire::append_authentication_cleartext_password(out);
+        if (auto const* const it =
+                std::get_if<pgwire::password_message>(&message))
+        {
+            if (it->password == "operator")
+                pgwire::append_authentication_ok(out);
+            pgwire::append_ready_for_query(out, pgwire::ready_status::idle);
+        }
+        if (auto const* const it = std::get_if<pgwire::query>(&message))
+        {
+            if (seen_.empty())
+                pgwire::append_error_response(
+                    out, {"ERROR", "57P03", "not run: no leader", "", ""});
+            else
+                pgwire::append_command_complete(out, "ANNOUNCE");
+            pgwire::append_ready_for_query(out, pgwire::ready_status::idle);
+            seen_.push_back(it->text.substr(0, it->text.find(" ADDRESS")));
+        }
+    }
+
+    ACE_SOCK_Acceptor acceptor_;
+    std::vector<std::string> seen_;
+    std::jthread thread_;
+};
+
+} // namespace
+
+// Guards against a server that stays unknown because the first console is gone
+// or refuses, and against one that blocks the group while it announces itself.
+TEST_CASE("every server announces itself until a console accepts it")
+{
+    group_settings settings;
+    settings.group = group_name{"g"};
+    console accepting;
+    // Nothing listens on port 1.
+    running_group group{settings,
+                        {{"127.0.0.1:1", accepting.address()},
+                         "operator",
+                         {data_centre_name{"x"}, data_centre_name{"y"},
+                          data_centre_name{"z"}}}};
+    CHECK(run(group.control(), "SHOW VALUE k") == "a   b   c  ");
+    auto seen = accepting.queries();
+    std::sort(seen.begin(), seen.end());
+    seen.erase(std::unique(seen.begin(), seen.end()), seen.end());
+    CHECK(seen ==
+          std::vector<std::string>{"ANNOUNCE SERVER a GROUP g DATA CENTRE x",
+                                   "ANNOUNCE SERVER b GROUP g DATA CENTRE y",
+                                   "ANNOUNCE SERVER c GROUP g DATA CENTRE z"});
+}
+
 } // namespace basilreach::stand_in
