stand_in: Use timer descriptors for all deadlines

One class now wraps a timer descriptor for both users, which also waits exactly. The bytes kept for SHOW RECEIVED have a limit that a flag sets.

--- a/testing/stand_in/include/basilreach/stand_in/database_group.hpp
+++ b/testing/stand_in/include/basilreach/stand_in/database_group.hpp
@@ -37,6 +37,9 @@
     duration connection_cost{};
     // Time for which a statement on the table occupies a slot.
     duration statement_cost{};
+    // Received bytes that are kept for SHOW RECEIVED. Beyond them the search
+    // fails instead of giving a wrong answer.
+    std::size_t received_limit = 256 << 20;
     std::string user;
     std::string password;
 
@@ -71,10 +74,6 @@
                            set_listening const&) = default;
 };
 
-// The stand-in keeps what it received so that a test can search it. Beyond
-// this many bytes the search fails instead of giving a wrong answer.
-inline constexpr std::size_t received_limit = 256 << 20;
-
 using group_action = std::variant<send_bytes, end_client, set_listening>;
 
 // Rows and completion tag that a statement answers with.
--- a/testing/stand_in/src/announcer.cpp
+++ b/testing/stand_in/src/announcer.cpp
@@ -1,6 +1,7 @@
 #include "announcer.hpp"
 
 #include <array>
+#include <chrono>
 #include <utility>
 
 namespace basilreach::stand_in
@@ -9,14 +10,9 @@
 namespace
 {
 
-// Time until the next console is tried, and for one attempt.
-constexpr int retry_ms = 200;
-constexpr int attempt_ms = 2000;
-
-ACE_Time_Value milliseconds(std::int64_t count)
-{
-    return ACE_Time_Value{count / 1000, (count % 1000) * 1000};
-}
+// Pause before the next console is tried, and limit for one attempt.
+constexpr std::chrono::milliseconds retry_pause{200};
+constexpr std::chrono::milliseconds attempt_limit{2000};
 
 } // namespace
 
@@ -25,14 +21,14 @@
                      std::string operator_key,
                      std::string statement)
     : ACE_Event_Handler(&reactor), consoles_(std::move(consoles)),
-      operator_key_(std::move(operator_key)), statement_(std::move(statement))
+      operator_key_(std::move(operator_key)), statement_(std::move(statement)),
+      timer_(reactor, [this] { connect(); })
 {
 }
 
 announcer::~announcer()
 {
     unregister();
-    reactor()->cancel_timer(this);
 }
 
 void announcer::start()
@@ -42,6 +38,7 @@
 
 void announcer::connect()
 {
+    unregister();
     auto const& console = consoles_[next_console_++ % consoles_.size()];
     auto const colon = console.rfind(':');
     std::string const host = console.substr(0, colon);
@@ -58,7 +55,7 @@
                             "disable",
                             static_cast<char const*>(nullptr)};
     connection_.reset(PQconnectStartParams(names.data(), values.data(), 0));
-    reactor()->schedule_timer(this, nullptr, milliseconds(attempt_ms));
+    timer_.set(read_clock() + attempt_limit);
     step_ = &announcer::connecting;
     if (!connection_ || PQstatus(connection_.get()) == CONNECTION_BAD)
         try_next();
@@ -130,7 +127,7 @@
     if (is_done_)
     {
         unregister();
-        reactor()->cancel_timer(this);
+        timer_.set(never);
         connection_.reset();
     }
 }
@@ -156,8 +153,7 @@
 {
     unregister();
     connection_.reset();
-    reactor()->cancel_timer(this);
-    reactor()->schedule_timer(this, nullptr, milliseconds(retry_ms));
+    timer_.set(read_clock() + retry_pause);
 }
 
 int announcer::handle_input(ACE_HANDLE)
@@ -172,12 +168,4 @@
     return 0;
 }
 
-int announcer::handle_timeout(ACE_Time_Value const&, void const*)
-{
-    // Either the pause after a failure or the time of an attempt has passed.
-    unregister();
-    connect();
-    return 0;
-}
-
 } // namespace basilreach::stand_in
--- a/testing/stand_in/src/announcer.hpp
+++ b/testing/stand_in/src/announcer.hpp
@@ -11,6 +11,8 @@
 #include <ace/Reactor.h>
 #include <libpq-fe.h>
 
+#include "wake_timer.hpp"
+
 namespace basilreach::stand_in
 {
 
@@ -30,7 +32,6 @@
 
     int handle_input(ACE_HANDLE handle) override;
     int handle_output(ACE_HANDLE handle) override;
-    int handle_timeout(ACE_Time_Value const& now, void const* which) override;
 
 private:
     // One step of the connection; the pointer is the state.
@@ -51,6 +52,8 @@
     std::unique_ptr<PGconn, decltype(&PQfinish)> connection_{nullptr, PQfinish};
     ACE_HANDLE registered_ = ACE_INVALID_HANDLE;
     step step_ = &announcer::connecting;
+    // Ends an attempt, or the pause before the next one.
+    wake_timer timer_;
     bool is_done_ = false;
 };
 
--- a/testing/stand_in/src/control_commands.cpp
+++ b/testing/stand_in/src/control_commands.cpp
@@ -219,7 +219,7 @@
 answer_result
 database_group::show_received(std::vector<std::string> const& arguments)
 {
-    if (received_size_ > received_limit)
+    if (received_size_ > settings_.received_limit)
         return make_error("54000", "more was received than is kept");
     std::size_t count = 0;
     for (auto const& it : received_)
--- a/testing/stand_in/src/database_group.cpp
+++ b/testing/stand_in/src/database_group.cpp
@@ -118,7 +118,7 @@
     if (it == nullptr || it->phase == client_phase::closing)
         return;
     received_size_ += bytes.size();
-    if (received_size_ <= received_limit)
+    if (received_size_ <= settings_.received_limit)
         it->received.append(bytes);
     if (it->silenced)
         return;
--- a/testing/stand_in/src/main.cpp
+++ b/testing/stand_in/src/main.cpp
@@ -18,6 +18,7 @@
 DEFINE_uint32(connection_limit, 25, "connections that a server accepts");
 DEFINE_uint32(connection_cost_ms, 10, "duration of an authentication");
 DEFINE_uint32(statement_cost_us, 0, "time that a statement occupies a slot");
+DEFINE_uint32(received_limit_mib, 256, "received bytes kept for a search");
 DEFINE_string(user, "basilreach", "user name of the proxy");
 DEFINE_string(password, "", "password of the proxy");
 DEFINE_string(announce, "", "addresses of admin consoles, as IP:PORT,...");
@@ -62,6 +63,7 @@
         std::chrono::milliseconds{FLAGS_connection_cost_ms};
     settings.statement_cost =
         std::chrono::microseconds{FLAGS_statement_cost_us};
+    settings.received_limit = std::size_t{FLAGS_received_limit_mib} << 20U;
     settings.user = FLAGS_user;
     settings.password = FLAGS_password;
 
--- a/testing/stand_in/src/server_loop.cpp
+++ b/testing/stand_in/src/server_loop.cpp
@@ -1,6 +1,7 @@
 #include <basilreach/stand_in/server_loop.hpp>
 
 #include "announcer.hpp"
+#include "wake_timer.hpp"
 
 #include <array>
 #include <chrono>
@@ -13,12 +14,10 @@
 #include <ace/Event_Handler.h>
 #include <ace/INET_Addr.h>
 #include <ace/OS_NS_sys_socket.h>
-#include <ace/OS_NS_unistd.h>
 #include <ace/Reactor.h>
 #include <ace/SOCK_Acceptor.h>
 #include <ace/SOCK_Stream.h>
 #include <netinet/tcp.h>
-#include <sys/timerfd.h>
 
 namespace basilreach::stand_in
 {
@@ -28,12 +27,6 @@
 
 constexpr std::size_t handle_limit = 4096;
 
-instant read_clock()
-{
-    return instant{std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch())};
-}
-
 } // namespace
 
 class server_loop::implementation
@@ -41,7 +34,8 @@
 public:
     implementation(group_settings settings, announcement announce)
         : group(std::move(settings)), announce_(std::move(announce)),
-          reactor_(new ACE_Dev_Poll_Reactor(handle_limit), true), timer_(*this)
+          reactor_(new ACE_Dev_Poll_Reactor(handle_limit), true),
+          timer_(reactor_, [this] { tick(); })
     {
     }
 
@@ -55,14 +49,13 @@
             it->shut();
         for (auto& it : listeners_)
             it->shut();
-        timer_.shut();
     }
 
     result<void, loop_error> open(std::vector<std::uint16_t> const& wanted)
     {
         if (!reactor_.initialized())
             return loop_error::reactor_failed;
-        if (!timer_.open())
+        if (!timer_.is_open())
             return loop_error::timer_failed;
         for (std::size_t n = 0; n != wanted.size(); ++n)
         {
@@ -242,68 +235,6 @@
         ACE_SOCK_Acceptor acceptor_;
     };
 
-    // Wakes the reactor at a deadline. The timers of the reactor have a
-    // resolution of one millisecond, too coarse for the cost of a statement.
-    class wake_timer : public ACE_Event_Handler
-    {
-    public:
-        explicit wake_timer(implementation& loop)
-            : ACE_Event_Handler(&loop.reactor_), loop_(loop)
-        {
-        }
-
-        [[nodiscard]] ACE_HANDLE get_handle() const override
-        {
-            return handle_;
-        }
-
-        bool open()
-        {
-            handle_ =
-                timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC);
-            return handle_ >= 0 &&
-                   reactor()->register_handler(this, READ_MASK) == 0;
-        }
-
-        void set(instant deadline)
-        {
-            if (deadline == armed_)
-                return;
-            armed_ = deadline;
-            itimerspec spec{};
-            // A zero time would disarm the timer.
-            auto const left = std::max(deadline - read_clock(), duration{1});
-            if (deadline != never)
-            {
-                spec.it_value.tv_sec = left.count() / 1'000'000'000;
-                spec.it_value.tv_nsec = left.count() % 1'000'000'000;
-            }
-            timerfd_settime(handle_, 0, &spec, nullptr);
-        }
-
-        int handle_input(ACE_HANDLE) override
-        {
-            std::uint64_t expirations = 0;
-            (void)ACE_OS::read(handle_, &expirations, sizeof(expirations));
-            armed_ = never;
-            loop_.tick();
-            return 0;
-        }
-
-        void shut()
-        {
-            if (handle_ < 0)
-                return;
-            reactor()->remove_handler(this, ALL_EVENTS_MASK | DONT_CALL);
-            ACE_OS::close(std::exchange(handle_, ACE_INVALID_HANDLE));
-        }
-
-    private:
-        implementation& loop_;
-        ACE_HANDLE handle_ = ACE_INVALID_HANDLE;
-        instant armed_ = never;
-    };
-
     void accept(std::size_t server, ACE_HANDLE handle)
     {
         auto const client = group.open_client(server);
