--- a/testing/stand_in/test/server_loop_test.cpp
+++ b/testing/stand_in/test/server_loop_test.cpp
@@ -9,6 +9,7 @@
 #include <memory>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include <ace/INET_Addr.h>
@@ -39,7 +40,8 @@
                             server_name{"c"}};
         settings.user = "proxy";
         settings.password = "secret";
-        auto opened = server_loop::open(settings, {0, 0, 0}, announce);
+        auto opened =
+            server_loop::open(settings, {0, 0, 0}, std::move(announce));
         REQUIRE(opened.has_value());
         loop_ = std::move(opened).value();
         thread_ = std::thread([this] { loop_->run(); });
@@ -222,6 +224,53 @@
                                            "23505", "no answer", "0", "1 1"});
 }
 
+// Guards against a statement that cannot be used again after an error.
+TEST_CASE("a prepared statement is described and runs with its parameters")
+{
+    running_group group;
+    auto const it = group.connect(0);
+    CHECK(run(it.get(), insert_k) == "INSERT 0 1");
+    pq_result const prepared{PQprepare(it.get(), "s",
+                                       "SELECT amount FROM item WHERE key = $1",
+                                       1, nullptr),
+                             PQclear};
+    CHECK(PQresultStatus(prepared.get()) == PGRES_COMMAND_OK);
+    pq_result const described{PQdescribePrepared(it.get(), "s"), PQclear};
+    CHECK(PQnparams(described.get()) == 1);
+    CHECK(PQftype(described.get(), 0) == pgwire::int8_type);
+    auto const with = [&](char const* key, int format)
+    {
+        pq_result const answer{
+            PQexecPrepared(it.get(), "s", 1, &key, nullptr, nullptr, format),
+            PQclear};
+        return outcome(answer.get());
+    };
+    CHECK(with("k", 0) == "0");
+    CHECK(with("k", 1) == "0A000");
+    CHECK(with(nullptr, 0) == "22004");
+    CHECK(with("k", 0) == "0");
+}
+
+// Guards against two transactions that wait for each other for ever.
+TEST_CASE("a deadlock ends one of its transactions")
+{
+    running_group group;
+    auto const first = group.connect(0);
+    auto const second = group.connect(0);
+    auto const add = [](std::string const& key)
+    {
+        return "UPDATE item SET amount = amount + 1 WHERE key = '" + key + "'";
+    };
+    CHECK(run(first.get(), "BEGIN; " + add("x")) == "UPDATE 0");
+    CHECK(run(second.get(), "BEGIN; " + add("y")) == "UPDATE 0");
+    REQUIRE(PQsendQuery(first.get(), add("y").c_str()) == 1);
+    auto const sent = "SHOW RECEIVED 'key = ''y'";
+    CHECK(eventually(group.control(), sent, "2") == "2");
+    CHECK(run(second.get(), add("x")) == "40P01");
+    pq_result const answer{PQgetResult(first.get()), PQclear};
+    CHECK(outcome(answer.get()) == "UPDATE 0");
+}
+
 TEST_CASE("a partitioned primary writes on until it hears of a later term")
 {
     running_group group;
