--- a/testing/stand_in/src/database_group.cpp
+++ b/testing/stand_in/src/database_group.cpp
@@ -118,7 +118,7 @@
     if (it == nullptr || it->phase == client_phase::closing)
         return;
     received_size_ += bytes.size();
-    if (received_size_ <= received_limit)
+    if (received_size_ <= settings_.received_limit)
         it->received.append(bytes);
     if (it->silenced)
         return;
@@ -232,13 +232,13 @@
             if (it.activity != client_activity::idle)
                 return;
         }
-        else if (it.activity == client_activity::waiting_for_slot)
-            return;
-        else if (!it.simple_statements.empty())
+        else if (it.activity == client_activity::idle &&
+                 !it.simple_statements.empty())
             next_simple_statement(id, it);
-        else if (it.in_simple_query)
+        else if (it.activity == client_activity::idle && it.in_simple_query)
             finish_simple_query(id, it);
-        else if (it.inbox.empty())
+        else if (it.activity == client_activity::waiting_for_slot ||
+                 it.inbox.empty())
             return;
         else
         {
@@ -896,7 +896,8 @@
 {
     claim_request const claim{it.running.arguments[0], it.running.arguments[1]};
     bool const used =
-        replication_[it.server].data.claims.contains(claim) ||
+        replication_[it.server].data.claims.contains(
+            {claim.workspace, claim.request}) ||
         std::find(it.current.changes.begin(), it.current.changes.end(),
                   operation{claim}) != it.current.changes.end();
     if (used)
