--- a/packages/control/test/lease_test.cpp
+++ b/packages/control/test/lease_test.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <doctest/doctest.h>
 
 #include "simulation.hpp"
@@ -171,6 +173,9 @@
     lead.receive(lease_renewal{d1, a, 1, at(1), 1, {}});
     auto const outputs = lead.tick(at(3));
     CHECK(lead.revision_in_force() == 2);
+    CHECK(std::find(outputs.begin(), outputs.end(),
+                    leader_output{change_in_force{2, milliseconds{0}}}) !=
+          outputs.end());
     for (auto const& it : outputs)
         if (auto const* const grant = std::get_if<grant_lease>(&it))
             CHECK(grant->lease == duration{});
--- a/packages/control/test/simulation.cpp
+++ b/packages/control/test/simulation.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <sstream>
+#include <type_traits>
 #include <utility>
 
 namespace basilreach::control::test
@@ -36,10 +38,27 @@
     return names.at(it.index());
 }
 
+using arguments = std::vector<std::string>;
+
+// Turns a word of a trace into a value; an absent word gives zero or nothing.
 template <class T>
-T number(std::string const& text)
+T parse(std::string const& word)
+{
+    if constexpr (std::is_same_v<T, verdict>)
+        return word == "up" ? verdict::up : verdict::down;
+    else if constexpr (std::is_same_v<T, bool>)
+        return word == "on" || word == "after";
+    else if constexpr (std::is_integral_v<T>)
+        return word.empty() ? T{} : static_cast<T>(std::stoll(word));
+    else if constexpr (std::is_same_v<T, key_digest>)
+        return digest_of(parse<std::uint8_t>(word));
+    else
+        return T{word};
+}
+
+std::string word_at(arguments const& words, std::size_t n)
 {
-    return static_cast<T>(std::stoll(text));
+    return n < words.size() ? words[n] : std::string{};
 }
 
 std::string rest_of(std::vector<std::string> const& words, std::size_t first)
@@ -55,11 +74,71 @@
     return seen == wanted ? "" : seen + ", not " + wanted;
 }
 
-announce_server server_at(server_name const& server, std::uint64_t sequence)
+// Calls a member with the words of the event as its arguments.
+template <class R, class... Ts, std::size_t... N>
+R call_with(simulation& s,
+            R (simulation::*member)(Ts...),
+            arguments const& words,
+            std::index_sequence<N...>)
+{
+    return (s.*member)(parse<std::decay_t<Ts>>(word_at(words, N))...);
+}
+
+template <class... Ts>
+std::string
+call(simulation& s, void (simulation::*member)(Ts...), arguments const& words)
+{
+    call_with(s, member, words, std::index_sequence_for<Ts...>{});
+    return "";
+}
+
+template <class... Ts>
+std::string call(simulation& s,
+                 std::string (simulation::*member)(Ts...),
+                 arguments const& words)
 {
-    return {server, the_group, data_centre_name{"a"}, "127.0.0.1:1", sequence};
+    return call_with(s, member, words, std::index_sequence_for<Ts...>{});
 }
 
+template <auto Member>
+std::string event(simulation& s, arguments const& words)
+{
+    return call(s, Member, words);
+}
+
+// Commits a command whose fields are the words of the event.
+template <class Body, class... Fields>
+std::string commit_event(simulation& s, arguments const& words)
+{
+    std::size_t n = 0;
+    // Braces fix the order in which the fields are read.
+    Body body{parse<Fields>(word_at(words, n++))...};
+    return s.submit({{}, "trace", std::move(body)}, word_at(words, n));
+}
+
+struct event_row
+{
+    std::string_view verb;
+    std::string (*run)(simulation&, arguments const&);
+};
+
+constexpr event_row events[] = {
+    {"start", event<&simulation::start>},
+    {"leader", event<&simulation::elect>},
+    {"crash", event<&simulation::plan_crash>},
+    {"daemon", event<&simulation::start_daemon>},
+    {"stop", event<&simulation::stop_daemon>},
+    {"set", event<&simulation::set_fault>},
+    {"position", event<&simulation::set_position>},
+    {"write", event<&simulation::write_to>},
+    {"ack", event<&simulation::acknowledge>},
+    {"server", event<&simulation::announce>},
+    {"remove_daemon", commit_event<remove_daemon, daemon_name>},
+    {"leaving", commit_event<announce_leaving, server_name, std::uint64_t>},
+    {"remove", commit_event<remove_server, server_name, std::uint64_t>},
+    {"withdraw", commit_event<withdraw_key, key_digest>},
+};
+
 } // namespace
 
 key_digest digest_of(std::uint8_t byte)
@@ -78,7 +157,7 @@
         if (word == "bad")
             return rules_errors{{"1:1 unknown rule 'bad'"}};
         if (word == "key" && words >> word)
-            rules.keys[digest_of(number<std::uint8_t>(word))] =
+            rules.keys[digest_of(parse<std::uint8_t>(word))] =
                 workspace_name{"w"};
     }
     return rules;
@@ -93,7 +172,7 @@
     return time + time.time_since_epoch() * per_mille / 1000;
 }
 
-std::string simulation::elect(std::string const& per_mille)
+void simulation::elect(int per_mille)
 {
     // A new leader holds nothing but the replicated log.
     control_state rebuilt(parse_rules);
@@ -103,21 +182,21 @@
     host = rebuilt;
     answers_.clear();
     ++elections;
-    leader_per_mille_ = per_mille.empty() ? 0 : number<int>(per_mille);
-    lead.emplace(host, leader_settings{}, local(now, leader_per_mille_));
-    return "";
+    leader_per_mille_ = per_mille;
+    lead.emplace(host, leader_settings{}, local(now, per_mille));
 }
 
-void simulation::commit(command const& it)
+command_answer simulation::commit(command const& it)
 {
     log_.push_back(it);
     auto answer = host.apply(log_.size(), it);
     watch.state(host.revision(), host.digest());
     if (auto const* const body = std::get_if<choose_primary>(&it.body);
         body != nullptr && std::holds_alternative<accepted>(answer))
-        watch.chosen(body->group, body->term, servers_[body->server].position);
+        watch.chosen(body->group, body->term, servers_[body->server]);
     if (lead)
-        lead->receive(committed{log_.size(), it, std::move(answer)});
+        lead->receive(committed{log_.size(), it, answer});
+    return answer;
 }
 
 void simulation::step()
@@ -126,11 +205,11 @@
     if (election_ && now >= *election_)
     {
         election_.reset();
-        elect("");
+        elect(0);
     }
     for (auto const& it : std::exchange(pending_, {}))
         commit(it);
-    for (auto const& [time, answer] : std::exchange(answers_, {}))
+    for (auto const& answer : std::exchange(answers_, {}))
         if (lead)
             lead->receive(answer);
     for (auto& [name, it] : daemons_)
@@ -147,7 +226,8 @@
 
 void simulation::step_daemon(daemon_name const& name, sim_daemon& it)
 {
-    if (lead && !it.is_cut && !it.is_deaf)
+    bool const is_cut = has_fault(name, "cut");
+    if (lead && !is_cut && !has_fault(name, "deaf"))
     {
         while (it.applied.revision() < host.revision())
             it.applied.apply(it.applied.revision() + 1,
@@ -159,9 +239,10 @@
         return;
     for (auto const& output : it.holder.tick(daemon_now))
     {
-        if (std::holds_alternative<adopt_state>(output) && !it.is_stuck)
+        if (std::holds_alternative<adopt_state>(output) &&
+            !has_fault(name, "stuck"))
             adopt(it);
-        if (!lead || it.is_cut)
+        if (!lead || is_cut)
             continue;
         if (auto const* const renewal = std::get_if<lease_renewal>(&output))
             lead->receive(*renewal);
@@ -169,7 +250,6 @@
             lead->receive(*back);
     }
     watch.state(it.applied.revision(), it.applied.digest());
-    (void)name;
 }
 
 void simulation::adopt(sim_daemon& it)
@@ -186,8 +266,8 @@
 
 void simulation::deliver(leader_output const& it)
 {
-    bool const is_crash = crash_ && crash_->kind == kind_of(it);
-    if (!is_crash || crash_->is_after)
+    bool const is_crash = crash_ && crash_->second == kind_of(it);
+    if (!is_crash || crash_->first)
         effect(it);
     if (!is_crash)
         return;
@@ -200,40 +280,42 @@
 {
     if (auto const* const proposal = std::get_if<propose>(&it))
         pending_.push_back(proposal->entry);
-    if (auto const* const grant = std::get_if<grant_lease>(&it))
-    {
-        auto& daemon = daemons_.at(grant->daemon);
-        if (!daemon.is_cut && !daemon.is_deaf)
-            daemon.holder.receive(*grant);
-    }
+    if (auto const* const grant = std::get_if<grant_lease>(&it);
+        grant != nullptr && !has_fault(grant->daemon, "cut") &&
+        !has_fault(grant->daemon, "deaf"))
+        daemons_.at(grant->daemon).holder.receive(*grant);
     if (auto const* const query = std::get_if<ask_positions>(&it))
         for (auto const& name : query->servers)
-            if (auto const& server = servers_[name]; !server.is_cut)
-                answers_.emplace_back(
-                    now,
-                    position_reported{name, query->round, server.position.term,
-                                      server.position.offset});
-    if (auto const* const order = std::get_if<promote>(&it))
-        if (auto& server = servers_[order->server];
-            !server.is_cut && !server.is_mute)
+            if (auto const& position = servers_[name]; !has_fault(name, "cut"))
+                answers_.emplace_back(position_reported{
+                    name, query->round, position.term, position.offset});
+    if (auto const* const order = std::get_if<promote>(&it);
+        order != nullptr && !has_fault(order->server, "cut") &&
+        !has_fault(order->server, "mute"))
+    {
+        auto& position = servers_[order->server];
+        bool const ok = order->term >= position.term;
+        if (ok)
         {
-            bool const ok = order->term >= server.position.term;
-            if (ok)
-            {
-                server.position.term = order->term;
-                watch.primary(order->group, order->term, order->server);
-            }
-            answers_.emplace_back(
-                now, promotion_answered{order->server, order->term, ok});
+            position.term = order->term;
+            watch.primary(order->group, order->term, order->server);
         }
+        answers_.emplace_back(
+            promotion_answered{order->server, order->term, ok});
+    }
     if (auto const* const decision = std::get_if<placement_decision>(&it))
         decisions.push_back(*decision);
-    if (auto const* const change = std::get_if<change_in_force>(&it))
-        in_force.emplace_back(now, *change);
 }
 
 // What an entry host does before it relays the success of a write.
-std::string simulation::try_ack(sim_daemon& it, std::uint64_t offset)
+std::string simulation::acknowledge(daemon_name const& name,
+                                    std::uint64_t offset,
+                                    std::string const& wanted)
+{
+    return differs(try_acknowledge(daemons_.at(name), offset), wanted);
+}
+
+std::string simulation::try_acknowledge(sim_daemon& it, std::uint64_t offset)
 {
     auto const* const group = it.served.find(the_group);
     if (local(now, it.per_mille) >= it.holder.valid_until())
@@ -241,10 +323,9 @@
     if (group == nullptr || group->phase != group_phase::serving)
         return "fenced";
     log_position const position{group->term, offset};
-    auto const reached =
-        std::count_if(servers_.begin(), servers_.end(),
-                      [&position](auto const& server)
-                      { return server.second.position >= position; });
+    auto const reached = std::count_if(servers_.begin(), servers_.end(),
+                                       [&position](auto const& server)
+                                       { return server.second >= position; });
     if (static_cast<std::size_t>(reached) < servers_.size() / 2 + 1)
         return "no_majority";
     it.acknowledged = std::max(it.acknowledged, position);
@@ -252,86 +333,80 @@
     return "acknowledged";
 }
 
-std::string simulation::start(std::string const& time)
+void simulation::start()
 {
-    elect("");
-    for (char const* event : {"daemon d1", "daemon d2", "server s1 1",
-                              "server s2 1", "server s3 1"})
-        run(std::string(time).append(" ").append(event));
-    return "";
+    elect(0);
+    for (char const* name : {"d1", "d2"})
+        start_daemon(daemon_name{name}, 0);
+    for (char const* name : {"s1", "s2", "s3"})
+        announce(server_name{name}, 1, "");
 }
 
-std::string simulation::plan_crash(bool is_after, std::string const& kind)
+void simulation::plan_crash(bool is_after, std::string const& kind)
 {
-    crash_ = crash_point{is_after, kind};
-    return "";
+    crash_ = {is_after, kind};
 }
 
-std::string simulation::start_daemon(daemon_name const& name,
-                                     std::string const& per_mille)
+void simulation::start_daemon(daemon_name const& name, int per_mille)
 {
-    int const rate = per_mille.empty() ? 0 : number<int>(per_mille);
     lease_holder const holder(name, data_centre_name{"a"}, ++incarnations_, 2,
-                              {}, local(now, rate));
+                              {}, local(now, per_mille));
     control_state const empty(parse_rules);
-    daemons_.insert_or_assign(name, sim_daemon{empty, empty, holder, rate});
-    return "";
+    daemons_.insert_or_assign(name,
+                              sim_daemon{empty, empty, holder, per_mille});
 }
 
-std::string simulation::stop_daemon(daemon_name const& name)
+void simulation::stop_daemon(daemon_name const& name)
 {
     daemons_.at(name).holder.receive(stop_requested{});
-    return "";
 }
 
-std::string simulation::set_fault(std::string const& host_name,
-                                  std::string const& fault,
-                                  bool on)
+void simulation::set_fault(std::string const& host_name,
+                           std::string const& fault,
+                           bool on)
 {
-    if (auto const it = servers_.find(server_name{host_name});
-        it != servers_.end())
-        (fault == "cut" ? it->second.is_cut : it->second.is_mute) = on;
-    if (auto const it = daemons_.find(daemon_name{host_name});
-        it != daemons_.end())
-    {
-        auto& daemon = it->second;
-        std::map<std::string, bool*> const faults{{"cut", &daemon.is_cut},
-                                                  {"deaf", &daemon.is_deaf},
-                                                  {"stuck", &daemon.is_stuck}};
-        *faults.at(fault) = on;
-    }
-    return "";
+    (on ? faults_.insert({host_name, fault}).second
+        : faults_.erase({host_name, fault}) != 0);
 }
 
-std::string simulation::set_position(server_name const& name,
-                                     log_position position)
+void simulation::set_position(server_name const& name,
+                              std::uint64_t term,
+                              std::uint64_t offset)
 {
-    servers_.at(name).position = position;
-    return "";
+    servers_.at(name) = {term, offset};
 }
 
-// A primary of any term takes the write. When it can be reached, the replicas
-// that can be reached and know no later term follow it, or keep what they have
-// when they lag.
-std::string simulation::write_to(server_name const& name)
+void simulation::write_to(server_name const& name)
 {
-    auto const& primary = servers_.at(name);
-    if (!watch.is_primary(the_group, primary.position.term, name))
-        return "";
-    servers_.at(name).position.offset = ++last_write_;
+    auto& position = servers_.at(name);
+    if (!watch.is_primary(the_group, position.term, name))
+        return;
+    position.offset = ++last_write_;
     for (auto& [other, it] : servers_)
-        if (!primary.is_cut && !it.is_cut &&
-            (last_write_ + other.str().back()) % 3 != 0 &&
-            it.position.term <= primary.position.term)
-            it.position = primary.position;
-    return "";
+        if (!has_fault(name, "cut") && !has_fault(other, "cut") &&
+            it.term <= position.term &&
+            (last_write_ + static_cast<unsigned char>(other.str().back())) %
+                    3 !=
+                0)
+            it = position;
+}
+
+std::string simulation::announce(server_name const& name,
+                                 std::uint64_t sequence,
+                                 std::string const& wanted)
+{
+    servers_.try_emplace(name);
+    return submit({{},
+                   "trace",
+                   announce_server{name, the_group, data_centre_name{"a"},
+                                   "127.0.0.1:1", sequence}},
+                  wanted);
 }
 
-std::string simulation::submit(command const& it)
+std::string simulation::submit(command const& it, std::string const& wanted)
 {
-    auto answer = control_state(host).apply(host.revision() + 1, it);
-    commit(it);
-    return text_of(answer);
+    auto const answer = commit(it);
+    return differs(text_of(answer), wanted.empty() ? "accepted" : wanted);
 }
 
 void simulation::run_until(instant end)
@@ -372,128 +447,32 @@
 std::string simulation::run(std::string const& line)
 {
     std::istringstream stream(line.substr(0, line.find('#')));
-    std::vector<std::string> words;
-    for (std::string word; stream >> word;)
-        words.push_back(word);
+    std::vector<std::string> const words{
+        std::istream_iterator<std::string>(stream), {}};
     if (words.empty())
         return "";
-    run_until(instant{milliseconds{number<int>(words.at(0))}});
-    std::string const verb = words.at(1);
-    std::vector<std::string> const args(words.begin() + 2, words.end());
-    auto const arg = [&args](std::size_t n)
-    {
-        return n < args.size() ? args[n] : std::string{};
-    };
-    auto const answered =
-        [&](command_body body, std::size_t outcome, change_id id = {})
-    {
-        return differs(submit({std::move(id), "trace", std::move(body)}),
-                       arg(outcome).empty() ? "accepted" : arg(outcome));
-    };
-    server_name const server{arg(0)};
-    daemon_name const daemon{arg(0)};
-
-    auto const sequence = [&](std::size_t n)
-    {
-        return number<std::uint64_t>(arg(n));
-    };
-    auto const give = [&](auto const& it)
-    {
-        return answered(it, 1);
-    };
-    std::map<std::string_view, std::function<std::string()>> const verbs{
-        {"start",
-         [&]
-         {
-             return start(words.at(0));
-         }},
-        {"leader",
-         [&]
-         {
-             return elect(arg(0));
-         }},
-        {"crash",
-         [&]
-         {
-             return plan_crash(arg(0) == "after", arg(1));
-         }},
-        {"daemon",
-         [&]
-         {
-             return start_daemon(daemon, arg(1));
-         }},
-        {"stop",
-         [&]
-         {
-             return stop_daemon(daemon);
-         }},
-        {"remove_daemon",
-         [&]
-         {
-             return give(remove_daemon{daemon});
-         }},
-        {"set",
-         [&]
-         {
-             return set_fault(arg(0), arg(1), arg(2) == "on");
-         }},
-        {"server",
-         [&]
-         {
-             return answered(server_at(server, sequence(1)), 2);
-         }},
-        {"leaving",
-         [&]
-         {
-             return answered(announce_leaving{server, sequence(1)}, 2);
-         }},
-        {"remove",
-         [&]
-         {
-             return answered(remove_server{server, sequence(1)}, 2);
-         }},
-        {"verdict",
-         [&]
-         {
-             return answered(
-                 report_verdict{server, sequence(2),
-                                arg(1) == "up" ? verdict::up : verdict::down},
-                 3);
-         }},
-        {"position",
-         [&]
-         {
-             return set_position(server, {sequence(1), sequence(2)});
-         }},
-        {"write",
-         [&]
-         {
-             return write_to(server);
-         }},
-        {"ack",
-         [&]
-         {
-             return differs(try_ack(daemons_.at(daemon), sequence(1)), arg(2));
-         }},
-        {"rules",
-         [&]
-         {
-             return answered(apply_rules{sequence(1), rest_of(args, 3)}, 2,
-                             change_id{arg(0)});
-         }},
-        {"withdraw",
-         [&]
-         {
-             return give(withdraw_key{digest_of(number<std::uint8_t>(arg(0)))});
-         }},
-        {"expect",
-         [&]
-         {
-             return expect(args);
-         }},
-    };
-    auto const found = verbs.find(verb);
-    return found == verbs.end() ? "unknown event" : found->second();
+    run_until(instant{milliseconds{parse<int>(words.at(0))}});
+    arguments const args(words.begin() + 2, words.end());
+    if (words.at(1) == "expect")
+        return expect(args);
+    // These two have their words in an order that differs from the fields'.
+    if (words.at(1) == "rules")
+        return submit(
+            {change_id{args.at(0)}, "trace",
+             apply_rules{parse<std::uint64_t>(args.at(1)), rest_of(args, 3)}},
+            args.at(2));
+    if (words.at(1) == "verdict")
+        return submit({{},
+                       "trace",
+                       report_verdict{server_name{args.at(0)},
+                                      parse<std::uint64_t>(args.at(2)),
+                                      parse<verdict>(args.at(1))}},
+                      word_at(args, 3));
+    auto const* const found = std::find_if(std::begin(events), std::end(events),
+                                           [&words](event_row const& row)
+                                           { return row.verb == words[1]; });
+    return found == std::end(events) ? "unknown event"
+                                     : found->run(*this, args);
 }
 
 std::vector<std::string> simulation::run_all(std::string const& text)
--- a/packages/control/test/simulation.hpp
+++ b/packages/control/test/simulation.hpp
@@ -2,11 +2,12 @@
 #define BASILREACH_CONTROL_TEST_SIMULATION_HPP
 
 #include <chrono>
-#include <functional>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 #include <basilreach/control/leader.hpp>
@@ -43,6 +44,28 @@
 
     void run_until(instant end);
 
+    // Events of a trace, with its words as arguments.
+    void elect(int per_mille);
+    void start();
+    void plan_crash(bool is_after, std::string const& kind);
+    void start_daemon(daemon_name const& name, int per_mille);
+    void stop_daemon(daemon_name const& name);
+    void
+    set_fault(std::string const& host_name, std::string const& fault, bool on);
+    void set_position(server_name const& name,
+                      std::uint64_t term,
+                      std::uint64_t offset);
+    // A primary of any term takes the write. Replicas that can be reached and
+    // know no later term follow it, but for one that lags.
+    void write_to(server_name const& name);
+    std::string acknowledge(daemon_name const& name,
+                            std::uint64_t offset,
+                            std::string const& wanted);
+    std::string announce(server_name const& name,
+                         std::uint64_t sequence,
+                         std::string const& wanted);
+    std::string submit(command const& it, std::string const& wanted);
+
     // Offset of the last write.
     [[nodiscard]] std::uint64_t last_write() const
     {
@@ -55,17 +78,8 @@
     std::optional<leader> lead;
     int elections = 0;
     std::vector<placement_decision> decisions;
-    std::vector<std::pair<instant, change_in_force>> in_force;
 
 private:
-    struct sim_server
-    {
-        log_position position;
-        bool is_cut = false;
-        // Answers position queries and no promotions.
-        bool is_mute = false;
-    };
-
     struct sim_daemon
     {
         control_state applied;
@@ -73,52 +87,39 @@
         lease_holder holder;
         // Relative error of the clock rate.
         int per_mille = 0;
-        // Neither side hears the other; the daemon hears nothing; a traffic
-        // thread hangs.
-        bool is_cut = false;
-        bool is_deaf = false;
-        bool is_stuck = false;
         log_position acknowledged{};
     };
 
-    // A simulated crash of the leader before or after an output takes effect.
-    struct crash_point
+    [[nodiscard]] static instant local(instant time, int per_mille);
+
+    template <class Name>
+    [[nodiscard]] bool has_fault(Name const& it, char const* fault) const
     {
-        bool is_after = false;
-        std::string kind;
-    };
+        return faults_.contains({it.str(), fault});
+    }
 
-    [[nodiscard]] static instant local(instant time, int per_mille);
-    // Events of a trace.
-    std::string elect(std::string const& per_mille);
-    std::string start(std::string const& time);
-    std::string plan_crash(bool is_after, std::string const& kind);
-    std::string start_daemon(daemon_name const& name,
-                             std::string const& per_mille);
-    std::string stop_daemon(daemon_name const& name);
-    std::string
-    set_fault(std::string const& host_name, std::string const& fault, bool on);
-    std::string set_position(server_name const& name, log_position position);
-    std::string write_to(server_name const& name);
     void step();
-    void commit(command const& it);
+    command_answer commit(command const& it);
     void step_daemon(daemon_name const& name, sim_daemon& it);
-    void adopt(sim_daemon& it);
+    static void adopt(sim_daemon& it);
     void deliver(leader_output const& it);
     void effect(leader_output const& it);
-    std::string try_ack(sim_daemon& it, std::uint64_t offset);
-    std::string submit(command const& it);
+    std::string try_acknowledge(sim_daemon& it, std::uint64_t offset);
     std::string expect(std::vector<std::string> const& words);
 
     std::vector<command> log_;
     std::vector<command> pending_;
-    std::vector<std::pair<instant, leader_input>> answers_;
-    std::map<server_name, sim_server> servers_;
+    std::vector<leader_input> answers_;
+    std::map<server_name, log_position> servers_;
     std::map<daemon_name, sim_daemon> daemons_;
     int leader_per_mille_ = 0;
     std::uint64_t incarnations_ = 0;
     std::uint64_t last_write_ = 1000;
-    std::optional<crash_point> crash_;
+    // Hosts with their faults: cut (hears and sends nothing), deaf (hears
+    // nothing), stuck (a traffic thread hangs), mute (answers no promotion).
+    std::set<std::pair<std::string, std::string>> faults_;
+    // The leader dies before or after its next output of a kind takes effect.
+    std::optional<std::pair<bool, std::string>> crash_;
     std::optional<instant> election_;
 };
 
