--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -474,13 +474,14 @@
     // Every acknowledged write is at a majority. The candidate has it if the
     // candidates that answered are a majority themselves, or if it is not
     // behind any server of a majority that answered.
+    bool const has_all_writes =
+        answers >= majority &&
+        (candidates >= majority || !best || best->first >= highest);
     auto reason = placement_reason::highest_position;
-    if (answers < majority)
+    if (!has_all_writes)
         reason = placement_reason::waiting_for_majority;
     else if (!best)
         reason = placement_reason::no_candidate;
-    else if (candidates < majority && best->first < highest)
-        reason = placement_reason::waiting_for_majority;
     else if (best->first < acknowledged_[group])
         reason = placement_reason::acknowledged_write_missing;
 
