--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -433,10 +433,14 @@
         return;
     }
     if (!row.round)
-        decide(group, candidate,
-               is_refused          ? placement_reason::candidate_refused
-               : server.is_leaving ? placement_reason::candidate_leaving
-                                   : placement_reason::candidate_down);
+    {
+        auto reason = placement_reason::candidate_down;
+        if (is_refused)
+            reason = placement_reason::candidate_refused;
+        else if (server.is_leaving)
+            reason = placement_reason::candidate_leaving;
+        decide(group, candidate, reason);
+    }
     // Under a new leader the daemons must first report what they acknowledged.
     run_fencing(group, now);
 }
@@ -470,13 +474,14 @@
     // Every acknowledged write is at a majority. The candidate has it if the
     // candidates that answered are a majority themselves, or if it is not
     // behind any server of a majority that answered.
+    bool const has_all_writes =
+        answers >= majority &&
+        (candidates >= majority || !best || best->first >= highest);
     auto reason = placement_reason::highest_position;
-    if (answers < majority)
+    if (!has_all_writes)
         reason = placement_reason::waiting_for_majority;
     else if (!best)
         reason = placement_reason::no_candidate;
-    else if (candidates < majority && best->first < highest)
-        reason = placement_reason::waiting_for_majority;
     else if (best->first < acknowledged_[group])
         reason = placement_reason::acknowledged_write_missing;
 
