--- a/packages/consensus/test/election_test.cpp
+++ b/packages/consensus/test/election_test.cpp
@@ -50,13 +50,14 @@
         if (isolated == old)
             for (int n = 0; n != 700; ++n)
                 it.propose(isolated, "lost " + std::to_string(n));
+        auto const confirmed = it.confirmed_reads;
         it.read(isolated);
         it.run_for(700ms);
         // Until followers that still hear it vote, there may be no leader; an
         // isolated one has stopped by now.
         CHECK(it.at(isolated).state().role != member_role::leader);
-        if (!it.run_until([&] { return !it.leader().empty(); }, 2s))
-            FAIL("no leader after isolation");
+        CHECK(it.confirmed_reads == confirmed);
+        REQUIRE(it.run_until([&] { return !it.leader().empty(); }, 2s));
         it.run_for(60s);
         CHECK(it.settles());
         auto const leader = it.leader();
