--- a/packages/consensus/include/basilreach/consensus/member.hpp
+++ b/packages/consensus/include/basilreach/consensus/member.hpp
@@ -83,8 +83,7 @@
     step_result remove(host_name const& host, instant now);
 
     // Drops the entries that a snapshot covers. The caller made it from the
-    // applied state and has saved it. Its membership is set by this call's
-    // log; members_at() gives the value to save.
+    // applied state, with the membership of members_at(), and has saved it.
     void compact(snapshot base);
 
     // The time by which tick() is to be called, or never.
