storage: Let a failing sync in tests have no effect

A store that ignored the result of a sync passed the crash test, because the simulated disk performed the sync before it reported the failure.

--- a/packages/storage/test/memory_disk.hpp
+++ b/packages/storage/test/memory_disk.hpp
@@ -77,8 +77,9 @@
         {
             if (sync_fails)
                 return file_error{EIO};
+            BOOST_OUTCOME_TRY(step());
             at(handle).synced = at(handle).content;
-            return step();
+            return success();
         };
         it.close = [](int) {
         };
@@ -93,10 +94,11 @@
             names.erase(path);
             return step();
         };
-        it.sync_directory = [this](auto const&)
+        it.sync_directory = [this](auto const&) -> file_result<void>
         {
+            BOOST_OUTCOME_TRY(step());
             durable_names = names;
-            return step();
+            return success();
         };
         return it;
     }
