limits: Grant and spend a workspace's rate in escrow

Holders spend tokens that a leader has granted with an expiry. Everything that a holder may still spend counts against the burst, so that no window of t seconds holds more than burst + rate * t statements, whatever messages, hosts or leaders are lost. Traces and random faults are replayed under virtual time; the exact bucket of the check is tested with runs just over the limit.

--- a/packages/limits/include/basilreach/limits/fair_queue.hpp
+++ b/packages/limits/include/basilreach/limits/fair_queue.hpp
@@ -170,22 +170,22 @@
     // Removes an entry and charges its workspace for the cost served.
     Entry take(row_id id, std::uint64_t served)
     {
-        auto& row = *entries_.find(id);
-        auto& it = workspaces_.at(row.workspace);
-        bool const first = row.place == it.waiting.begin();
-        it.waiting.erase(row.place);
-        it.cost -= row.cost;
-        cost_ -= row.cost;
+        auto& from = *entries_.find(id);
+        auto& it = workspaces_.at(from.workspace);
+        bool const first = from.place == it.waiting.begin();
+        it.waiting.erase(from.place);
+        it.cost -= from.cost;
+        cost_ -= from.cost;
         if (first)
         {
-            heads_.erase({it.start, it.order, row.workspace});
+            heads_.erase({it.start, it.order, from.workspace});
             it.start += served;
             it.order = ++order_;
             if (!it.waiting.empty())
-                heads_.insert({it.start, it.order, row.workspace});
+                heads_.insert({it.start, it.order, from.workspace});
         }
         deadlines_.erase(id);
-        Entry entry = std::move(row.entry);
+        Entry entry = std::move(from.entry);
         entries_.erase(id);
         return entry;
     }
--- a/packages/limits/include/basilreach/limits/rate_holder.hpp
+++ b/packages/limits/include/basilreach/limits/rate_holder.hpp
@@ -20,8 +20,10 @@
     duration request_interval = std::chrono::milliseconds(1);
     // Time after which an unanswered request is sent again.
     duration retry_interval = std::chrono::milliseconds(20);
+    // Longest time until a use of tokens is reported.
+    duration report_interval = std::chrono::milliseconds(5);
     // Time between two requests of a workspace without traffic.
-    duration idle_interval = std::chrono::milliseconds(100);
+    duration idle_interval = std::chrono::milliseconds(500);
     // The reserve covers the use of this time.
     duration reserve_time = std::chrono::milliseconds(20);
 
@@ -77,6 +79,50 @@
 
     // Returns when tick has something to do next.
     [[nodiscard]] instant next_deadline() const;
+
+private:
+    struct purse
+    {
+        workspace_name workspace;
+        // Nanotokens.
+        std::int64_t left = 0;
+        // Tokens.
+        std::int64_t lent = 0;
+        std::int64_t returned = 0;
+        std::int64_t waiting = 0;
+        instant expiry;
+        grant_id heard;
+        instant heard_sent;
+        rate_floor floor;
+        // When the floor stops resting, and up to when it was refilled.
+        instant rest_until = never;
+        instant refilled;
+        std::uint64_t sequence = 0;
+        instant sent;
+        bool answered = true;
+        // Demand has changed or tokens were used since the last request.
+        bool asking = false;
+        bool used = false;
+        // Tokens a second, averaged over demand_time.
+        double demand = 0;
+        instant demand_at;
+    };
+
+    purse* find(workspace_name const& workspace);
+    [[nodiscard]] purse const* find(workspace_name const& workspace) const;
+    static void refresh(purse& it, instant now);
+    void use(purse& it, std::int64_t tokens, instant now);
+    [[nodiscard]] std::int64_t target(purse const& it, instant now) const;
+    [[nodiscard]] instant send_time(purse const& it) const;
+    void schedule(row_id id, purse const& it);
+    token_request make_request(purse& it, instant now) const;
+
+    rate_holder_settings settings_;
+    daemon_name holder_;
+    std::uint64_t incarnation_;
+    table<purse> purses_;
+    std::map<workspace_name, row_id> by_name_;
+    deadline_queue<row_id> due_;
 };
 
 } // namespace basilreach::limits
--- a/packages/limits/include/basilreach/limits/rate_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/rate_ledger.hpp
@@ -4,7 +4,6 @@
 #include <cstdint>
 #include <deque>
 #include <map>
-#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -24,7 +23,9 @@
     duration lifetime = std::chrono::seconds(1);
     // How long the floor of a holder rests after its last contact. Longer than
     // the interval between two requests of an idle holder.
-    duration contact = std::chrono::milliseconds(500);
+    duration contact = std::chrono::milliseconds(1500);
+    // Least time between two grants to holders that wait for refill.
+    duration refill_interval = std::chrono::milliseconds(1);
     // Part of rate and burst that the floors of all holders share.
     std::int64_t floor_per_mille = 200;
 
@@ -75,14 +76,128 @@
     // Returns level plus outstanding tokens, rounded up.
     [[nodiscard]] std::int64_t total(workspace_name const& workspace) const;
 
-    // Returns the tokens that holders wait for and cannot be given now.
+    // Returns the tokens that holders wait for and that they were not given.
     [[nodiscard]] std::int64_t waiting(workspace_name const& workspace) const;
 
+    // Returns the further tokens that holders want for their demand.
+    [[nodiscard]] std::int64_t reserve(workspace_name const& workspace) const;
+
     // Runs the systems and returns the grants to send.
     std::vector<token_grant> tick(instant now);
 
     // Returns when tick has something to do next.
     [[nodiscard]] instant next_deadline() const;
+
+private:
+    // Amounts without another unit are in nanotokens: tokens a second times
+    // nanoseconds, so that refill needs no rounding.
+    struct bucket
+    {
+        workspace_name workspace;
+        std::int64_t rate = 0;
+        std::int64_t burst = 0;
+        std::int64_t level = 0;
+        std::int64_t outstanding = 0;
+        // Floors of the holders out of contact.
+        rate_floor reserved;
+        // Sum of all floors in force or told.
+        rate_floor assigned;
+        instant updated;
+        instant settled;
+        instant funded_until = never;
+        std::set<daemon_name> unreported;
+        std::map<daemon_name, row_id> accounts;
+        // Accounts that wait for tokens, in order of service.
+        std::set<std::pair<std::uint64_t, row_id>> queue;
+        // Accounts with a request to answer.
+        std::set<row_id> unanswered;
+        std::int64_t waiting = 0;
+        std::int64_t reserve = 0;
+        bool settling = true;
+    };
+
+    struct unheard_grant
+    {
+        std::uint64_t number;
+        std::int64_t tokens;
+    };
+
+    struct account
+    {
+        row_id bucket;
+        daemon_name holder;
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        std::uint64_t number = 0;
+        instant echo;
+        bool reported = false;
+        std::deque<unheard_grant> unheard;
+        std::int64_t outstanding = 0;
+        instant expiry;
+        // Tokens.
+        std::int64_t returned = 0;
+        std::int64_t waiting = 0;
+        std::int64_t reserve = 0;
+        std::uint64_t order = 0;
+        rate_floor confirmed;
+        rate_floor told;
+        // The floor rests until then; from then on it is reserved.
+        instant rest_until;
+        bool resting = false;
+    };
+
+    bucket* find(workspace_name const& workspace);
+    [[nodiscard]] bucket const* find(workspace_name const& workspace) const;
+    void add_account(row_id id, daemon_name const& holder, instant now);
+    void drop_account(row_id id);
+    void refill(bucket& it, instant now) const;
+    void clamp(bucket& it) const;
+    [[nodiscard]] rate_floor floors(bucket const& it) const;
+    [[nodiscard]] rate_floor reserved(bucket const& it) const;
+    [[nodiscard]] std::int64_t grantable(bucket const& it) const;
+    void set_outstanding(bucket& it, account& to, std::int64_t value) const;
+    void set_wishes(bucket& it,
+                    row_id id,
+                    account& to,
+                    std::int64_t waiting,
+                    std::int64_t reserve);
+    void set_floor(bucket& it,
+                   account& to,
+                   rate_floor confirmed,
+                   rate_floor told,
+                   bool resting) const;
+    void report(bucket& it,
+                account& from,
+                token_request const& request,
+                instant now);
+    [[nodiscard]] rate_floor next_floor(bucket const& it,
+                                        account const& to) const;
+
+    void advance(instant now);
+    void expire_accounts(instant now);
+    void wake_floors(instant now);
+    void settle_buckets(instant now);
+    void allocate(row_id id, instant now, std::vector<token_grant>& grants);
+    void answer(bucket& it,
+                row_id id,
+                std::int64_t tokens,
+                instant now,
+                std::vector<token_grant>& grants);
+
+    rate_settings settings_;
+    std::uint64_t term_;
+    instant started_;
+    instant authority_ = never;
+    std::uint64_t order_ = 0;
+    table<bucket> buckets_;
+    table<account> accounts_;
+    std::map<workspace_name, row_id> by_name_;
+    std::set<daemon_name> holders_;
+    std::set<row_id> changed_;
+    deadline_queue<row_id> expiries_;
+    deadline_queue<row_id> rests_;
+    deadline_queue<row_id> settling_;
+    deadline_queue<row_id> refills_;
 };
 
 } // namespace basilreach::limits
--- /dev/null
+++ b/packages/limits/include/basilreach/limits/rate_relay.hpp
@@ -0,0 +1,29 @@
+#ifndef BASILREACH_LIMITS_RATE_RELAY_HPP
+#define BASILREACH_LIMITS_RATE_RELAY_HPP
+
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+#include <basilreach/limits/rate_holder.hpp>
+#include <basilreach/limits/rate_ledger.hpp>
+
+namespace basilreach::limits
+{
+
+// Returns the settings of a second-level ledger: its holders are threads of the
+// same process, which need no floor.
+rate_settings second_level_settings();
+
+// Burst of a workspace at the second level, in tokens: no limit of its own.
+inline constexpr std::int64_t second_level_burst = 1'000'000'000;
+
+// Passes tokens of a workspace between a daemon's holder and its second-level
+// ledger: lends what the ledger's holders lack and takes back what they do not.
+// Run it before the ticks of both.
+void relay_tokens(rate_holder& upper,
+                  rate_ledger& lower,
+                  workspace_name const& workspace,
+                  instant now);
+
+} // namespace basilreach::limits
+
+#endif
--- a/packages/limits/include/basilreach/limits/token_messages.hpp
+++ b/packages/limits/include/basilreach/limits/token_messages.hpp
@@ -11,6 +11,17 @@
 namespace basilreach::limits
 {
 
+// The bucket from which a holder spends while it is out of contact.
+struct rate_floor
+{
+    // Microtokens a second.
+    std::int64_t rate = 0;
+    // Microtokens.
+    std::int64_t burst = 0;
+
+    friend auto operator<=>(rate_floor const&, rate_floor const&) = default;
+};
+
 // Holder to granting side: the holder's complete state for one workspace. A
 // lost request is made good by the next one, and an older one is ignored.
 struct token_request
@@ -35,6 +46,8 @@
     std::int64_t waiting = 0;
     // Further tokens wanted for the demand until the next request.
     std::int64_t reserve = 0;
+    // The floor in force at the holder.
+    rate_floor floor;
 
     friend auto operator<=>(token_request const&,
                             token_request const&) = default;
@@ -55,10 +68,9 @@
     instant echo;
     duration lifetime{};
     std::int64_t tokens = 0;
-    // The holder's own bucket while it is out of contact, in microtokens a
-    // second and microtokens.
-    std::int64_t floor_rate = 0;
-    std::int64_t floor_burst = 0;
+    // The holder's floor, and how long it rests after this grant arrives.
+    rate_floor floor;
+    duration floor_rest{};
 
     friend auto operator<=>(token_grant const&, token_grant const&) = default;
 };
--- /dev/null
+++ b/packages/limits/src/rate_relay.cpp
@@ -0,0 +1,32 @@
+#include <basilreach/limits/rate_relay.hpp>
+
+#include <algorithm>
+
+namespace basilreach::limits
+{
+
+rate_settings second_level_settings()
+{
+    rate_settings settings;
+    settings.floor_per_mille = 0;
+    return settings;
+}
+
+void relay_tokens(rate_holder& upper,
+                  rate_ledger& lower,
+                  workspace_name const& workspace,
+                  instant now)
+{
+    auto const waiting = lower.waiting(workspace);
+    auto const wanted = waiting + lower.reserve(workspace);
+    // All unallocated tokens come back, so that the holder's report and its
+    // surplus cover them.
+    auto const taken = lower.withdraw(workspace, second_level_burst, now);
+    upper.settle(workspace, taken, lower.total(workspace), now);
+    auto const lent = upper.lend(workspace, wanted, now);
+    lower.fund(workspace, lent, upper.expiry(workspace), now);
+    upper.set_waiting(workspace, std::max<std::int64_t>(waiting - lent, 0),
+                      now);
+}
+
+} // namespace basilreach::limits
--- /dev/null
+++ b/packages/limits/test/fair_queue_test.cpp
@@ -0,0 +1,99 @@
+#include <basilreach/limits/fair_queue.hpp>
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+using namespace basilreach;
+using namespace basilreach::limits;
+
+namespace
+{
+
+workspace_name const a("a");
+workspace_name const b("b");
+instant const start{};
+instant const far = start + std::chrono::hours(1);
+
+} // namespace
+
+TEST_CASE("a workspace with a long backlog does not delay another one")
+{
+    fair_queue<int> queue({});
+    for (int n = 0; n != 100; ++n)
+        REQUIRE(queue.push(a, 10, far, n, start));
+    REQUIRE(queue.push(b, 10, far, 1000, start));
+    REQUIRE(queue.push(b, 10, far, 1001, start));
+    std::vector<int> served;
+    for (int n = 0; n != 4; ++n)
+        served.push_back(*queue.pop());
+    CHECK(served == std::vector{0, 1000, 1, 1001});
+}
+
+TEST_CASE("service is shared by cost and not by count")
+{
+    fair_queue<int> queue({});
+    for (int n = 0; n != 100; ++n)
+    {
+        REQUIRE(queue.push(a, 4, far, 0, start));
+        REQUIRE(queue.push(b, 1, far, 1, start));
+    }
+    int of_b = 0;
+    for (int n = 0; n != 50; ++n)
+        of_b += *queue.pop();
+    CHECK(of_b == 40);
+}
+
+TEST_CASE("an idle workspace gathers no claim to service")
+{
+    fair_queue<int> queue({});
+    for (int n = 0; n != 20; ++n)
+        REQUIRE(queue.push(a, 1, far, 0, start));
+    for (int n = 0; n != 10; ++n)
+        queue.pop();
+    for (int n = 0; n != 10; ++n)
+        REQUIRE(queue.push(b, 1, far, 1, start));
+    int of_b = 0;
+    for (int n = 0; n != 6; ++n)
+        of_b += *queue.pop();
+    CHECK(of_b <= 4);
+}
+
+TEST_CASE("an expired entry is returned once and not charged")
+{
+    fair_queue<std::string> queue({});
+    auto const soon = start + std::chrono::milliseconds(1);
+    REQUIRE(queue.push(a, 100, soon, "late", start));
+    REQUIRE(queue.push(a, 1, far, "a", start));
+    auto const erased = queue.push(b, 1, far, "gone", start);
+    REQUIRE(queue.push(b, 1, far, "b", start));
+    CHECK(queue.next_deadline() == soon);
+    CHECK(queue.tick(soon) == std::vector<std::string>{"late"});
+    CHECK(queue.erase(erased.value()) == "gone");
+    CHECK_FALSE(queue.erase(erased.value()));
+    CHECK(queue.size() == 2);
+    CHECK(queue.pop() == "a");
+    CHECK(queue.pop() == "b");
+    CHECK_FALSE(queue.pop());
+    CHECK(queue.next_deadline() == never);
+}
+
+TEST_CASE("an entry that cannot be served in time is refused at once")
+{
+    fair_queue<int> queue({.entries_per_workspace = 20, .slots = 2});
+    for (int n = 0; n != 1000; ++n)
+        queue.record_service(1, std::chrono::milliseconds(10));
+    auto const deadline = start + std::chrono::milliseconds(60);
+    int accepted = 0;
+    for (int n = 0; n != 20; ++n)
+        accepted += queue.push(a, 1, deadline, n, start) ? 1 : 0;
+    CHECK(accepted == 13);
+    CHECK(queue.push(a, 1, deadline, 0, start).error() ==
+          queue_refusal::deadline_too_near);
+    // Another workspace waits for its own share only.
+    CHECK(queue.push(b, 1, deadline, 0, start));
+    CHECK(queue.estimated_wait(b) < std::chrono::milliseconds(20));
+    while (queue.push(a, 1, far, 0, start))
+        ;
+    CHECK(queue.push(a, 1, far, 0, start).error() == queue_refusal::queue_full);
+}
--- /dev/null
+++ b/packages/limits/test/rate_test.cpp
@@ -0,0 +1,153 @@
+#include <basilreach/limits/rate_holder.hpp>
+#include <basilreach/limits/rate_ledger.hpp>
+
+#include <doctest/doctest.h>
+
+#include <rate_replay.hpp>
+#include <simulation.hpp>
+
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+
+using namespace basilreach;
+using namespace basilreach::limits;
+using namespace basilreach::limits::replay;
+
+namespace
+{
+
+instant at_ms(std::uint64_t n)
+{
+    return instant(std::chrono::milliseconds(n));
+}
+
+// More demand than the rate, with every kind of fault at random times.
+rate_trace random_trace(std::uint64_t seed)
+{
+    random_source random(seed);
+    rate_trace trace;
+    trace.hosts = static_cast<unsigned>(2 + random.below(8));
+    trace.threads = static_cast<unsigned>(random.below(3));
+    trace.jitter = std::chrono::milliseconds(random.below(3) * 20);
+    trace.loss = random.below(2) == 0 ? 0 : 0.2;
+    trace.drift = random.below(2) == 0 ? 0 : 0.004;
+    trace.length = std::chrono::seconds(12);
+    auto const burst = static_cast<std::int64_t>(1 + random.below(200));
+    trace.limits = {{instant{}, 200, burst}};
+    if (random.below(3) == 0)
+        trace.limits.push_back({at_ms(6000), 50, 1 + burst / 2});
+    for (unsigned n = 0; n != 4; ++n)
+    {
+        auto const first = static_cast<unsigned>(random.below(trace.hosts));
+        auto const last =
+            first + static_cast<unsigned>(random.below(trace.hosts - first));
+        auto const from = random.below(10000);
+        trace.arrivals.push_back({at_ms(from), at_ms(from + 4000), first, last,
+                                  300, std::chrono::milliseconds(500)});
+        auto const start = random.below(10000);
+        auto const length = random.below(6000);
+        trace.faults.push_back({static_cast<fault_rule::kind>(random.below(4)),
+                                at_ms(start), at_ms(start + length), first,
+                                last});
+    }
+    return trace;
+}
+
+} // namespace
+
+TEST_CASE("no interleaving of faults admits more than rate and burst")
+{
+    for (std::uint64_t seed = 1; seed <= 400; ++seed)
+    {
+        CAPTURE(seed);
+        auto const outcome = replay_rate(random_trace(seed), seed);
+        CHECK(outcome.over_rate == 0);
+    }
+}
+
+TEST_CASE("the check finds statements over rate and burst")
+{
+    std::vector<configure_rule> const limits{{instant{}, 100, 10}};
+    std::vector<instant> runs(10, at_ms(1000));
+    CHECK(count_over_rate(runs, limits, {}, 0) == 0);
+    runs.push_back(at_ms(1009));
+    CHECK(count_over_rate(runs, limits, {}, 0) == 1);
+    runs.back() = at_ms(1010);
+    CHECK(count_over_rate(runs, limits, {}, 0) == 0);
+
+    std::vector<instant> steady;
+    for (std::uint64_t n = 0; n != 400; ++n)
+        steady.push_back(at_ms(10 * n));
+    CHECK(count_over_rate(steady, limits, {}, 0) == 0);
+    CHECK(count_over_rate(steady, {{instant{}, 97, 10}}, {}, 0) > 0);
+}
+
+TEST_CASE("traces have the outcomes that they state")
+{
+    std::filesystem::path const folder =
+        std::filesystem::path(BASILREACH_SOURCE_DIR) / "traces" / "limits";
+    unsigned replayed = 0;
+    for (auto const& entry : std::filesystem::directory_iterator(folder))
+    {
+        if (entry.path().extension() != ".rate")
+            continue;
+        CAPTURE(entry.path());
+        std::ifstream file(entry.path());
+        auto const trace = read_rate_trace(file);
+        REQUIRE(trace);
+        REQUIRE_FALSE(trace.value().expected.empty());
+        auto const outcome = replay_rate(trace.value(), 1);
+        auto const offered = static_cast<double>(outcome.offered);
+        std::map<std::string, double> const seen{
+            {"over_rate", static_cast<double>(outcome.over_rate)},
+            {"refused_within_rate_percent",
+             100 * static_cast<double>(outcome.refused_within_rate) / offered},
+            {"refused_percent",
+             100 * static_cast<double>(outcome.refused) / offered}};
+        for (auto const& [name, most] : trace.value().expected)
+        {
+            CAPTURE(name);
+            REQUIRE(seen.contains(name));
+            CHECK(seen.at(name) <= most);
+        }
+        ++replayed;
+    }
+    CHECK(replayed >= 5);
+}
+
+TEST_CASE("an error in a trace names line and word")
+{
+    std::istringstream unknown("hosts count 3\nhots count 9\n");
+    CHECK(read_rate_trace(unknown).error().line == 2);
+    std::istringstream bad("limit at_ms x1\n");
+    CHECK(read_rate_trace(bad).error().word == "x1");
+}
+
+TEST_CASE("a holder spends neither expired tokens nor a superseded grant")
+{
+    workspace_name const w("w");
+    daemon_name const host("host");
+    rate_holder holder({}, host, 7);
+    holder.add_workspace(w, at_ms(0));
+    CHECK(holder.tick(at_ms(0)).size() == 1);
+    token_grant grant{
+        w, host, 7, {2, 1}, at_ms(0), at_ms(0), std::chrono::milliseconds(100),
+        3, {},   {}};
+    holder.receive(grant, at_ms(1));
+    CHECK(holder.spend(w, 1, at_ms(99)));
+    CHECK_FALSE(holder.spend(w, 3, at_ms(99)));
+    CHECK_FALSE(holder.spend(w, 1, at_ms(100)));
+
+    grant.id = {1, 9};
+    grant.echo = at_ms(150);
+    holder.receive(grant, at_ms(151));
+    CHECK(holder.available(w, at_ms(151)) == 0);
+    grant.id = {3, 1};
+    grant.incarnation = 6;
+    holder.receive(grant, at_ms(152));
+    CHECK(holder.available(w, at_ms(152)) == 0);
+    grant.incarnation = 7;
+    holder.receive(grant, at_ms(153));
+    CHECK(holder.available(w, at_ms(153)) == 3);
+}
--- /dev/null
+++ b/tools/measure_program/main.cpp
@@ -0,0 +1,37 @@
+#include "subcommands.hpp"
+
+#include <cstdio>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+namespace
+{
+
+using namespace basilreach::measure;
+
+struct subcommand
+{
+    std::string_view name;
+    int (*run)(std::uint64_t seed);
+};
+
+constexpr subcommand subcommands[] = {
+    {"limits", measure_limits},
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    std::string_view const wanted = argc > 1 ? argv[1] : "";
+    auto const seed = argc > 2 ? std::strtoull(argv[2], nullptr, 10) : 1;
+    for (auto const& it : subcommands)
+        if (it.name == wanted)
+            return it.run(seed);
+    std::fprintf(stderr, "usage: basilreach_measure NAME [SEED]\nnames:");
+    for (auto const& it : subcommands)
+        std::fprintf(stderr, " %s", std::string(it.name).c_str());
+    std::fprintf(stderr, "\n");
+    return 2;
+}
--- /dev/null
+++ b/tools/measure_program/subcommands.hpp
@@ -0,0 +1,14 @@
+#ifndef BASILREACH_MEASURE_SUBCOMMANDS_HPP
+#define BASILREACH_MEASURE_SUBCOMMANDS_HPP
+
+#include <cstdint>
+
+namespace basilreach::measure
+{
+
+// Each measures one subject, prints its figures and returns the exit status.
+int measure_limits(std::uint64_t seed);
+
+} // namespace basilreach::measure
+
+#endif
