limits: Share the connections of a server among the hosts

A share grows only while the sum of what every holder may still have open stays below the server's limit. Random faults found two ways past the limit, both now covered: a new leader that knows nothing of the connections that a restarted holder abandoned, and a base share that was open after its lease had ended.

--- a/packages/limits/include/basilreach/limits/rate_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/rate_ledger.hpp
@@ -44,6 +44,10 @@
     // term, or a lifetime has passed, all tokens count as outstanding.
     rate_ledger(rate_settings settings, std::uint64_t term, instant now);
 
+    // States, before anything is configured, that no other leader came before,
+    // so that nothing is outstanding and no wait is needed.
+    void assume_first(instant now);
+
     // Sets rate (tokens a second) and burst (tokens) of a workspace. A new
     // workspace starts as described above for a new leader.
     void configure(workspace_name const& workspace,
@@ -186,7 +190,7 @@
 
     rate_settings settings_;
     std::uint64_t term_;
-    instant started_;
+    instant settled_;
     instant authority_ = never;
     std::uint64_t order_ = 0;
     table<bucket> buckets_;
--- a/packages/limits/include/basilreach/limits/share_holder.hpp
+++ b/packages/limits/include/basilreach/limits/share_holder.hpp
@@ -16,6 +16,8 @@
 
 struct share_holder_settings
 {
+    // Least time between two requests of a server.
+    duration request_interval = std::chrono::milliseconds(1);
     // Time after which an unanswered request is sent again.
     duration retry_interval = std::chrono::milliseconds(20);
     // Time between two requests of a server without changes.
@@ -54,11 +56,41 @@
     [[nodiscard]] std::uint32_t share(server_name const& server,
                                       instant now) const;
 
+    // Returns when all of the share but the base expires.
+    [[nodiscard]] instant expiry(server_name const& server) const;
+
     // Runs the systems and returns the requests to send.
     std::vector<share_request> tick(instant now);
 
     // Returns when tick has something to do next.
     [[nodiscard]] instant next_deadline() const;
+
+private:
+    struct row
+    {
+        server_name server;
+        instant started;
+        std::uint32_t share = 0;
+        std::uint32_t base = 0;
+        std::uint32_t open = 0;
+        std::uint32_t wanted = 0;
+        instant expiry;
+        grant_id heard;
+        std::uint64_t sequence = 0;
+        instant sent;
+        bool answered = true;
+        bool changed = true;
+    };
+
+    void schedule(row_id id, row const& it);
+    [[nodiscard]] instant send_time(row const& it) const;
+
+    share_holder_settings settings_;
+    daemon_name holder_;
+    std::uint64_t incarnation_;
+    table<row> rows_;
+    std::map<server_name, row_id> by_name_;
+    deadline_queue<row_id> due_;
 };
 
 } // namespace basilreach::limits
--- a/packages/limits/include/basilreach/limits/share_messages.hpp
+++ b/packages/limits/include/basilreach/limits/share_messages.hpp
@@ -22,8 +22,12 @@
     std::uint64_t sequence = 0;
     // When it was sent, by the holder's clock.
     instant sent;
+    // When this incarnation began to use the server, by the holder's clock.
+    instant started;
     // The last grant that the holder accepted.
     grant_id heard;
+    // The share in force at the holder.
+    std::uint32_t share = 0;
     // Connections that are open, opening or not confirmed as closed.
     std::uint32_t open = 0;
     // Connections that the holder could use now.
@@ -35,7 +39,8 @@
 
 // Granting side to holder: the number of connections that the holder may have
 // until echo + lifetime by its clock. It replaces the earlier number; beyond
-// it the holder closes connections as they become idle and opens none.
+// it the holder closes connections as they become idle and opens none. A grant
+// without lifetime neither raises the share nor renews it.
 struct share_grant
 {
     server_name server;
--- a/packages/limits/replay/rate_replay.cpp
+++ b/packages/limits/replay/rate_replay.cpp
@@ -79,13 +79,7 @@
     instant updated_;
 };
 
-struct arrival
-{
-    instant at;
-    unsigned host;
-
-    friend auto operator<=>(arrival const&, arrival const&) = default;
-};
+} // namespace
 
 std::vector<arrival> make_arrivals(rate_trace const& trace,
                                    random_source& random)
@@ -109,6 +103,9 @@
     return all;
 }
 
+namespace
+{
+
 // A spender and the requests that wait for its tokens.
 struct spender
 {
--- a/packages/limits/replay/rate_replay.hpp
+++ b/packages/limits/replay/rate_replay.hpp
@@ -12,6 +12,8 @@
 #include <basilreach/limits/rate_holder.hpp>
 #include <basilreach/limits/rate_ledger.hpp>
 
+#include <simulation.hpp>
+
 namespace basilreach::limits::replay
 {
 
@@ -89,6 +91,18 @@
 // its value; `#` starts a comment.
 result<rate_trace, trace_error> read_rate_trace(std::istream& in);
 
+struct arrival
+{
+    instant at;
+    unsigned host = 0;
+
+    friend auto operator<=>(arrival const&, arrival const&) = default;
+};
+
+// Returns the arrivals of a trace in order of time.
+std::vector<arrival> make_arrivals(rate_trace const& trace,
+                                   random_source& random);
+
 struct rate_outcome
 {
     std::uint64_t offered = 0;
--- a/packages/limits/src/rate_ledger.cpp
+++ b/packages/limits/src/rate_ledger.cpp
@@ -32,10 +32,16 @@
 rate_ledger::rate_ledger(rate_settings settings,
                          std::uint64_t term,
                          instant now)
-    : settings_(settings), term_(term), started_(now)
+    : settings_(settings), term_(term),
+      settled_(now + with_clock_margin(settings.lifetime))
 {
 }
 
+void rate_ledger::assume_first(instant now)
+{
+    settled_ = now;
+}
+
 void rate_ledger::configure(workspace_name const& workspace,
                             std::int64_t rate,
                             std::int64_t burst,
@@ -55,7 +61,7 @@
     row.rate = rate;
     row.burst = burst * nanotokens;
     row.updated = now;
-    row.settled = now + with_clock_margin(settings_.lifetime);
+    row.settled = std::max(settled_, now);
     auto const id = buckets_.insert(std::move(row));
     by_name_.emplace(workspace, id);
     settling_.set(id, buckets_.find(id)->settled);
--- /dev/null
+++ b/packages/limits/src/share_holder.cpp
@@ -0,0 +1,139 @@
+#include <basilreach/limits/share_holder.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace basilreach::limits
+{
+
+share_holder::share_holder(share_holder_settings settings,
+                           daemon_name holder,
+                           std::uint64_t incarnation)
+    : settings_(settings), holder_(std::move(holder)), incarnation_(incarnation)
+{
+}
+
+void share_holder::add_server(server_name const& server, instant now)
+{
+    if (by_name_.contains(server))
+        return;
+    row it;
+    it.server = server;
+    it.started = now;
+    it.sent = now - settings_.idle_interval;
+    auto const id = rows_.insert(std::move(it));
+    by_name_.emplace(server, id);
+    due_.set(id, now);
+}
+
+void share_holder::remove_server(server_name const& server)
+{
+    auto const it = by_name_.find(server);
+    if (it == by_name_.end())
+        return;
+    due_.erase(it->second);
+    rows_.erase(it->second);
+    by_name_.erase(it);
+}
+
+void share_holder::set_use(server_name const& server,
+                           std::uint32_t open,
+                           std::uint32_t wanted,
+                           instant now)
+{
+    auto const place = by_name_.find(server);
+    if (place == by_name_.end())
+        return;
+    auto& it = *rows_.find(place->second);
+    if (it.open == open && it.wanted == wanted)
+        return;
+    // A smaller wish below the share is not urgent: it goes with the next
+    // renewal, unless the granting side waits for connections to be closed.
+    auto const held = share(server, now);
+    bool const urgent = (wanted > it.wanted && wanted > held) ||
+                        (open < it.open && it.open > held);
+    it.changed = it.changed || urgent;
+    it.open = open;
+    it.wanted = wanted;
+    schedule(place->second, it);
+}
+
+void share_holder::receive(share_grant const& grant, instant now)
+{
+    auto const place = by_name_.find(grant.server);
+    if (place == by_name_.end() || grant.holder != holder_ ||
+        grant.incarnation != incarnation_)
+        return;
+    auto& it = *rows_.find(place->second);
+    if (grant.id <= it.heard)
+        return;
+    // A smaller share must be confirmed before others can use the difference.
+    it.changed = it.changed || grant.share < share(grant.server, now);
+    it.heard = grant.id;
+    bool const renewed = grant.lifetime > duration{};
+    it.share =
+        renewed ? grant.share : std::min(share(grant.server, now), grant.share);
+    it.base = renewed ? grant.base : std::min(it.base, grant.share);
+    if (renewed)
+        it.expiry = grant.echo + grant.lifetime;
+    else
+        it.changed = true;
+    it.answered = it.answered || grant.echo >= it.sent;
+    schedule(place->second, it);
+}
+
+std::uint32_t share_holder::share(server_name const& server, instant now) const
+{
+    auto const place = by_name_.find(server);
+    if (place == by_name_.end())
+        return 0;
+    auto const& it = *rows_.find(place->second);
+    return now < it.expiry ? it.share : std::min(it.share, it.base);
+}
+
+instant share_holder::expiry(server_name const& server) const
+{
+    auto const place = by_name_.find(server);
+    return place == by_name_.end() ? instant{}
+                                   : rows_.find(place->second)->expiry;
+}
+
+std::vector<share_request> share_holder::tick(instant now)
+{
+    std::vector<share_request> requests;
+    while (auto const id = due_.pop_due(now))
+    {
+        auto& it = *rows_.find(*id);
+        if (send_time(it) <= now)
+        {
+            it.sent = now;
+            it.answered = false;
+            it.changed = false;
+            requests.push_back({it.server, holder_, incarnation_, ++it.sequence,
+                                now, it.started, it.heard,
+                                share(it.server, now), it.open, it.wanted});
+        }
+        schedule(*id, it);
+    }
+    return requests;
+}
+
+instant share_holder::next_deadline() const
+{
+    return due_.next();
+}
+
+void share_holder::schedule(row_id id, row const& it)
+{
+    due_.set(id, send_time(it));
+}
+
+instant share_holder::send_time(row const& it) const
+{
+    if (it.changed)
+        return it.sent + settings_.request_interval;
+    return it.sent +
+           (it.answered ? settings_.idle_interval : settings_.retry_interval);
+}
+
+} // namespace basilreach::limits
--- /dev/null
+++ b/packages/limits/test/share_test.cpp
@@ -0,0 +1,90 @@
+#include <doctest/doctest.h>
+
+#include <share_replay.hpp>
+
+using namespace basilreach;
+using namespace basilreach::limits;
+using namespace basilreach::limits::replay;
+
+namespace
+{
+
+instant at_ms(std::uint64_t n)
+{
+    return instant(std::chrono::milliseconds(n));
+}
+
+// More demand than connections, with every kind of fault at random times.
+share_trace random_trace(std::uint64_t seed)
+{
+    random_source random(seed);
+    share_trace trace;
+    auto& load = trace.load;
+    load.hosts = static_cast<unsigned>(2 + random.below(8));
+    trace.limit = static_cast<std::uint32_t>(1 + random.below(30));
+    load.jitter = std::chrono::milliseconds(random.below(3) * 20);
+    load.loss = random.below(2) == 0 ? 0 : 0.2;
+    load.drift = random.below(2) == 0 ? 0 : 0.004;
+    load.length = std::chrono::seconds(20);
+    for (unsigned n = 0; n != 4; ++n)
+    {
+        auto const first = static_cast<unsigned>(random.below(load.hosts));
+        auto const last =
+            first + static_cast<unsigned>(random.below(load.hosts - first));
+        auto const from = random.below(16000);
+        load.arrivals.push_back({at_ms(from), at_ms(from + 5000), first, last,
+                                 trace.limit * 40.0,
+                                 std::chrono::milliseconds(400)});
+        auto const start = random.below(18000);
+        auto const length = random.below(9000);
+        load.faults.push_back({static_cast<fault_rule::kind>(random.below(4)),
+                               at_ms(start), at_ms(start + length), first,
+                               last});
+    }
+    return trace;
+}
+
+// Short times, so that a replay passes through many expiries.
+share_settings const brief{.lifetime = std::chrono::seconds(1),
+                           .lost_host_hold = std::chrono::seconds(1),
+                           .reclaim_after = std::chrono::milliseconds(100)};
+
+} // namespace
+
+TEST_CASE("no interleaving of faults opens more connections than the limit")
+{
+    std::uint64_t served = 0;
+    for (std::uint64_t seed = 1; seed <= 300; ++seed)
+    {
+        CAPTURE(seed);
+        auto const outcome = replay_shares(random_trace(seed), seed, brief);
+        CHECK(outcome.over_limit == 0);
+        served += outcome.served;
+    }
+    CHECK(served > 0);
+}
+
+TEST_CASE("the check finds connections over the limit")
+{
+    // One host of more than the limit's hosts, each with a share of its own.
+    auto trace = random_trace(1);
+    trace.load.hosts = 3;
+    trace.load.faults = {{fault_rule::kind::restart, at_ms(8000), {}, 0, 2}};
+    trace.load.arrivals = {{at_ms(3000), at_ms(12000), 0, 2, 2000, {}}};
+    trace.limit = 30;
+    trace.divided = true;
+    // A restart without the hold opens new connections next to the old ones.
+    CHECK(replay_shares(trace, 1, brief).over_limit > 0);
+    trace.load.faults.clear();
+    CHECK(replay_shares(trace, 1, brief).over_limit == 0);
+}
+
+TEST_CASE("a busy host receives nearly all connections")
+{
+    share_trace trace;
+    trace.load.arrivals = {{at_ms(1000), at_ms(9000), 3, 3, 2000, {}}};
+    auto const outcome = replay_shares(trace, 1);
+    CHECK(outcome.over_limit == 0);
+    // The other eight keep their base.
+    CHECK(outcome.most == 17);
+}
--- a/tools/measure_program/main.cpp
+++ b/tools/measure_program/main.cpp
@@ -18,6 +18,7 @@
 
 constexpr subcommand subcommands[] = {
     {"limits", measure_limits},
+    {"pool", measure_pool},
 };
 
 } // namespace
