--- a/packages/limits/include/basilreach/limits/rate_holder.hpp
+++ b/packages/limits/include/basilreach/limits/rate_holder.hpp
@@ -23,7 +23,7 @@
     // Longest time until a use of tokens is reported.
     duration report_interval = std::chrono::milliseconds(5);
     // Time between two requests of a workspace without traffic.
-    duration idle_interval = std::chrono::milliseconds(250);
+    duration idle_interval = std::chrono::milliseconds(500);
     // The reserve covers the use of this time.
     duration reserve_time = std::chrono::milliseconds(20);
 
--- a/packages/limits/include/basilreach/limits/rate_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/rate_ledger.hpp
@@ -20,21 +20,14 @@
 struct rate_settings
 {
     // How long granted tokens can be spent.
-    duration lifetime = std::chrono::milliseconds(600);
+    duration lifetime = std::chrono::seconds(1);
     // How long the floor of a holder rests after its last contact. Longer than
     // the interval between two requests of an idle holder.
-    duration contact = std::chrono::milliseconds(600);
+    duration contact = std::chrono::milliseconds(1500);
     // Least time between two grants to holders that wait for refill.
     duration refill_interval = std::chrono::milliseconds(1);
-    // Part of the rate that the floors of all holders share. It costs nothing
-    // while they rest.
-    std::int64_t floor_rate_per_mille = 1000;
-    // The same of the burst. It bounds the tokens granted at the same time.
-    std::int64_t floor_burst_per_mille = 500;
-    // Part of the floors that is shared evenly. The rest follows the use.
-    std::int64_t floor_even_per_mille = 200;
-    // Time over which that use is averaged.
-    duration floor_use_time = std::chrono::seconds(5);
+    // Part of rate and burst that the floors of all holders share.
+    std::int64_t floor_per_mille = 200;
 
     friend auto operator<=>(rate_settings const&,
                             rate_settings const&) = default;
@@ -124,9 +117,6 @@
         std::set<row_id> unanswered;
         std::int64_t waiting = 0;
         std::int64_t reserve = 0;
-        // The sum over the accounts.
-        double use = 0;
-        instant use_at;
         bool settling = true;
     };
 
@@ -155,9 +145,6 @@
         std::uint64_t order = 0;
         rate_floor confirmed;
         rate_floor told;
-        // Tokens used, fading over `floor_use_time`.
-        double use = 0;
-        instant use_at;
         // The floor rests until then; from then on it is reserved.
         instant rest_until;
         bool resting = false;
@@ -187,10 +174,8 @@
                 account& from,
                 token_request const& request,
                 instant now);
-    void
-    record_use(bucket& it, account& from, std::int64_t used, instant now) const;
-    [[nodiscard]] rate_floor
-    next_floor(bucket const& it, account const& to, instant now) const;
+    [[nodiscard]] rate_floor next_floor(bucket const& it,
+                                        account const& to) const;
 
     void advance(instant now);
     void expire_accounts(instant now);
--- a/packages/limits/src/rate_ledger.cpp
+++ b/packages/limits/src/rate_ledger.cpp
@@ -1,8 +1,6 @@
 #include <basilreach/limits/rate_ledger.hpp>
 
 #include <algorithm>
-#include <cmath>
-#include <cstdlib>
 
 namespace basilreach::limits
 {
@@ -18,9 +16,6 @@
 // wait, so that the others find tokens for theirs.
 constexpr std::int64_t reserve_divisor = 4;
 
-// A floor changes by at least this part of it.
-constexpr std::int64_t floor_hysteresis = 8;
-
 rate_floor greater(rate_floor const& a, rate_floor const& b)
 {
     return {std::max(a.rate, b.rate), std::max(a.burst, b.burst)};
@@ -172,11 +167,7 @@
     from.returned = request.returned;
     set_outstanding(it, from, value);
     if (from.reported)
-    {
-        auto const unused = std::clamp<std::int64_t>(returned, 0, freed);
-        it.level += unused;
-        record_use(it, from, freed - unused, now);
-    }
+        it.level += std::clamp<std::int64_t>(returned, 0, freed);
     from.reported = true;
     it.unreported.erase(from.holder);
     if (it.unreported.empty())
@@ -338,10 +329,10 @@
 
 rate_floor rate_ledger::floors(bucket const& it) const
 {
-    rate_floor const all{it.rate * settings_.floor_rate_per_mille *
-                             microtokens / 1000,
+    rate_floor const all{it.rate * settings_.floor_per_mille * microtokens /
+                             1000,
                          it.burst / nanotokens_per_microtoken / 1000 *
-                             settings_.floor_burst_per_mille};
+                             settings_.floor_per_mille};
     // With less than one whole token besides the floors nothing could be
     // granted.
     bool const room =
@@ -417,60 +408,26 @@
     to.resting = resting;
 }
 
-void rate_ledger::record_use(bucket& it,
-                             account& from,
-                             std::int64_t used,
-                             instant now) const
-{
-    auto const fade = [&](double& use, instant& at)
-    {
-        use *= std::exp(-std::chrono::duration<double>(now - at) /
-                        settings_.floor_use_time);
-        use += static_cast<double>(used) / nanotokens;
-        at = now;
-    };
-    fade(from.use, from.use_at);
-    fade(it.use, it.use_at);
-}
-
-rate_floor
-rate_ledger::next_floor(bucket const& it, account const& to, instant now) const
+rate_floor rate_ledger::next_floor(bucket const& it, account const& to) const
 {
+    auto const all = floors(it);
+    auto const holders = static_cast<std::int64_t>(it.accounts.size());
+    rate_floor next{all.rate / holders, all.burst / holders};
+    if (next.burst < microtokens)
+        next = {};
     // One change at a time, so that the greater of two covers what the holder
     // may have.
     if (to.confirmed != to.told)
         return to.told;
-    auto const all = floors(it);
-    auto const faded =
-        to.use * std::exp(-std::chrono::duration<double>(now - to.use_at) /
-                          settings_.floor_use_time);
-    auto const even = static_cast<double>(settings_.floor_even_per_mille) /
-                      1000 / static_cast<double>(it.accounts.size());
-    auto const part =
-        it.use < 1 ? even
-                   : even + std::min(faded / it.use, 1.0) *
-                                static_cast<double>(
-                                    1000 - settings_.floor_even_per_mille) /
-                                1000;
-    rate_floor next{
-        static_cast<std::int64_t>(static_cast<double>(all.rate) * part),
-        static_cast<std::int64_t>(static_cast<double>(all.burst) * part)};
-    // A floor that never holds one whole token serves nothing.
-    if (next.burst < microtokens)
-        next = {};
-    // Others give up theirs first. Holders that have not reported may still
-    // have greater ones.
-    auto const limit = [&](std::int64_t wanted, std::int64_t told,
-                           std::int64_t most, std::int64_t assigned)
-    {
-        auto const room = it.unreported.empty() ? most - assigned : 0;
-        return std::min(wanted, told + std::max<std::int64_t>(room, 0));
-    };
-    next = {limit(next.rate, to.told.rate, all.rate, it.assigned.rate),
-            limit(next.burst, to.told.burst, all.burst, it.assigned.burst)};
-    // Small changes would only cost the confirmation.
-    auto const change = std::abs(next.rate - to.told.rate);
-    return change * floor_hysteresis < to.told.rate ? to.told : next;
+    auto const sum_rate = it.assigned.rate - to.told.rate + next.rate;
+    auto const sum_burst = it.assigned.burst - to.told.burst + next.burst;
+    bool const grows = next.rate > to.told.rate || next.burst > to.told.burst;
+    // Holders that have not reported may still have the floors of a smaller
+    // number of holders.
+    if (grows && (!it.unreported.empty() || sum_rate > all.rate ||
+                  sum_burst > all.burst))
+        return to.told;
+    return next;
 }
 
 void rate_ledger::advance(instant now)
@@ -578,7 +535,7 @@
 {
     auto& to = *accounts_.find(id);
     it.unanswered.erase(id);
-    set_floor(it, to, to.confirmed, next_floor(it, to, now), to.resting);
+    set_floor(it, to, to.confirmed, next_floor(it, to), to.resting);
     clamp(it);
     tokens = std::min(tokens, grantable(it));
     it.level -= tokens * nanotokens;
