cli: Classify refused membership changes and lost reads

55000 is raised before a membership change begins, so it is a refusal and not an unknown outcome. A read whose answer was lost changes nothing and counts as no daemon reached. A refused operator key prints the daemon's message only.

--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -147,10 +147,11 @@
     auto const status =
         std::visit([&](auto const& it) { return report(env, it, is_show); },
                    sent->outcome);
-    if (!is_show && sent->may_have_run && status != exit_status::unknown)
-        return failure(fail(env, exit_status::unknown,
-                            "outcome unknown: an earlier try was not "
-                            "answered"));
+    if (sent->may_have_run && status == exit_status::refused)
+        return failure(is_show ? exit_status::no_daemon
+                               : fail(env, exit_status::unknown,
+                                      "outcome unknown: an earlier try was "
+                                      "not answered"));
     return failure(status);
 }
 
--- a/packages/cli/src/console.cpp
+++ b/packages/cli/src/console.cpp
@@ -1,5 +1,6 @@
 #include <basilreach/cli/console.hpp>
 
+#include <algorithm>
 #include <array>
 #include <cerrno>
 #include <cstddef>
@@ -88,9 +89,15 @@
         if (state == PGRES_POLLING_FAILED)
         {
             auto message = error_of(connection);
-            if (message.find(wrong_key) != std::string::npos)
-                return rejected{std::string{wrong_key}, std::move(message)};
-            return unreachable{std::move(message)};
+            auto const at = message.find(wrong_key);
+            if (at == std::string::npos)
+                return unreachable{std::move(message)};
+            // The message follows the SQLSTATE; hints are on later lines.
+            auto const text =
+                std::min(at + wrong_key.size() + 2, message.size());
+            return rejected{
+                std::string{wrong_key},
+                message.substr(text, message.find('\n', text) - text)};
         }
         if (!wait_for(connection,
                       state == PGRES_POLLING_READING ? POLLIN : POLLOUT,
--- a/packages/cli/src/submit.cpp
+++ b/packages/cli/src/submit.cpp
@@ -14,10 +14,10 @@
 
 constexpr std::string_view not_run_state = "57P03";
 
-// Errors that are raised before a command runs and that every daemon would
-// repeat. Any other error leaves open whether the command ran.
+// Errors that are raised before a command runs and that other daemons would
+// repeat at once. Any other error leaves open whether the command ran.
 constexpr auto final_errors = std::to_array<std::string_view>(
-    {"08P01", "0A000", "28P01", "3D000", "42601"});
+    {"08P01", "0A000", "28P01", "3D000", "42601", "55000"});
 
 // What a try tells, from least to most.
 enum class evidence : std::uint8_t
--- a/packages/cli/test/command_line_test.cpp
+++ b/packages/cli/test/command_line_test.cpp
@@ -140,6 +140,8 @@
           exit_status::refused);
     CHECK(status_of({rejected{"08007", ""}, true}, "stop") ==
           exit_status::unknown);
+    CHECK(status_of({rejected{"08007", ""}, true}, "status") ==
+          exit_status::no_daemon);
     CHECK(status_of({answered{}, false}, "stop") == exit_status::unknown);
 }
 
--- a/packages/cli/test/console_test.cpp
+++ b/packages/cli/test/console_test.cpp
@@ -160,9 +160,8 @@
     CHECK(std::holds_alternative<unreachable>(play({"", ""}, 200ms)));
     CHECK(std::holds_alternative<unreachable>(
         play({ask_password, error("57P03", "stopping")})));
-    auto const refused = play({ask_password, error("28P01", "wrong key")});
-    REQUIRE(std::holds_alternative<rejected>(refused));
-    CHECK(std::get<rejected>(refused).sqlstate == "28P01");
+    CHECK(play({ask_password, error("28P01", "wrong key")}) ==
+          try_outcome{rejected{"28P01", "wrong key"}});
 }
 
 } // namespace basilreach::cli
--- a/packages/cli/test/submit_test.cpp
+++ b/packages/cli/test/submit_test.cpp
@@ -73,11 +73,14 @@
     CHECK(other.play(verdict) == submission{unknown, true});
 }
 
-TEST_CASE("a wrong operator key is not tried at every daemon")
+TEST_CASE("an error that other daemons would repeat ends the tries")
 {
-    rejected const wrong_key{"28P01", "wrong key"};
-    script it{{unreachable{}, wrong_key}, {}, {}};
-    CHECK(it.play(verdict) == submission{wrong_key, false});
+    for (auto const* state : {"28P01", "42601", "55000"})
+    {
+        rejected const error{state, "refused"};
+        script it{{unreachable{}, error}, {}, {}};
+        CHECK(it.play(verdict) == submission{error, false});
+    }
 }
 
 TEST_CASE("a stop that is not answered never stops a second daemon")
