--- a/packages/control/include/basilreach/control/leader.hpp
+++ b/packages/control/include/basilreach/control/leader.hpp
@@ -205,9 +205,16 @@
 private:
     using handler = void (leader::*)(leader_input const&, instant);
 
-    // A daemon and its incarnation; two processes under one name hold two
-    // leases. No incarnation stands for an unknown one under an earlier leader.
-    using holder = std::pair<daemon_name, std::optional<std::uint64_t>>;
+    // Two processes under one name have two incarnations and hold two leases.
+    // The incarnation is unknown for a lease granted by an earlier leader.
+    struct holder
+    {
+        daemon_name daemon;
+        bool is_known = false;
+        std::uint64_t incarnation = 0;
+
+        friend auto operator<=>(holder const&, holder const&) = default;
+    };
 
     struct lease_row
     {
--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -92,7 +92,7 @@
     instant const until = elected_at + with_clock_margin(settings.leases.lease +
                                                          settings.step_down);
     for (auto const& [daemon, entry] : state.parts().daemons)
-        insert_lease({{daemon, std::nullopt}, 0, until});
+        insert_lease({{daemon, false, 0}, 0, until});
     if (base_ != 0)
         changes_.push_back({base_, elected_at});
     for (auto const& [group, entry] : state.parts().groups)
@@ -136,7 +136,7 @@
         (!daemon->is_removed && daemon->data_centre != renewal.data_centre))
         register_daemon_of(renewal, now);
 
-    holder const who{renewal.daemon, renewal.incarnation};
+    holder const who{renewal.daemon, true, renewal.incarnation};
     row_id const id = lease_of(who);
     if (auto* const row = leases_.find(id);
         row != nullptr && renewal.confirmed_revision > row->confirmed)
@@ -158,7 +158,7 @@
 void leader::on_return(leader_input const& it, instant now)
 {
     auto const& returned = std::get<lease_returned>(it);
-    end_lease(lease_of({returned.daemon, returned.incarnation}), now);
+    end_lease(lease_of({returned.daemon, true, returned.incarnation}), now);
 }
 
 void leader::on_committed(leader_input const& it, instant now)
@@ -282,7 +282,7 @@
     auto const known = lease_by_holder_.find(who);
     if (known != lease_by_holder_.end())
         return known->second;
-    auto unknown = lease_by_holder_.extract({who.first, std::nullopt});
+    auto unknown = lease_by_holder_.extract({who.daemon, false, 0});
     if (!unknown)
         return {};
     // The first report to a new leader tells whose lease that was.
@@ -314,7 +314,7 @@
     auto const* const row = leases_.find(id);
     if (row == nullptr)
         return;
-    daemon_name const daemon = row->who.first;
+    daemon_name const daemon = row->who.daemon;
     by_confirmed_.erase({row->confirmed, id});
     lease_by_holder_.erase(row->who);
     lease_deadlines_.erase(id);
@@ -326,8 +326,8 @@
 
 bool leader::has_lease(daemon_name const& daemon) const
 {
-    auto const it = lease_by_holder_.lower_bound({daemon, std::nullopt});
-    return it != lease_by_holder_.end() && it->first.first == daemon;
+    auto const it = lease_by_holder_.lower_bound({daemon, false, 0});
+    return it != lease_by_holder_.end() && it->first.daemon == daemon;
 }
 
 void leader::register_daemon_of(lease_renewal const& renewal, instant now)
