--- a/tools/measure_program/main.cpp
+++ b/tools/measure_program/main.cpp
@@ -17,6 +17,7 @@
 };
 
 constexpr subcommand subcommands[] = {
+    {"fairness", measure_fairness},
     {"limits", measure_limits},
     {"pool", measure_pool},
 };
--- a/tools/measure_program/subcommands.hpp
+++ b/tools/measure_program/subcommands.hpp
@@ -7,6 +7,7 @@
 {
 
 // Each measures one subject, prints its figures and returns the exit status.
+int measure_fairness(std::uint64_t seed);
 int measure_limits(std::uint64_t seed);
 int measure_pool(std::uint64_t seed);
 
