limits: Report use every 50 ms and reserve tokens for 100 ms

Cause: holders and leader exchange about two messages for each statement. Change: use is reported after 50 ms instead of 5 ms, and the reserve covers 100 ms of use instead of 20 ms.

--- a/packages/limits/include/basilreach/limits/rate_holder.hpp
+++ b/packages/limits/include/basilreach/limits/rate_holder.hpp
@@ -21,11 +21,11 @@
     // Time after which an unanswered request is sent again.
     duration retry_interval = std::chrono::milliseconds(20);
     // Longest time until a use of tokens is reported.
-    duration report_interval = std::chrono::milliseconds(5);
+    duration report_interval = std::chrono::milliseconds(50);
     // Time between two requests of a workspace without traffic.
     duration idle_interval = std::chrono::milliseconds(500);
     // The reserve covers the use of this time.
-    duration reserve_time = std::chrono::milliseconds(20);
+    duration reserve_time = std::chrono::milliseconds(100);
 
     friend auto operator<=>(rate_holder_settings const&,
                             rate_holder_settings const&) = default;
