--- a/packages/limits/include/basilreach/limits/fair_queue.hpp
+++ b/packages/limits/include/basilreach/limits/fair_queue.hpp
@@ -81,24 +81,12 @@
     // Removes and returns the next entry to serve, if any waits.
     std::optional<Entry> pop()
     {
-        return pop_if([](workspace_name const&) { return true; });
-    }
-
-    // The same among the workspaces for which allowed(workspace) holds. It
-    // takes a step more for each workspace passed over.
-    template <class Allowed>
-    std::optional<Entry> pop_if(Allowed allowed)
-    {
-        for (auto const& next : heads_)
-        {
-            if (!allowed(next.workspace))
-                continue;
-            auto& it = workspaces_.at(next.workspace);
-            auto const id = it.waiting.front();
-            virtual_time_ = std::max(virtual_time_, it.start);
-            return take(id, entries_.find(id)->cost);
-        }
-        return std::nullopt;
+        if (heads_.empty())
+            return std::nullopt;
+        auto& it = workspaces_.at(heads_.begin()->workspace);
+        auto const id = it.waiting.front();
+        virtual_time_ = it.start;
+        return take(id, entries_.find(id)->cost);
     }
 
     // Removes an entry that need not be served; returns it if it still waits.
--- a/tools/measure_program/fairness.cpp
+++ b/tools/measure_program/fairness.cpp
@@ -4,7 +4,6 @@
 #include <algorithm>
 #include <deque>
 #include <functional>
-#include <map>
 #include <optional>
 #include <string>
 #include <vector>
@@ -39,11 +38,6 @@
     duration service;
 };
 
-workspace_name name_of(unsigned workspace)
-{
-    return workspace_name("w" + std::to_string(workspace));
-}
-
 // The queues that are compared: each accepts statements and gives the next.
 struct fair_order
 {
@@ -52,26 +46,19 @@
     void push(statement const& it, instant now)
     {
         // A statement that is refused does not count as answered.
-        (void)queue.push(name_of(it.workspace), 1, now + patience, it, now);
+        (void)queue.push(workspace_name("w" + std::to_string(it.workspace)), 1,
+                         now + patience, it, now);
     }
 
-    std::map<workspace_name, unsigned> in_service;
-
-    // No workspace takes the last slot while it has all others.
     std::optional<statement> pop(instant now)
     {
         queue.tick(now);
-        auto it = queue.pop_if([this](workspace_name const& workspace)
-                               { return in_service[workspace] < slots - 1; });
-        if (it)
-            ++in_service[name_of(it->workspace)];
-        return it;
+        return queue.pop();
     }
 
-    void served(statement const& it)
+    void served(duration service)
     {
-        --in_service[name_of(it.workspace)];
-        queue.record_service(1, it.service);
+        queue.record_service(1, service);
     }
 };
 
@@ -95,7 +82,7 @@
         return it;
     }
 
-    void served(statement const& /*it*/)
+    void served(duration /*service*/)
     {
     }
 };
@@ -134,7 +121,7 @@
                       [&, it = *it]
                       {
                           --busy;
-                          queue.served(it);
+                          queue.served(it.service);
                           times[it.workspace].push_back(
                               std::chrono::duration<double, std::milli>(
                                   events.now() - it.arrived)
