--- a/packages/limits/include/basilreach/limits/rate_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/rate_ledger.hpp
@@ -49,7 +49,8 @@
     void assume_first(instant now);
 
     // Sets rate (tokens a second) and burst (tokens) of a workspace. A new
-    // workspace starts as described above for a new leader.
+    // leader sets the limits of earlier rules first, oldest to latest: a holder
+    // that cannot be reached may still have a floor of theirs.
     void configure(workspace_name const& workspace,
                    std::int64_t rate,
                    std::int64_t burst,
@@ -106,6 +107,8 @@
         rate_floor reserved;
         // Sum of all floors in force or told.
         rate_floor assigned;
+        // Sum of all floors under the greatest earlier limits.
+        rate_floor earlier;
         instant updated;
         instant settled;
         instant funded_until = never;
--- a/packages/limits/src/rate_ledger.cpp
+++ b/packages/limits/src/rate_ledger.cpp
@@ -50,6 +50,9 @@
     if (auto* const it = find(workspace))
     {
         refill(*it, now);
+        // Holders that have not reported may still have floors of the earlier
+        // limits.
+        it->earlier = greater(it->earlier, floors(*it));
         it->rate = rate;
         it->burst = burst * nanotokens;
         clamp(*it);
@@ -171,7 +174,10 @@
     from.reported = true;
     it.unreported.erase(from.holder);
     if (it.unreported.empty())
+    {
+        it.earlier = {};
         settling_.set(by_name_.at(it.workspace), now);
+    }
 
     auto const rest = request.heard_sent + settings_.contact;
     if (rest > now)
@@ -345,7 +351,7 @@
     auto sum = it.reserved;
     if (!it.unreported.empty())
     {
-        auto const all = floors(it);
+        auto const all = greater(floors(it), it.earlier);
         sum.rate += std::max<std::int64_t>(all.rate - it.assigned.rate, 0);
         sum.burst += std::max<std::int64_t>(all.burst - it.assigned.burst, 0);
     }
