limits: Let the first leader of a deployment grant at once

Cause: holders that have just started may follow an incarnation whose connections are still open, so a leader waits for lease and hold, 8 s. At the very first start nothing was open. Change: the caller states with assume_first that no leader came before.

--- a/packages/limits/include/basilreach/limits/share_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/share_ledger.hpp
@@ -143,6 +143,7 @@
     share_settings settings_;
     std::uint64_t term_;
     instant settled_;
+    bool first_ = false;
     instant authority_ = never;
     table<server> servers_;
     table<account> accounts_;
--- a/packages/limits/replay/rate_replay.cpp
+++ b/packages/limits/replay/rate_replay.cpp
@@ -187,6 +187,8 @@
         leader_clock_ = make_clock();
         auto const now = leader_clock_.local(simulation_.now());
         leader_ = std::make_unique<rate_ledger>(settings_, ++term_, now);
+        if (term_ == 1)
+            leader_->assume_first(now);
         leader_wake_ = never;
         for (auto const& it : hosts_)
             leader_->register_holder(it.name, now);
--- a/packages/limits/replay/rate_trace.cpp
+++ b/packages/limits/replay/rate_trace.cpp
@@ -1,6 +1,7 @@
 #include "rate_replay.hpp"
 
 #include <charconv>
+#include <cmath>
 #include <optional>
 #include <sstream>
 #include <string_view>
@@ -26,8 +27,7 @@
     [[nodiscard]] duration milliseconds(std::string const& field,
                                         double absent = 0) const
     {
-        return duration(
-            static_cast<duration::rep>(get(field, absent) * 1e6 + 0.5));
+        return duration(std::llround(get(field, absent) * 1e6));
     }
 
     [[nodiscard]] unsigned count(std::string const& field,
--- a/packages/limits/replay/share_replay.cpp
+++ b/packages/limits/replay/share_replay.cpp
@@ -78,6 +78,8 @@
         leader_clock_ = make_clock();
         auto const now = leader_clock_.local(simulation_.now());
         leader_ = std::make_unique<share_ledger>(settings_, ++term_, now);
+        if (term_ == 1)
+            leader_->assume_first(now);
         leader_wake_ = never;
         for (auto const& it : pools_)
             leader_->register_holder(it.name, now);
--- a/packages/limits/src/share_ledger.cpp
+++ b/packages/limits/src/share_ledger.cpp
@@ -26,6 +26,7 @@
 void share_ledger::assume_first(instant now)
 {
     settled_ = now;
+    first_ = true;
 }
 
 void share_ledger::configure(server_name const& name,
@@ -295,7 +296,7 @@
         {
             auto const account_id = it.accounts.at(holder);
             auto& row = *accounts_.find(account_id);
-            if (!row.reported)
+            if (!row.reported && !first_)
                 row.heard = 1;
             update(it, account_id, row, now);
         }
--- a/packages/limits/test/fair_queue_test.cpp
+++ b/packages/limits/test/fair_queue_test.cpp
@@ -4,8 +4,11 @@
 
 #include <string>
 
-using namespace basilreach;
-using namespace basilreach::limits;
+using basilreach::instant;
+using basilreach::never;
+using basilreach::workspace_name;
+using basilreach::limits::fair_queue;
+using basilreach::limits::queue_refusal;
 
 namespace
 {
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -10,9 +10,18 @@
 #include <fstream>
 #include <sstream>
 
-using namespace basilreach;
-using namespace basilreach::limits;
-using namespace basilreach::limits::replay;
+using basilreach::daemon_name;
+using basilreach::instant;
+using basilreach::workspace_name;
+using basilreach::limits::rate_holder;
+using basilreach::limits::token_grant;
+using basilreach::limits::replay::configure_rule;
+using basilreach::limits::replay::count_over_rate;
+using basilreach::limits::replay::fault_rule;
+using basilreach::limits::replay::random_source;
+using basilreach::limits::replay::rate_trace;
+using basilreach::limits::replay::read_rate_trace;
+using basilreach::limits::replay::replay_rate;
 
 namespace
 {
@@ -105,11 +114,11 @@
              100 * static_cast<double>(outcome.refused_within_rate) / offered},
             {"refused_percent",
              100 * static_cast<double>(outcome.refused) / offered}};
-        for (auto const& [name, most] : trace.value().expected)
+        for (auto const& it : trace.value().expected)
         {
-            CAPTURE(name);
-            REQUIRE(seen.contains(name));
-            CHECK(seen.at(name) <= most);
+            CAPTURE(it.first);
+            REQUIRE(seen.contains(it.first));
+            CHECK(seen.at(it.first) <= it.second);
         }
         ++replayed;
     }
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -2,9 +2,12 @@
 
 #include <share_replay.hpp>
 
-using namespace basilreach;
-using namespace basilreach::limits;
-using namespace basilreach::limits::replay;
+using basilreach::instant;
+using basilreach::limits::share_settings;
+using basilreach::limits::replay::fault_rule;
+using basilreach::limits::replay::random_source;
+using basilreach::limits::replay::replay_shares;
+using basilreach::limits::replay::share_trace;
 
 namespace
 {
--- a/tools/measure_program/main.cpp
+++ b/tools/measure_program/main.cpp
@@ -8,8 +8,6 @@
 namespace
 {
 
-using namespace basilreach::measure;
-
 struct subcommand
 {
     std::string_view name;
@@ -17,9 +15,9 @@
 };
 
 constexpr subcommand subcommands[] = {
-    {"fairness", measure_fairness},
-    {"limits", measure_limits},
-    {"pool", measure_pool},
+    {"fairness", basilreach::measure::measure_fairness},
+    {"limits", basilreach::measure::measure_limits},
+    {"pool", basilreach::measure::measure_pool},
 };
 
 } // namespace
