daemon: Share out rates and connections through the control leader

Tokens and connections were static for each daemon. The leader now grants both from its ledgers; a daemon grants tokens on to its traffic threads with the same code. The engine holds tokens as one more holder of the escrow.

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -13,6 +13,7 @@
 #include <basilreach/consensus/member.hpp>
 #include <basilreach/control/control_state.hpp>
 #include <basilreach/control/leader.hpp>
+#include <basilreach/daemon/limit_leader.hpp>
 #include <basilreach/daemon/link_table.hpp>
 #include <basilreach/daemon/placement_client.hpp>
 #include <basilreach/messages/message.hpp>
@@ -104,6 +105,8 @@
     void on_return(link_id from, messages::message const& it);
     void on_subscribe(link_id from, messages::message const& it);
     void on_admin(link_id from, messages::message const& it);
+    void on_token_request(link_id from, messages::message const& it);
+    void on_share_request(link_id from, messages::message const& it);
     void on_peer(link_id from, messages::message const& it);
     void on_unexpected(link_id from, messages::message const& it);
 
@@ -119,7 +122,7 @@
     void install(consensus::snapshot const& it);
     void apply(consensus::log_entry const& entry);
     void follow_role(consensus::role_state const& role);
-    void start_leading();
+    void start_leading(std::uint64_t first_index);
     void compact();
     void send_update(link_id to, std::uint64_t after);
     void propose_initial_rules();
@@ -136,6 +139,7 @@
     std::unique_ptr<control::control_state> state_;
     std::unique_ptr<consensus::member> member_;
     std::unique_ptr<control::leader> leader_;
+    std::unique_ptr<limit_leader> limits_;
     placement_client placement_;
     instant now_;
     instant elected_at_;
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -12,6 +12,7 @@
 #include <basilreach/daemon/control_host.hpp>
 #include <basilreach/daemon/inbox.hpp>
 #include <basilreach/daemon/lease_client.hpp>
+#include <basilreach/daemon/limit_client.hpp>
 #include <basilreach/daemon/link_table.hpp>
 #include <basilreach/daemon/thread_messages.hpp>
 #include <basilreach/daemon/traffic_thread.hpp>
@@ -75,7 +76,8 @@
     void on_update(link_id from, messages::message& it);
     void on_not_leader(link_id from, messages::message& it);
     void on_admin_reply(link_id from, messages::message& it);
-    void ignore(link_id from, messages::message& it);
+    void on_token_grant(link_id from, messages::message& it);
+    void on_share_grant(link_id from, messages::message& it);
 
     void receive(link_id from, messages::message it);
     void deliver_local();
@@ -96,6 +98,7 @@
     link_table links_;
     std::unique_ptr<control_host> host_;
     std::unique_ptr<lease_client> lease_;
+    std::unique_ptr<limit_client> limits_;
     // Messages of this daemon to itself.
     std::vector<messages::message> local_;
     std::vector<consensus::host_name> known_hosts_;
--- a/packages/daemon/include/basilreach/daemon/lease_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/lease_client.hpp
@@ -47,6 +47,12 @@
         return holder_.next_deadline();
     }
 
+    // Differs for each start of the daemon.
+    [[nodiscard]] std::uint64_t incarnation() const
+    {
+        return incarnation_;
+    }
+
     // When the last grant arrived.
     [[nodiscard]] instant last_grant() const
     {
@@ -76,6 +82,7 @@
 
     daemon_context const& context_;
     std::function<void(messages::message const&)> to_leader_;
+    std::uint64_t incarnation_;
     control::lease_holder holder_;
     control::control_state state_;
     std::set<control::key_digest> denied_;
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -0,0 +1,62 @@
+#ifndef BASILREACH_DAEMON_LIMIT_CLIENT_HPP
+#define BASILREACH_DAEMON_LIMIT_CLIENT_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+
+#include <basilreach/control/control_state.hpp>
+#include <basilreach/daemon/traffic_thread.hpp>
+#include <basilreach/limits/rate_holder.hpp>
+#include <basilreach/limits/rate_ledger.hpp>
+#include <basilreach/limits/share_holder.hpp>
+#include <basilreach/messages/message.hpp>
+
+namespace basilreach::daemon
+{
+
+// The name under which a traffic thread holds tokens.
+[[nodiscard]] daemon_name token_holder_name(std::size_t thread);
+
+// The daemon's side of rates and connection shares. It holds the daemon's
+// tokens and grants them to the traffic threads, with the same code as the
+// leader grants them to daemons.
+class limit_client
+{
+public:
+    // `to_leader` sends a message to the control host that is believed to lead.
+    limit_client(daemon_context const& context,
+                 std::uint64_t incarnation,
+                 std::function<void(messages::message const&)> to_leader,
+                 instant now);
+
+    // Brings workspaces and servers in line with the control state.
+    void configure(control::control_state const& state, instant now);
+
+    // Requests of the traffic threads and grants of the leader.
+    void receive(limits::token_request const& it, instant now);
+    void receive(limits::token_grant const& it, instant now);
+    void receive(limits::share_grant const& it, instant now);
+    void receive(traffic::connections_used const& it, instant now);
+
+    void tick(instant now);
+
+    [[nodiscard]] instant next_deadline() const;
+
+private:
+    void post_shares(instant now);
+
+    daemon_context const& context_;
+    std::function<void(messages::message const&)> to_leader_;
+    limits::rate_holder rates_;
+    limits::rate_ledger threads_;
+    limits::share_holder shares_;
+    std::set<workspace_name> workspaces_;
+    // Shares as the traffic threads know them.
+    std::map<server_name, std::uint32_t> servers_;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -0,0 +1,58 @@
+#ifndef BASILREACH_DAEMON_LIMIT_LEADER_HPP
+#define BASILREACH_DAEMON_LIMIT_LEADER_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+
+#include <basilreach/control/control_state.hpp>
+#include <basilreach/limits/rate_ledger.hpp>
+#include <basilreach/limits/share_ledger.hpp>
+#include <basilreach/messages/message.hpp>
+
+namespace basilreach::daemon
+{
+
+// The granting side of rates and connection shares. It exists while the control
+// host leads.
+class limit_leader
+{
+public:
+    using sender =
+        std::function<void(daemon_name const&, messages::message const&)>;
+
+    // `is_first` states that no leader came before in this deployment.
+    limit_leader(duration lost_host_hold,
+                 std::uint64_t term,
+                 bool is_first,
+                 sender send,
+                 instant now);
+
+    // Brings the ledgers in line with the control state.
+    void configure(control::control_state const& state, instant now);
+
+    void receive(limits::token_request const& it, instant now);
+    void receive(limits::share_request const& it, instant now);
+
+    // Sends the grants that are due. No other leader can exist before
+    // `authority`.
+    void tick(instant authority, instant now);
+
+    [[nodiscard]] instant next_deadline() const;
+
+private:
+    void configure_servers(control::control_state const& state, instant now);
+    void configure_daemons(control::control_state const& state, instant now);
+
+    sender send_;
+    limits::rate_ledger rates_;
+    limits::share_ledger shares_;
+    std::shared_ptr<rules::rule_set const> rules_;
+    // Limits of the servers that are configured.
+    std::map<server_name, std::uint32_t> servers_;
+    std::set<daemon_name> daemons_;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- a/packages/daemon/include/basilreach/daemon/thread_messages.hpp
+++ b/packages/daemon/include/basilreach/daemon/thread_messages.hpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <variant>
 
+#include <basilreach/limits/token_messages.hpp>
 #include <basilreach/messages/message.hpp>
 #include <basilreach/telemetry/latency_histogram.hpp>
 #include <basilreach/traffic/action.hpp>
@@ -41,15 +42,6 @@
     friend bool operator==(view_adopted const&, view_adopted const&) = default;
 };
 
-struct tokens_wanted
-{
-    std::size_t thread = 0;
-    traffic::ask_tokens ask;
-
-    friend bool operator==(tokens_wanted const&,
-                           tokens_wanted const&) = default;
-};
-
 struct admin_call
 {
     std::size_t thread = 0;
@@ -86,7 +78,7 @@
 
 using control_note = std::variant<view_adopted,
                                   traffic::term_ended,
-                                  tokens_wanted,
+                                  limits::token_request,
                                   traffic::connections_used,
                                   admin_call,
                                   metrics_published,
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -107,7 +107,7 @@
     void perform(traffic::relay_answer const& it);
     void perform(traffic::refuse const& it);
     void perform(traffic::end_session const& it);
-    void perform(traffic::ask_tokens const& it);
+    void perform(limits::token_request const& it);
     void perform(traffic::connections_used const& it);
     void perform(traffic::term_ended const& it);
     void perform(traffic::adopted const& it);
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -122,12 +122,12 @@
 
 // Indexed by the alternatives of messages::message.
 control_host::handler const control_host::handlers[] = {
-    &control_host::on_renewal,    &control_host::on_return,
-    &control_host::on_unexpected, &control_host::on_subscribe,
-    &control_host::on_unexpected, &control_host::on_unexpected,
-    &control_host::on_admin,      &control_host::on_unexpected,
-    &control_host::on_unexpected, &control_host::on_unexpected,
-    &control_host::on_unexpected, &control_host::on_unexpected,
+    &control_host::on_renewal,       &control_host::on_return,
+    &control_host::on_unexpected,    &control_host::on_subscribe,
+    &control_host::on_unexpected,    &control_host::on_unexpected,
+    &control_host::on_admin,         &control_host::on_unexpected,
+    &control_host::on_token_request, &control_host::on_unexpected,
+    &control_host::on_share_request, &control_host::on_unexpected,
     &control_host::on_peer};
 
 // Indexed by the alternatives of control::leader_output.
@@ -234,6 +234,24 @@
         send_update(from, revision);
 }
 
+void control_host::on_token_request(link_id from, messages::message const& it)
+{
+    auto const& request = std::get<limits::token_request>(it);
+    if (!limits_)
+        return;
+    daemon_links_[request.holder] = from;
+    limits_->receive(request, now_);
+}
+
+void control_host::on_share_request(link_id from, messages::message const& it)
+{
+    auto const& request = std::get<limits::share_request>(it);
+    if (!limits_)
+        return;
+    daemon_links_[request.holder] = from;
+    limits_->receive(request, now_);
+}
+
 void control_host::on_unexpected(link_id /*from*/, messages::message const& it)
 {
     LOG(WARNING) << "event=unexpected_message kind=" << it.index();
@@ -389,6 +407,8 @@
         answer_read(it);
     if (!has_commands)
         return;
+    if (limits_)
+        limits_->configure(*state_, now_);
     for (auto& [link, revision] : subscribers_)
         if (std::exchange(revision, state_->revision()) < state_->revision())
             send_update(link, recent_.back().index - 1);
@@ -443,7 +463,7 @@
     auto const role = member_->state();
     if (!leader_ && role.role == consensus::member_role::leader &&
         entry.term == role.term)
-        start_leading();
+        start_leading(entry.index);
 }
 
 void control_host::follow_role(consensus::role_state const& role)
@@ -457,6 +477,7 @@
         return;
     }
     leader_.reset();
+    limits_.reset();
     leader_inputs_.clear();
     next_promotion_check_ = never;
     refuse_pending();
@@ -474,10 +495,23 @@
                                              daemon_name(leader_name().str())});
 }
 
-void control_host::start_leading()
+void control_host::start_leading(std::uint64_t first_index)
 {
     leader_ = std::make_unique<control::leader>(
         *state_, to_leader_settings(context_.settings), elected_at_);
+    // A leader grants nothing before its first entry is committed, so the first
+    // entry of the log has had no leader before it.
+    limits_ = std::make_unique<limit_leader>(
+        context_.settings.durations.lost_host_hold, member_->state().term,
+        first_index == 1,
+        [this](daemon_name const& to, messages::message const& it)
+        {
+            auto const link = daemon_links_.find(to);
+            if (link != daemon_links_.end())
+                outputs_.to_link(link->second, it);
+        },
+        now_);
+    limits_->configure(*state_, now_);
     next_promotion_check_ = now_ + promotion_interval;
     if (state_->parts().rules_version == 0 &&
         context_.settings.initial_rules_file)
@@ -534,6 +568,8 @@
             return;
         (this->*output_handlers[it.index()])(it);
     }
+    if (limits_)
+        limits_->tick(member_->leader_until(), now);
 }
 
 instant control_host::next_deadline() const
@@ -542,7 +578,9 @@
         return instant::min();
     auto const own = std::min({member_->next_deadline(), next_promotion_check_,
                                placement_.next_deadline()});
-    return leader_ ? std::min(own, leader_->next_deadline()) : own;
+    if (!leader_)
+        return own;
+    return std::min({own, leader_->next_deadline(), limits_->next_deadline()});
 }
 
 void control_host::on_propose(control::leader_output const& it)
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -47,8 +47,8 @@
     &control_thread::on_grant,        &control_thread::to_control_host,
     &control_thread::on_update,       &control_thread::on_not_leader,
     &control_thread::to_control_host, &control_thread::on_admin_reply,
-    &control_thread::to_control_host, &control_thread::ignore,
-    &control_thread::to_control_host, &control_thread::ignore,
+    &control_thread::to_control_host, &control_thread::on_token_grant,
+    &control_thread::to_control_host, &control_thread::on_share_grant,
     &control_thread::to_control_host};
 
 control_thread::control_thread(daemon_context& context)
@@ -77,6 +77,9 @@
     guessed_at_ = now;
     lease_ = std::make_unique<lease_client>(
         context_, [this](messages::message const& it) { to_leader(it); }, now);
+    limits_ = std::make_unique<limit_client>(
+        context_, lease_->incarnation(),
+        [this](messages::message const& it) { to_leader(it); }, now);
     if (!settings.roles.contains(settings::daemon_role::control))
         return daemon_error::none;
     if (!links_.listen(*settings.control_listen))
@@ -134,6 +137,8 @@
             lease_->follow(host_->state());
         deliver_local();
         lease_->tick(now);
+        limits_->configure(lease_->state(), now);
+        limits_->tick(now);
         deliver_local();
         expire_calls(now);
         follow_drain(now);
@@ -148,7 +153,8 @@
     if (!local_.empty() || state_changed_)
         return instant::min();
     auto const own =
-        std::min({lease_->next_deadline(), resends_.next(), drain_deadline_});
+        std::min({lease_->next_deadline(), limits_->next_deadline(),
+                  resends_.next(), drain_deadline_});
     return host_ ? std::min(own, host_->next_deadline()) : own;
 }
 
@@ -229,8 +235,14 @@
     answer_call(reply.id, std::move(reply));
 }
 
-void control_thread::ignore(link_id /*from*/, messages::message& /*it*/)
+void control_thread::on_token_grant(link_id /*from*/, messages::message& it)
 {
+    limits_->receive(std::get<limits::token_grant>(it), read_clock());
+}
+
+void control_thread::on_share_grant(link_id /*from*/, messages::message& it)
+{
+    limits_->receive(std::get<limits::share_grant>(it), read_clock());
 }
 
 void control_thread::on_adopted(control_note& it)
@@ -245,14 +257,12 @@
 
 void control_thread::on_tokens_wanted(control_note& it)
 {
-    auto const& wanted = std::get<tokens_wanted>(it);
-    context_.threads[wanted.thread]->post(traffic::tokens_granted{
-        wanted.ask.workspace, wanted.ask.waiting + wanted.ask.spent + 100,
-        read_clock() + std::chrono::seconds(1)});
+    limits_->receive(std::get<limits::token_request>(it), read_clock());
 }
 
-void control_thread::on_connections_used(control_note& /*it*/)
+void control_thread::on_connections_used(control_note& it)
 {
+    limits_->receive(std::get<traffic::connections_used>(it), read_clock());
 }
 
 void control_thread::on_metrics(control_note& it)
--- a/packages/daemon/src/event_loop.cpp
+++ b/packages/daemon/src/event_loop.cpp
@@ -61,8 +61,8 @@
     if (deadline != never)
     {
         // A time of zero would disarm the timer.
-        auto const ns = std::max<duration::rep>(
-            1, deadline.time_since_epoch().count());
+        auto const ns =
+            std::max<duration::rep>(1, deadline.time_since_epoch().count());
         time.it_value.tv_sec = ns / std::nano::den;
         time.it_value.tv_nsec = ns % std::nano::den;
     }
@@ -83,8 +83,7 @@
 }
 
 event_loop::event_loop()
-    : reactor_(new ACE_Dev_Poll_Reactor(handle_limit()), true),
-      timer_(reactor_)
+    : reactor_(new ACE_Dev_Poll_Reactor(handle_limit()), true), timer_(reactor_)
 {
 }
 
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -41,9 +41,10 @@
     std::function<void(messages::message const&)> to_leader,
     instant now)
     : context_(context), to_leader_(std::move(to_leader)),
+      incarnation_(make_incarnation()),
       holder_(context.settings.name,
               context.settings.data_centre,
-              make_incarnation(),
+              incarnation_,
               context.threads.size(),
               lease_settings_of(context.settings),
               now),
--- /dev/null
+++ b/packages/daemon/src/limit_client.cpp
@@ -0,0 +1,138 @@
+#include <basilreach/daemon/limit_client.hpp>
+
+#include <utility>
+
+#include <basilreach/limits/rate_relay.hpp>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+constexpr char holder_prefix[] = "thread-";
+
+std::size_t thread_of(daemon_name const& holder)
+{
+    return std::stoul(holder.str().substr(sizeof(holder_prefix) - 1));
+}
+
+} // namespace
+
+daemon_name token_holder_name(std::size_t thread)
+{
+    return daemon_name(holder_prefix + std::to_string(thread));
+}
+
+limit_client::limit_client(
+    daemon_context const& context,
+    std::uint64_t incarnation,
+    std::function<void(messages::message const&)> to_leader,
+    instant now)
+    : context_(context), to_leader_(std::move(to_leader)),
+      rates_({}, context.settings.name, incarnation),
+      threads_(limits::second_level_settings(), 1, now),
+      shares_({}, context.settings.name, incarnation)
+{
+    // Threads end with the process, so none of them holds anything yet.
+    threads_.assume_first(now);
+    for (std::size_t n = 0; n != context.threads.size(); ++n)
+        threads_.register_holder(token_holder_name(n), now);
+}
+
+void limit_client::configure(control::control_state const& state, instant now)
+{
+    auto const& rules = state.rules()->workspaces;
+    for (auto const& [name, it] : rules)
+        if (workspaces_.insert(name).second)
+        {
+            rates_.add_workspace(name, now);
+            threads_.configure(name, 0, limits::second_level_burst, now);
+        }
+    for (auto it = workspaces_.begin(); it != workspaces_.end();)
+    {
+        if (rules.contains(*it))
+        {
+            ++it;
+            continue;
+        }
+        rates_.remove_workspace(*it);
+        it = workspaces_.erase(it);
+    }
+    auto const& servers = state.parts().servers;
+    for (auto const& [name, it] : servers)
+        if (!it.is_removed && servers_.emplace(name, 0).second)
+            shares_.add_server(name, now);
+    for (auto it = servers_.begin(); it != servers_.end();)
+    {
+        auto const known = servers.find(it->first);
+        if (known != servers.end() && !known->second.is_removed)
+        {
+            ++it;
+            continue;
+        }
+        shares_.remove_server(it->first);
+        it = servers_.erase(it);
+    }
+}
+
+void limit_client::receive(limits::token_request const& it, instant now)
+{
+    threads_.receive(it, now);
+}
+
+void limit_client::receive(limits::token_grant const& it, instant now)
+{
+    rates_.receive(it, now);
+}
+
+void limit_client::receive(limits::share_grant const& it, instant now)
+{
+    shares_.receive(it, now);
+}
+
+void limit_client::receive(traffic::connections_used const& it, instant now)
+{
+    if (servers_.contains(it.server))
+        shares_.set_use(it.server, it.open, it.wanted, now);
+}
+
+void limit_client::tick(instant now)
+{
+    for (auto const& it : workspaces_)
+        limits::relay_tokens(rates_, threads_, it, now);
+    for (auto const& it : threads_.tick(now))
+        context_.threads[thread_of(it.holder)]->post(traffic::event(it));
+    for (auto const& it : rates_.tick(now))
+        to_leader_(it);
+    for (auto const& it : shares_.tick(now))
+        to_leader_(it);
+    post_shares(now);
+}
+
+void limit_client::post_shares(instant now)
+{
+    for (auto& [name, known] : servers_)
+    {
+        auto const share = shares_.share(name, now);
+        if (share == known)
+            continue;
+        bool const is_expired = share < known && shares_.expiry(name) <= now;
+        known = share;
+        for (auto* thread : context_.threads)
+            thread->post(traffic::event(
+                traffic::connection_share_changed{name, share, is_expired}));
+    }
+}
+
+instant limit_client::next_deadline() const
+{
+    auto next = std::min({rates_.next_deadline(), threads_.next_deadline(),
+                          shares_.next_deadline()});
+    for (auto const& [name, share] : servers_)
+        if (share > 0 && shares_.share(name, shares_.expiry(name)) < share)
+            next = std::min(next, shares_.expiry(name));
+    return next;
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/src/limit_leader.cpp
@@ -0,0 +1,125 @@
+#include <basilreach/daemon/limit_leader.hpp>
+
+#include <utility>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+limits::share_settings share_settings_of(duration lost_host_hold)
+{
+    limits::share_settings out;
+    out.lost_host_hold = lost_host_hold;
+    return out;
+}
+
+} // namespace
+
+limit_leader::limit_leader(duration lost_host_hold,
+                           std::uint64_t term,
+                           bool is_first,
+                           sender send,
+                           instant now)
+    : send_(std::move(send)), rates_({}, term, now),
+      shares_(share_settings_of(lost_host_hold), term, now)
+{
+    if (!is_first)
+        return;
+    rates_.assume_first(now);
+    shares_.assume_first(now);
+}
+
+void limit_leader::configure(control::control_state const& state, instant now)
+{
+    configure_daemons(state, now);
+    if (rules_ != state.rules())
+    {
+        auto const old = std::exchange(rules_, state.rules());
+        for (auto const& [name, it] : rules_->workspaces)
+            rates_.configure(name, static_cast<std::int64_t>(it.rate),
+                             static_cast<std::int64_t>(it.burst), now);
+        // A workspace without a rule has no rate.
+        if (old)
+            for (auto const& [name, it] : old->workspaces)
+                if (!rules_->workspaces.contains(name))
+                    rates_.configure(name, 0, 0, now);
+    }
+    configure_servers(state, now);
+}
+
+void limit_leader::configure_daemons(control::control_state const& state,
+                                     instant now)
+{
+    auto const& known = state.parts().daemons;
+    for (auto const& [name, it] : known)
+        if (daemons_.insert(name).second)
+        {
+            rates_.register_holder(name, now);
+            shares_.register_holder(name, now);
+        }
+    for (auto it = daemons_.begin(); it != daemons_.end();)
+    {
+        if (known.contains(*it))
+        {
+            ++it;
+            continue;
+        }
+        rates_.remove_holder(*it, now);
+        shares_.remove_holder(*it, now);
+        it = daemons_.erase(it);
+    }
+}
+
+void limit_leader::configure_servers(control::control_state const& state,
+                                     instant now)
+{
+    std::map<server_name, std::uint32_t> wanted;
+    for (auto const& [name, it] : state.parts().servers)
+    {
+        if (it.is_removed)
+            continue;
+        auto const limit = rules_->server_limits.find(it.group);
+        wanted[name] = limit == rules_->server_limits.end()
+                           ? rules::server_limit_rule{}.connections
+                           : limit->second.connections;
+    }
+    for (auto const& [name, limit] : servers_)
+        if (!wanted.contains(name))
+            shares_.remove_server(name);
+    for (auto const& [name, limit] : wanted)
+    {
+        auto const known = servers_.find(name);
+        if (known == servers_.end() || known->second != limit)
+            shares_.configure(name, limit, now);
+    }
+    servers_ = std::move(wanted);
+}
+
+void limit_leader::receive(limits::token_request const& it, instant now)
+{
+    rates_.receive(it, now);
+}
+
+void limit_leader::receive(limits::share_request const& it, instant now)
+{
+    shares_.receive(it, now);
+}
+
+void limit_leader::tick(instant authority, instant now)
+{
+    rates_.set_authority(authority);
+    shares_.set_authority(authority);
+    for (auto const& it : rates_.tick(now))
+        send_(it.holder, it);
+    for (auto const& it : shares_.tick(now))
+        send_(it.holder, it);
+}
+
+instant limit_leader::next_deadline() const
+{
+    return std::min(rates_.next_deadline(), shares_.next_deadline());
+}
+
+} // namespace basilreach::daemon
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -8,6 +8,7 @@
 #include <ace/OS_NS_sys_socket.h>
 #include <netinet/tcp.h>
 
+#include <basilreach/daemon/limit_client.hpp>
 #include <basilreach/rules/digest.hpp>
 #include <basilreach/rules/name_syntax.hpp>
 #include <basilreach/settings/endpoint.hpp>
@@ -23,10 +24,14 @@
 // Each traffic thread numbers its sessions in a range of its own.
 constexpr unsigned session_index_shift = 48;
 
-traffic::engine_settings engine_settings_of(settings::daemon_settings const& it)
+traffic::engine_settings engine_settings_of(settings::daemon_settings const& it,
+                                            std::size_t index)
 {
     traffic::engine_settings out;
+    out.holder = token_holder_name(index);
     out.data_centre = it.data_centre;
+    // The control thread says how many connections each server allows.
+    out.initial_connections = 0;
     out.request_timeout = it.durations.request_timeout;
     out.read_try_timeout = it.durations.read_try_timeout;
     out.replica_wait = it.durations.replica_wait;
@@ -134,7 +139,7 @@
 traffic_thread::traffic_thread(std::size_t index, daemon_context const& context)
     : index_(index), context_(context), inbox_(loop_),
       listener_(loop_, [this](ACE_SOCK_Stream it) { accept(it); }),
-      engine_(engine_settings_of(context.settings)),
+      engine_(engine_settings_of(context.settings, index)),
       view_(std::make_shared<traffic::control_view const>()),
       next_session_(std::uint64_t{index + 1} << session_index_shift)
 {
@@ -504,9 +509,9 @@
         client->end(it.reason);
 }
 
-void traffic_thread::perform(traffic::ask_tokens const& it)
+void traffic_thread::perform(limits::token_request const& it)
 {
-    context_.control->push(tokens_wanted{index_, it});
+    context_.control->push(it);
 }
 
 void traffic_thread::perform(traffic::connections_used const& it)
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -52,6 +52,8 @@
     view->revision = state.revision();
     view->routes = state.rules()->routes;
     view->keys = state.rules()->keys;
+    for (auto const& [name, rule] : state.rules()->workspaces)
+        view->workspaces.insert(name);
     for (auto const& it : denied)
         view->keys.erase(it);
     add_servers(state.parts(), *view);
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -9,6 +9,7 @@
 
 #include <basilreach/base/log_position.hpp>
 #include <basilreach/base/name.hpp>
+#include <basilreach/limits/token_messages.hpp>
 #include <basilreach/traffic/event.hpp>
 
 namespace basilreach::traffic
@@ -112,20 +113,6 @@
     friend bool operator==(end_session const&, end_session const&) = default;
 };
 
-// Asks the control thread for tokens of a workspace's rate.
-struct ask_tokens
-{
-    workspace_name workspace;
-    // Statements that wait for a token now.
-    std::uint32_t waiting = 0;
-    // Tokens spent since the last request.
-    std::uint32_t spent = 0;
-    // Unspent tokens that are still valid.
-    std::uint64_t held = 0;
-
-    friend bool operator==(ask_tokens const&, ask_tokens const&) = default;
-};
-
 // Tells the control thread how many connections to a server this thread has
 // open or is opening, and how many it could use.
 struct connections_used
@@ -204,7 +191,7 @@
                             relay_answer,
                             refuse,
                             end_session,
-                            ask_tokens,
+                            limits::token_request,
                             connections_used,
                             term_ended,
                             adopted,
--- a/packages/traffic/include/basilreach/traffic/control_view.hpp
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -5,6 +5,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <basilreach/base/name.hpp>
@@ -46,6 +47,7 @@
     std::uint64_t revision = 0;
     std::map<route_name, rules::route_rule> routes;
     std::map<key_digest, workspace_name> keys;
+    std::set<workspace_name> workspaces;
     std::map<server_name, server_view> servers;
     std::map<group_name, group_view> groups;
 
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -12,6 +12,7 @@
 
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/base/table.hpp>
+#include <basilreach/limits/rate_holder.hpp>
 #include <basilreach/traffic/action.hpp>
 #include <basilreach/traffic/engine_settings.hpp>
 #include <basilreach/traffic/event.hpp>
@@ -154,15 +155,6 @@
     std::optional<log_position> acknowledged;
 };
 
-struct allowance_row
-{
-    std::uint64_t tokens = 0;
-    instant expires;
-    std::uint32_t spent = 0;
-    bool is_asked = false;
-    std::deque<request_row_id> waiting;
-};
-
 enum class timer_kind : std::uint8_t
 {
     request,
@@ -186,6 +178,11 @@
 // Systems work on those lists, so that their cost follows the changes.
 struct state
 {
+    explicit state(engine_settings it)
+        : settings(std::move(it)), tokens({}, settings.holder, 1)
+    {
+    }
+
     engine_settings settings;
     instant now;
     instant lease_until;
@@ -198,7 +195,9 @@
     table<connection_row> connections;
     table<server_row> servers;
     table<group_row> groups;
-    std::unordered_map<workspace_name, allowance_row> allowances;
+    // Tokens of the workspaces' rates, and the statements that wait for them.
+    limits::rate_holder tokens;
+    std::map<workspace_name, std::deque<request_row_id>> waiting_tokens;
 
     std::unordered_map<std::uint64_t, session_row_id> session_by_id;
     std::map<key_digest, std::set<session_row_id>> sessions_by_key;
@@ -214,7 +213,6 @@
     std::vector<group_row_id> to_poll;
     // Servers whose number of connections may have changed.
     std::vector<server_row_id> to_report;
-    std::set<workspace_name> to_ask;
 
     deadline_queue<timer_key> timers;
     std::vector<action> actions;
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -27,6 +27,8 @@
 
 struct engine_settings
 {
+    // Names the engine as a holder of tokens; different in each thread.
+    daemon_name holder;
     // Replicas in this data centre are preferred at equal load.
     data_centre_name data_centre;
     read_policy reads = read_policy::session_position;
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -10,6 +10,7 @@
 #include <basilreach/base/log_position.hpp>
 #include <basilreach/base/name.hpp>
 #include <basilreach/base/table.hpp>
+#include <basilreach/limits/token_messages.hpp>
 #include <basilreach/traffic/control_view.hpp>
 #include <basilreach/traffic/statement.hpp>
 
@@ -123,17 +124,6 @@
                            position_observed const&) = default;
 };
 
-// The control thread granted tokens of a workspace's rate.
-struct tokens_granted
-{
-    workspace_name workspace;
-    std::uint32_t tokens = 0;
-    instant expires;
-
-    friend bool operator==(tokens_granted const&,
-                           tokens_granted const&) = default;
-};
-
 // The control thread published a new control state.
 struct control_changed
 {
@@ -180,7 +170,7 @@
                            connection_failed,
                            answer_received,
                            position_observed,
-                           tokens_granted,
+                           limits::token_grant,
                            control_changed,
                            lease_changed,
                            connection_share_changed,
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -53,23 +53,22 @@
     if (!s.settings.limits_enabled || request.paid ||
         is_end_of_transaction(request.verb))
         return true;
-    auto& allowance = s.allowances[session.workspace];
-    if (allowance.tokens == 0 || s.now >= allowance.expires)
+    if (s.tokens.spend(session.workspace, 1, s.now))
     {
-        request.state = request_state::waiting_tokens;
-        allowance.waiting.push_back(id);
-        s.to_ask.insert(session.workspace);
+        request.paid = true;
+        return true;
+    }
+    auto& waiting = s.waiting_tokens[session.workspace];
+    waiting.push_back(id);
+    s.tokens.set_waiting(session.workspace,
+                         static_cast<std::int64_t>(waiting.size()), s.now);
+    // A statement that waits again keeps its deadline.
+    if (request.state != request_state::waiting_tokens)
         s.timers.set({timer_kind::token_wait, id},
                      s.now + s.settings.token_wait);
-        note(s, id, decision_kind::wait, decision_reason::tokens_missing);
-        return false;
-    }
-    --allowance.tokens;
-    ++allowance.spent;
-    request.paid = true;
-    if (allowance.tokens <= allowance.spent)
-        s.to_ask.insert(session.workspace);
-    return true;
+    request.state = request_state::waiting_tokens;
+    note(s, id, decision_kind::wait, decision_reason::tokens_missing);
+    return false;
 }
 
 void admit(state& s, request_row_id id)
@@ -119,17 +118,10 @@
 
 void ask_for_tokens(state& s)
 {
-    for (auto const& name : std::exchange(s.to_ask, {}))
-    {
-        auto& it = s.allowances[name];
-        if (it.is_asked)
-            continue;
-        it.is_asked = true;
-        s.actions.emplace_back(
-            ask_tokens{name, static_cast<std::uint32_t>(it.waiting.size()),
-                       it.spent, s.now < it.expires ? it.tokens : 0});
-        it.spent = 0;
-    }
+    if (s.tokens.next_deadline() > s.now)
+        return;
+    for (auto const& it : s.tokens.tick(s.now))
+        s.actions.emplace_back(it);
 }
 
 } // namespace basilreach::traffic::detail
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -172,6 +172,21 @@
 
 } // namespace
 
+namespace
+{
+
+void adopt_workspaces(state& s, control_view const& view)
+{
+    for (auto const& it : s.view->workspaces)
+        if (!view.workspaces.contains(it))
+            s.tokens.remove_workspace(it);
+    for (auto const& it : view.workspaces)
+        if (!s.view->workspaces.contains(it))
+            s.tokens.add_workspace(it, s.now);
+}
+
+} // namespace
+
 void adopt_control(state& s)
 {
     if (!s.next_view)
@@ -181,6 +196,7 @@
     if (view->revision < s.view->revision)
         return;
     end_withdrawn_sessions(s, *view);
+    adopt_workspaces(s, *view);
     s.view = view;
     for (auto const& [name, it] : view->servers)
         adopt_server(s, name, it);
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -62,16 +62,20 @@
     }
 }
 
+// Connections that positions queries need beyond those that are open.
+std::size_t polls_needed(state const& s, server_row const& server)
+{
+    auto const& group = *s.groups.find(server.group);
+    bool const is_polled =
+        !group.held.empty() || !group.waiting_position.empty();
+    return is_polled && server.connections.empty() ? 1 : 0;
+}
+
 void open_needed(state& s, server_row_id id, server_row& server)
 {
     if (server.is_removed || server.is_leaving || s.now < server.next_open)
         return;
-    auto const& group = *s.groups.find(server.group);
-    bool const is_polled =
-        (!group.held.empty() || !group.waiting_position.empty()) &&
-        server.connections.empty();
-    auto const needed =
-        std::max<std::size_t>(server.queue.size(), is_polled ? 1 : 0);
+    auto const needed = std::max(server.queue.size(), polls_needed(s, server));
     while (server.opening < needed && server.connections.size() < server.share)
         open_one(s, id, server);
     s.to_report.push_back(id);
@@ -228,9 +232,9 @@
         auto* server = s.servers.find(id);
         auto const open =
             static_cast<std::uint32_t>(server->connections.size());
-        auto const wanted =
-            static_cast<std::uint32_t>(open - server->idle.size() -
-                                       server->opening + server->queue.size());
+        auto const busy = open - server->idle.size() - server->opening;
+        auto const wanted = static_cast<std::uint32_t>(
+            busy + std::max(server->queue.size(), polls_needed(s, *server)));
         if (open == server->reported_open && wanted == server->reported_wanted)
             continue;
         server->reported_open = open;
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -134,18 +134,15 @@
     detail::observe_position(s, server, it.position, sent_at);
 }
 
-void on(state& s, tokens_granted const& it)
+void on(state& s, limits::token_grant const& it)
 {
-    auto& row = s.allowances[it.workspace];
-    row.is_asked = false;
-    // Expired tokens were counted as spent by whoever granted them.
-    row.tokens = s.now < row.expires ? row.tokens + it.tokens : it.tokens;
-    row.expires = it.expires;
-    while (!row.waiting.empty() && it.tokens != 0)
-    {
-        s.to_admit.push_back(row.waiting.front());
-        row.waiting.pop_front();
-    }
+    s.tokens.receive(it, s.now);
+    auto const found = s.waiting_tokens.find(it.workspace);
+    if (found == s.waiting_tokens.end() ||
+        s.tokens.available(it.workspace, s.now) <= 0)
+        return;
+    for (auto const id : std::exchange(found->second, {}))
+        s.to_admit.push_back(id);
 }
 
 void on(state& s, control_changed const& it)
@@ -224,9 +221,9 @@
 
 } // namespace
 
-engine::engine(engine_settings settings) : state_(std::make_unique<state>())
+engine::engine(engine_settings settings)
+    : state_(std::make_unique<state>(std::move(settings)))
 {
-    state_->settings = std::move(settings);
     state_->view = std::make_shared<control_view const>();
 }
 
@@ -254,7 +251,9 @@
 
 instant engine::next_deadline() const
 {
-    return inbox_.empty() ? state_->timers.next() : instant{};
+    if (!inbox_.empty())
+        return instant{};
+    return std::min(state_->timers.next(), state_->tokens.next_deadline());
 }
 
 engine_counts engine::counts() const
