limits: Report to a new leader at once

Cause: the first grant of a leader has no lifetime, because the leader needs the holder's report first. The holder sent that report only after its idle interval of 500 ms, so the first statements after an election waited longer than a statement waits for a token (250 ms) and were refused although within the rate. Seen in tools/quickstart: the first write was refused in 3 of 3 runs; the log shows 522 ms between the first grant and the next report.

Change: a grant of another term makes the holder report at once. The signals of the daemon are read from a descriptor in the control thread, in place of a thread that waits for them.

--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -42,6 +42,11 @@
         return inbox_;
     }
 
+    [[nodiscard]] event_loop& loop()
+    {
+        return loop_;
+    }
+
     // Opens the data directory and the listeners.
     [[nodiscard]] daemon_error start(bool joins);
 
@@ -79,7 +84,7 @@
     void on_token_grant(link_id from, messages::message& it);
     void on_share_grant(link_id from, messages::message& it);
 
-    void receive(link_id from, messages::message it);
+    void receive(link_id from, messages::message&& it);
     void deliver_local();
     void to_leader(messages::message const& it);
     [[nodiscard]] consensus::host_name leader_guess() const;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -158,7 +158,7 @@
     return host_ ? std::min(own, host_->next_deadline()) : own;
 }
 
-void control_thread::receive(link_id from, messages::message it)
+void control_thread::receive(link_id from, messages::message&& it)
 {
     (this->*message_handlers[it.index()])(from, it);
 }
@@ -232,7 +232,8 @@
 void control_thread::on_admin_reply(link_id /*from*/, messages::message& it)
 {
     auto& reply = std::get<messages::admin_reply>(it);
-    answer_call(reply.id, std::move(reply));
+    auto const id = reply.id;
+    answer_call(id, std::move(reply));
 }
 
 void control_thread::on_token_grant(link_id /*from*/, messages::message& it)
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,7 +1,6 @@
 #include <csignal>
 #include <iostream>
 #include <memory>
-#include <thread>
 #include <vector>
 
 #include <ace/ACE.h>
@@ -10,6 +9,7 @@
 #include <gflags/gflags.h>
 
 #include <basilreach/daemon/control_thread.hpp>
+#include <basilreach/daemon/signal_watcher.hpp>
 #include <basilreach/daemon/traffic_thread.hpp>
 #include <basilreach/settings/parse.hpp>
 #include <basilreach/telemetry/decision_log.hpp>
@@ -51,24 +51,16 @@
     return static_cast<telemetry::log_threshold>(it);
 }
 
-// Signals are taken by one thread that waits for them, so that no handler runs
-// in the middle of anything.
-void block_signals(sigset_t& set)
-{
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    pthread_sigmask(SIG_BLOCK, &set, nullptr);
-    std::signal(SIGPIPE, SIG_IGN);
-}
-
 int run(daemon::daemon_context& context)
 {
-    sigset_t signals;
-    block_signals(signals);
+    // A peer that closes its connection must not end the process.
+    std::signal(SIGPIPE, SIG_IGN);
+    daemon::control_thread control(context);
+    daemon::signal_watcher const signals(
+        control.loop(),
+        [&control] { control.notes().push(daemon::stop_requested{}); });
     telemetry::decision_log decisions;
     context.decisions = &decisions;
-    daemon::control_thread control(context);
     context.control = &control.notes();
     std::vector<std::unique_ptr<daemon::traffic_thread>> threads;
     for (std::size_t n = 0; n != context.settings.traffic_threads; ++n)
@@ -90,13 +82,6 @@
     }
     for (auto const& it : threads)
         it->start();
-    std::thread waiter(
-        [&signals, &control]
-        {
-            int number = 0;
-            sigwait(&signals, &number);
-            control.notes().push(daemon::stop_requested{});
-        });
     LOG(INFO) << "event=started daemon=" << context.settings.name.str()
               << " address=" << context.settings.client_listen;
     error = control.run();
@@ -104,9 +89,6 @@
         it->post(daemon::thread_stop{});
     for (auto const& it : threads)
         it->join();
-    // Ends the waiter when the stop came from the admin console.
-    pthread_kill(waiter.native_handle(), SIGTERM);
-    waiter.join();
     LOG(INFO) << "event=stopped";
     return error == daemon::daemon_error::none ? 0 : exit_failure;
 }
--- a/packages/limits/src/rate_holder.cpp
+++ b/packages/limits/src/rate_holder.cpp
@@ -102,6 +102,9 @@
     refresh(*it, now);
     it->expiry = std::max(it->expiry, grant.echo + grant.lifetime);
     it->left += grant.tokens * nanotokens;
+    // A new leader grants nothing before it has the holder's report, and the
+    // next one would only follow after the idle interval.
+    it->asking = it->asking || it->heard.term != grant.id.term;
     it->heard = grant.id;
     it->heard_sent = grant.sent;
     it->floor = grant.floor;
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -160,3 +160,23 @@
     holder.receive(grant, at_ms(153));
     CHECK(holder.available(w, at_ms(153)) == 3);
 }
+
+// The first grant of a new leader carries no lifetime. A holder that waited for
+// its idle interval before the next report had no tokens for 500 ms.
+TEST_CASE("a holder reports to a new leader at once")
+{
+    rate_holder holder({}, daemon_name("d"), 1);
+    workspace_name const workspace("w");
+    holder.add_workspace(workspace, at_ms(0));
+    REQUIRE(holder.tick(at_ms(0)).size() == 1);
+    token_grant grant;
+    grant.workspace = workspace;
+    grant.holder = daemon_name("d");
+    grant.incarnation = 1;
+    grant.id = {1, 1};
+    grant.echo = at_ms(0);
+    holder.receive(grant, at_ms(1));
+    auto const requests = holder.tick(at_ms(2));
+    REQUIRE(requests.size() == 1);
+    CHECK(requests.front().heard == grant.id);
+}
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -500,6 +500,7 @@
 std::vector<std::string> make_names(std::vector<name<Tag>> const& names)
 {
     std::vector<std::string> out;
+    out.reserve(names.size());
     for (auto const& it : names)
         out.push_back(it.str());
     return out;
@@ -509,6 +510,7 @@
 read_hosts(std::vector<std::string> const& names)
 {
     std::vector<consensus::host_name> out;
+    out.reserve(names.size());
     for (auto const& it : names)
         out.emplace_back(it);
     return out;
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -27,7 +27,7 @@
     parts.groups[group_name("g")] = {3, control::group_phase::fencing,
                                      server_name("s"), 8};
     parts.groups[group_name("h")] = {};
-    auto const add = [&parts](control::first_answer answer)
+    auto const add = [&parts](control::first_answer const& answer)
     {
         parts.history.push_back(
             {7, control::change_id("c"), "author", 5, answer, true});
@@ -60,7 +60,7 @@
     consensus::snapshot_chunk chunk;
     chunk.members.voters = {consensus::host_name("a")};
     chunk.bytes = std::string("\0\1", 2);
-    auto const peer = [](consensus::peer_message_body body)
+    auto const peer = [](consensus::peer_message_body const& body)
     {
         return consensus::peer_message{consensus::host_name("a"),
                                        consensus::host_name("b"), 7, body};
--- a/tools/quickstart_program/main.cpp
+++ b/tools/quickstart_program/main.cpp
@@ -180,7 +180,7 @@
         run(writer.get(),
             "INSERT INTO item (key, value) VALUES ('kypara', 'open')");
     report(tag == "INSERT 0 1", "a session writes through entry host 1", tag);
-    auto const token = run(writer.get(), "SHOW basilreach.token");
+    auto token = run(writer.get(), "SHOW basilreach.token");
     auto const reader =
         connect(it.entries[1], "serial-lookup", FLAGS_key,
                 "-c basilreach.session=owner-17 -c basilreach.token=" + token);
