tools: Measure the proxy, the control hosts and many daemons

The aims of the design for one daemon and for a size of 4,900 daemons had no measurement. A second program, which tools/measure chooses by name, starts daemons and simulated groups on loopback and ends them: proxy pairs rounds of direct and proxied load, control times changes, elections and restarts, and capacity runs up to 1,000 control sides against real control hosts.

--- /dev/null
+++ b/tools/measure_daemon_program/control_fleet.cpp
@@ -0,0 +1,228 @@
+#include "control_fleet.hpp"
+
+#include "console.hpp"
+
+#include <algorithm>
+#include <ctime>
+#include <filesystem>
+#include <utility>
+
+#include <arpa/inet.h>
+#include <linux/tcp.h>
+#include <netinet/in.h>
+#include <pthread.h>
+#include <sys/socket.h>
+
+namespace basilreach::measure
+{
+
+namespace
+{
+
+// Time without a grant after which another control host is asked, as in the
+// daemon's control thread.
+constexpr duration leader_patience = std::chrono::milliseconds(900);
+
+// Bytes of all sockets of this process whose peer is one of the ports.
+double socket_bytes(std::vector<std::uint16_t> const& ports)
+{
+    double sum = 0;
+    std::error_code ec;
+    for (auto const& it :
+         std::filesystem::directory_iterator("/proc/self/fd", ec))
+    {
+        auto const fd = std::atoi(it.path().filename().c_str());
+        sockaddr_in peer{};
+        socklen_t size = sizeof(peer);
+        if (getpeername(fd, reinterpret_cast<sockaddr*>(&peer), &size) != 0 ||
+            peer.sin_family != AF_INET ||
+            std::find(ports.begin(), ports.end(), ntohs(peer.sin_port)) ==
+                ports.end())
+            continue;
+        tcp_info info{};
+        size = sizeof(info);
+        if (getsockopt(fd, IPPROTO_TCP, TCP_INFO, &info, &size) == 0)
+            sum += static_cast<double>(info.tcpi_bytes_acked) +
+                   static_cast<double>(info.tcpi_bytes_received);
+    }
+    return sum;
+}
+
+} // namespace
+
+control_fleet::control_fleet(deployment const& hosts, std::size_t daemons)
+    : hosts_(hosts), rows_(daemons), has_lease_(daemons), is_cut_(daemons),
+      revisions_(daemons)
+{
+    auto const settings = hosts.follower_settings("daemon");
+    for (auto const& it : settings.control_hosts)
+        names_.push_back(daemon::make_host_name(it));
+    thread_ = std::thread([this] { run(); });
+}
+
+control_fleet::~control_fleet()
+{
+    stops_ = true;
+    loop_.wake();
+    thread_.join();
+}
+
+void control_fleet::open(std::size_t n)
+{
+    auto& it = rows_[n];
+    auto const now = daemon::read_clock();
+    it.lease.reset();
+    it.links.reset();
+    it.context.settings =
+        hosts_.follower_settings("daemon-" + std::to_string(n));
+    it.links = std::make_unique<daemon::link_table>(
+        loop_, [this, n](daemon::link_id /*from*/, messages::message m)
+        { receive(n, m); });
+    // The lease client waits for one traffic thread and posts to none.
+    it.context.threads = {nullptr};
+    it.lease = std::make_unique<daemon::lease_client>(
+        it.context, [this, n](messages::message const& m) { send(n, m); }, now);
+    it.context.threads.clear();
+    it.guess = n % names_.size();
+    it.guessed_at = now;
+    it.adopted = 0;
+    changed_.insert(n);
+}
+
+void control_fleet::send(std::size_t n, messages::message const& it)
+{
+    auto& row = rows_[n];
+    if (!is_cut_[n])
+        row.links->send(names_[row.guess], it);
+}
+
+void control_fleet::receive(std::size_t n, messages::message const& it)
+{
+    if (is_cut_[n])
+        return;
+    auto& row = rows_[n];
+    if (auto const* grant = std::get_if<control::grant_lease>(&it))
+    {
+        row.lease->receive(*grant);
+        has_lease_[n] = true;
+    }
+    else if (auto const* update = std::get_if<messages::state_update>(&it))
+        row.lease->receive(*update);
+    else if (auto const* other = std::get_if<messages::not_leader>(&it))
+    {
+        consensus::host_name const leader(other->leader.str());
+        auto const found = std::find(names_.begin(), names_.end(), leader);
+        if (found != names_.end())
+            row.guess = static_cast<std::size_t>(found - names_.begin());
+        row.guessed_at = daemon::read_clock();
+    }
+    changed_.insert(n);
+}
+
+void control_fleet::tick(std::size_t n, instant now)
+{
+    auto& it = rows_[n];
+    if (now >=
+        std::max(it.lease->last_grant(), it.guessed_at) + leader_patience)
+    {
+        it.guessed_at = now;
+        it.guess = (it.guess + 1) % names_.size();
+    }
+    it.lease->tick(now);
+    auto const revision = it.lease->state().revision();
+    if (std::exchange(it.adopted, revision) != revision)
+    {
+        it.lease->receive(daemon::view_adopted{0, revision});
+        it.lease->tick(now);
+        revisions_[n] = revision;
+    }
+    it.links->remove_closed();
+    deadlines_.set(n, it.lease->next_deadline());
+}
+
+void control_fleet::run()
+{
+    loop_.reactor().owner(ACE_OS::thr_self());
+    for (std::size_t n = 0; n != rows_.size(); ++n)
+        open(n);
+    while (!stops_)
+    {
+        if (restarts_.exchange(false))
+            for (std::size_t n = 0; n != rows_.size(); ++n)
+                open(n);
+        auto const now = daemon::read_clock();
+        while (auto const n = deadlines_.pop_due(now))
+            changed_.insert(*n);
+        for (auto const n : std::exchange(changed_, {}))
+            tick(n, now);
+        loop_.run_once(changed_.empty() ? deadlines_.next() : instant::min());
+    }
+    rows_.clear();
+}
+
+std::size_t control_fleet::leased() const
+{
+    std::size_t out = 0;
+    for (std::size_t n = 0; n != has_lease_.size(); ++n)
+        out += has_lease_[n] || is_cut_[n] ? 1 : 0;
+    return out;
+}
+
+bool control_fleet::wait_for_leases() const
+{
+    return wait_until([this] { return leased() == has_lease_.size(); },
+                      std::chrono::seconds(30), std::chrono::milliseconds(1));
+}
+
+bool control_fleet::wait_for_quiet() const
+{
+    std::uint64_t last = 0;
+    auto since = std::chrono::steady_clock::now();
+    return wait_until(
+        [&]
+        {
+            auto const now = std::chrono::steady_clock::now();
+            std::uint64_t least = revisions_[0];
+            std::uint64_t most = least;
+            for (auto const& it : revisions_)
+            {
+                least = std::min(least, it.load());
+                most = std::max(most, it.load());
+            }
+            if (least != most || least == 0 || most != last)
+                since = now;
+            last = most;
+            return now - since > std::chrono::seconds(1);
+        },
+        std::chrono::seconds(30), std::chrono::milliseconds(20));
+}
+
+void control_fleet::restart()
+{
+    for (auto& it : has_lease_)
+        it = false;
+    restarts_ = true;
+    loop_.wake();
+}
+
+void control_fleet::cut(std::size_t daemon, bool is_cut)
+{
+    has_lease_[daemon] = false;
+    is_cut_[daemon] = is_cut;
+}
+
+fleet_usage control_fleet::usage() const
+{
+    fleet_usage out;
+    clockid_t clock = 0;
+    timespec time{};
+    if (pthread_getcpuclockid(const_cast<std::thread&>(thread_).native_handle(),
+                              &clock) == 0 &&
+        clock_gettime(clock, &time) == 0)
+        out.cpu = static_cast<double>(time.tv_sec) +
+                  static_cast<double>(time.tv_nsec) / 1e9;
+    out.bytes = socket_bytes(hosts_.control_ports());
+    return out;
+}
+
+} // namespace basilreach::measure
--- /dev/null
+++ b/tools/measure_daemon_program/deployment.hpp
@@ -0,0 +1,93 @@
+#ifndef BASILREACH_MEASURE_DEPLOYMENT_HPP
+#define BASILREACH_MEASURE_DEPLOYMENT_HPP
+
+#include "process.hpp"
+
+#include <cstdint>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <basilreach/settings/daemon_settings.hpp>
+
+namespace basilreach::measure
+{
+
+inline constexpr char operator_key[] = "measure-operator";
+inline constexpr char caller_key[] = "measure-caller";
+inline constexpr char backend_password[] = "measure-database";
+
+// Control hosts as processes on loopback.
+class deployment
+{
+public:
+    // Starts `n` hosts with these roles, as a JSON list.
+    deployment(std::size_t n, std::string roles, std::string const& rules);
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return hosts_.size();
+    }
+
+    [[nodiscard]] child_process& host(std::size_t n)
+    {
+        return *hosts_[n];
+    }
+
+    [[nodiscard]] std::uint16_t client_port(std::size_t n) const
+    {
+        return client_ports_[n];
+    }
+
+    [[nodiscard]] std::vector<std::uint16_t> const& control_ports() const
+    {
+        return control_ports_;
+    }
+
+    [[nodiscard]] std::string const& directory() const
+    {
+        return directory_.path();
+    }
+
+    // Starts a host, again after it was killed.
+    void start(std::size_t n);
+
+    // Starts a daemon with the entry role only.
+    [[nodiscard]] std::unique_ptr<child_process> start_entry();
+
+    [[nodiscard]] std::string log(std::size_t n) const;
+
+    // The host that leads, when a confirmed read succeeds.
+    [[nodiscard]] std::optional<std::size_t> find_leader() const;
+
+    // Waits for a leader that answers; returns its index.
+    [[nodiscard]] std::size_t wait_for_leader() const;
+
+    // The settings of a daemon that follows these control hosts.
+    [[nodiscard]] settings::daemon_settings
+    follower_settings(std::string const& name) const;
+
+    // Starts a simulated group of three servers; returns their ports.
+    std::vector<std::uint16_t> start_group(std::string const& name);
+
+private:
+    void write_settings(std::string const& name,
+                        std::string const& roles,
+                        std::uint16_t client_port,
+                        std::uint16_t control_port) const;
+
+    temporary_directory directory_;
+    std::string roles_;
+    std::vector<std::uint16_t> client_ports_;
+    std::vector<std::uint16_t> control_ports_;
+    std::vector<std::unique_ptr<child_process>> hosts_;
+    std::vector<std::unique_ptr<child_process>> groups_;
+};
+
+// Milliseconds of the log lines event=change_in_force, the given text onwards.
+[[nodiscard]] std::vector<double> changes_in_force(std::string const& log);
+
+} // namespace basilreach::measure
+
+#endif
