traffic: Report a read that was sent as unknown and not as not run

A read whose connection is lost waits for another server. When it was refused there, the refusal said 'not run' although the first server may have run it. A statement that was sent once is never reported as not run.

--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -131,6 +131,7 @@
     row->request = id;
     row->sent_at = s.now;
     request->state = request_state::sent;
+    request->was_sent = true;
     request->connection = connection;
     ++s.servers.find(row->server)->outstanding;
     s.timers.erase({timer_kind::connection, connection});
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -222,6 +222,8 @@
                     bool close_session)
 {
     auto const& request = *s.requests.find(id);
+    if (request.was_sent)
+        outcome = refusal_outcome::unknown;
     note(s, id, decision_kind::refuse, decision_reason::refused);
     ++(outcome == refusal_outcome::not_run ? s.counts.refused_not_run
                                            : s.counts.outcome_unknown);
--- a/packages/traffic/test/engine_test.cpp
+++ b/packages/traffic/test/engine_test.cpp
@@ -253,3 +253,21 @@
     f.run();
     CHECK_FALSE(f.find<adopted>().has_value());
 }
+
+// Guards against "not run" for a read that a lost connection may have carried.
+TEST_CASE("a read that was sent once is not refused as not run")
+{
+    fixture f;
+    f.open_session(1, "lookup");
+    auto const connection = f.send(1, statement_verb::other);
+    auto view = make_view();
+    view.revision = 2;
+    view.groups[group_name("g")].primary.reset();
+    f.it->push(control_changed{std::make_shared<control_view>(view)});
+    f.it->push(connection_failed{connection});
+    f.run();
+    f.now += 6s;
+    f.run();
+    REQUIRE(f.find<refuse>().has_value());
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
+}
