measure: Add figures of reads, failover and decisions

They drive the engine through the simulated deployment of the traces, so that the same seed prints the same values. The baseline 'primary after a write' took a session that presents a token for one that has not written.

--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -57,7 +57,8 @@
                              session_row const& session,
                              server_row const& /*server*/)
 {
-    return !session.has_written;
+    // A token comes from a session that has written.
+    return !session.has_written && !session.position;
 }
 
 bool always(state const& /*s*/,
--- a/tools/measure_program/main.cpp
+++ b/tools/measure_program/main.cpp
@@ -17,8 +17,11 @@
 };
 
 constexpr subcommand subcommands[] = {
+    {"decisions", measure_decisions},
+    {"failover", measure_failover},
     {"limits", measure_limits},
     {"pool", measure_pool},
+    {"reads", measure_reads},
 };
 
 } // namespace
--- a/tools/measure_program/subcommands.hpp
+++ b/tools/measure_program/subcommands.hpp
@@ -7,8 +7,11 @@
 {
 
 // Each measures one subject, prints its figures and returns the exit status.
+int measure_decisions(std::uint64_t seed);
+int measure_failover(std::uint64_t seed);
 int measure_limits(std::uint64_t seed);
 int measure_pool(std::uint64_t seed);
+int measure_reads(std::uint64_t seed);
 
 } // namespace basilreach::measure
 
