traffic: Run no statement outside the transaction that was lost

A statement that arrived in the same tick as the loss of its transaction's connection, or waited for a token or the lease meanwhile, ran on its own: a commit was then acknowledged although the transaction had been rolled back. It is refused as not run, and statements that cross the end of their session are ignored. An answer whose majority was reached while there was no lease is released by the next lease instead of waiting for its deadline.

--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -215,7 +215,13 @@
     }
     else if (row.pinned_by)
     {
-        s.sessions.find(*row.pinned_by)->in_transaction.reset();
+        auto* session = s.sessions.find(*row.pinned_by);
+        session->in_transaction.reset();
+        // A statement of the transaction that was not sent must not run alone.
+        if (session->request)
+            return refuse_request(s, *session->request,
+                                  refusal_outcome::not_run,
+                                  refusal_reason::transaction_lost, true);
         close_idle_session(s, *row.pinned_by, refusal_reason::transaction_lost);
     }
 }
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -89,6 +89,10 @@
     if (!id)
         return;
     auto* session = s.sessions.find(*id);
+    // The caller is told of the end of its session. A statement that crosses
+    // this must not run outside the transaction that it was meant for.
+    if (session->ending)
+        return;
     detail::request_row row;
     row.number = ++s.last_request_number;
     row.session = *id;
@@ -163,6 +167,10 @@
         s.to_admit.push_back(s.waiting_lease.front());
         s.waiting_lease.pop_front();
     }
+    // A majority may have been reached while there was no lease.
+    for (auto const& [name, id] : s.group_by_name)
+        if (!s.groups.find(id)->held.empty())
+            s.to_release.push_back(id);
 }
 
 void on(state& s, connection_share_changed const& it)
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -227,8 +227,9 @@
     note(s, id, decision_kind::refuse, decision_reason::refused);
     ++(outcome == refusal_outcome::not_run ? s.counts.refused_not_run
                                            : s.counts.outcome_unknown);
-    s.actions.emplace_back(refuse{s.sessions.find(request.session)->id, outcome,
-                                  reason, close_session});
+    auto* session = s.sessions.find(request.session);
+    session->ending = session->ending || close_session;
+    s.actions.emplace_back(refuse{session->id, outcome, reason, close_session});
     finish_request(s, id);
 }
 
@@ -270,6 +271,7 @@
     if (session->in_transaction)
         drop_connection(s, session->in_transaction->connection);
     session->in_transaction.reset();
+    session->ending = true;
     s.actions.emplace_back(end_session{session->id, reason});
 }
 
--- a/packages/traffic/test/engine_test.cpp
+++ b/packages/traffic/test/engine_test.cpp
@@ -271,3 +271,52 @@
     REQUIRE(f.find<refuse>().has_value());
     CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
 }
+
+// Guards against a statement of a lost transaction that runs on its own.
+TEST_CASE("a statement that crosses the end of its session does not run")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const first = f.send(1, statement_verb::begin_read_write);
+    f.it->push(answer_received{first, false, transaction_status::in_transaction,
+                               std::nullopt});
+    f.run();
+    f.it->push(connection_failed{first});
+    f.it->push(statement_received{session_id{1}, statement_verb::commit});
+    f.run();
+    CHECK(f.find<end_session>().has_value());
+    CHECK_FALSE(f.find<send_statement>().has_value());
+}
+
+// The same loss, heard of after the statement and before the tick.
+TEST_CASE("a statement that precedes the loss of its transaction does not run")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const first = f.send(1, statement_verb::begin_read_write);
+    f.it->push(answer_received{first, false, transaction_status::in_transaction,
+                               std::nullopt});
+    f.run();
+    f.it->push(statement_received{session_id{1}, statement_verb::commit});
+    f.it->push(connection_failed{first});
+    f.run();
+    CHECK(f.find<refuse>().has_value());
+    CHECK_FALSE(f.find<send_statement>().has_value());
+}
+
+// Guards against a held answer that nothing releases any more.
+TEST_CASE("an answer replicated without a lease is relayed with the next one")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const connection = f.send(1, statement_verb::other);
+    f.it->push(answer_received{connection, false, transaction_status::idle,
+                               log_position{1, 10}});
+    f.run();
+    f.it->push(lease_changed{instant{}});
+    f.answer_positions({1, 10});
+    CHECK_FALSE(f.find<relay_answer>().has_value());
+    f.it->push(lease_changed{instant{6s}});
+    f.run();
+    CHECK(f.find<relay_answer>().has_value());
+}
