--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -27,8 +27,6 @@
 
 struct engine_settings
 {
-    // Names the engine as a holder of tokens; different in each thread.
-    daemon_name holder;
     // Replicas in this data centre are preferred at equal load.
     data_centre_name data_centre;
     read_policy reads = read_policy::session_position;
@@ -54,6 +52,8 @@
     std::size_t queue_limit = 1000;
     // Whether tokens of the workspace's rate are needed.
     bool limits_enabled = true;
+    // Names the engine as a holder of tokens; different in each thread.
+    daemon_name holder{};
 
     friend bool operator==(engine_settings const&,
                            engine_settings const&) = default;
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -135,6 +135,7 @@
     row->request = id;
     row->sent_at = s.now;
     request->state = request_state::sent;
+    request->was_sent = true;
     request->connection = connection;
     ++s.servers.find(row->server)->outstanding;
     s.timers.erase({timer_kind::connection, connection});
@@ -218,7 +219,13 @@
     }
     else if (row.pinned_by)
     {
-        s.sessions.find(*row.pinned_by)->in_transaction.reset();
+        auto* session = s.sessions.find(*row.pinned_by);
+        session->in_transaction.reset();
+        // A statement of the transaction that was not sent must not run alone.
+        if (session->request)
+            return refuse_request(s, *session->request,
+                                  refusal_outcome::not_run,
+                                  refusal_reason::transaction_lost, true);
         close_idle_session(s, *row.pinned_by, refusal_reason::transaction_lost);
     }
 }
--- a/tools/measure_program/main.cpp
+++ b/tools/measure_program/main.cpp
@@ -15,9 +15,12 @@
 };
 
 constexpr subcommand subcommands[] = {
+    {"decisions", basilreach::measure::measure_decisions},
+    {"failover", basilreach::measure::measure_failover},
     {"fairness", basilreach::measure::measure_fairness},
     {"limits", basilreach::measure::measure_limits},
     {"pool", basilreach::measure::measure_pool},
+    {"reads", basilreach::measure::measure_reads},
 };
 
 } // namespace
