daemon: Watch a duplicate of libpq's socket, test end to end

libpq closes its socket when the server ends the connection, so the handler could not be removed from the reactor. The next connection that got the same handle was not registered, and its statements were never answered, not even at their deadline: a write after a stopped primary waited forever.

--- a/packages/daemon/include/basilreach/daemon/server_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/server_connection.hpp
@@ -150,6 +150,8 @@
     settings::backend_credential const& credential_;
     server_observer observer_;
     PGconn* connection_ = nullptr;
+    // The handle that the reactor watches.
+    ACE_HANDLE handle_ = ACE_INVALID_HANDLE;
     bool is_connecting_ = false;
     bool is_registered_ = false;
     bool wants_write_ = false;
--- a/packages/daemon/src/server_connection.cpp
+++ b/packages/daemon/src/server_connection.cpp
@@ -6,6 +6,8 @@
 #include <string_view>
 #include <utility>
 
+#include <ace/OS_NS_unistd.h>
+
 #include <basilreach/settings/endpoint.hpp>
 
 namespace basilreach::daemon
@@ -131,6 +133,12 @@
     if (connection_ == nullptr || PQstatus(connection_) == CONNECTION_BAD)
         return lose();
     PQsetnonblocking(connection_, 1);
+    // libpq closes its socket by itself when the server has gone. A handler
+    // that is then still registered keeps the next connection with the same
+    // handle from being watched, so the reactor watches a duplicate.
+    handle_ = ACE_OS::dup(PQsocket(connection_));
+    if (handle_ == ACE_INVALID_HANDLE)
+        return lose();
     is_connecting_ = true;
     watch(true);
 }
@@ -153,7 +161,7 @@
 
 ACE_HANDLE server_connection::get_handle() const
 {
-    return connection_ == nullptr ? ACE_INVALID_HANDLE : PQsocket(connection_);
+    return handle_;
 }
 
 void server_connection::close()
@@ -166,6 +174,8 @@
                                            ACE_Event_Handler::DONT_CALL);
     is_registered_ = false;
     wants_write_ = false;
+    if (handle_ != ACE_INVALID_HANDLE)
+        ACE_OS::close(std::exchange(handle_, ACE_INVALID_HANDLE));
     PQfinish(connection_);
     connection_ = nullptr;
 }
--- /dev/null
+++ b/packages/daemon/test/stop_test.cpp
@@ -0,0 +1,88 @@
+#include "deployment.hpp"
+
+#include <doctest/doctest.h>
+
+#include <string>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// The SQLSTATE with which the host ends an idle session. libpq passes it to the
+// notice receiver, because no statement is in progress.
+class ending
+{
+public:
+    explicit ending(client_ptr const& c) : client_(c.get())
+    {
+        PQsetNoticeReceiver(
+            client_,
+            [](void* to, PGresult const* it)
+            { *static_cast<std::string*>(to) = outcome(it); },
+            &state_);
+    }
+    ending(ending const&) = delete;
+    ending& operator=(ending const&) = delete;
+
+    std::string const& wait()
+    {
+        CHECK(eventually(
+            [&]
+            {
+                PQconsumeInput(client_);
+                (void)PQisBusy(client_);
+                return PQstatus(client_) == CONNECTION_BAD;
+            }));
+        return state_;
+    }
+
+private:
+    PGconn* client_;
+    std::string state_ = "no ending";
+};
+
+} // namespace
+
+// Guards against a stop that cuts requests, or that ends sessions before the
+// load balancer can have noticed it.
+TEST_CASE("a planned stop serves the drain period and lets transactions end")
+{
+    deployment it;
+    auto const in_transaction = it.connect(0, "intake");
+    auto const idle = it.connect(0, "intake");
+    ending transaction_ending(in_transaction);
+    ending idle_ending(idle);
+    CHECK(run(in_transaction, insert("k")) == "INSERT 0 1");
+    CHECK(run_all(in_transaction, {"BEGIN", increment("k")}) == "UPDATE 1");
+    CHECK(run(idle, select_value("k")) == "v");
+    SUBCASE("asked for by a signal")
+    {
+        it.daemons[0]->request_stop();
+    }
+    SUBCASE("asked for at the console")
+    {
+        CHECK(run(it.console(0), "STOP").starts_with("accepted"));
+    }
+    auto const late = it.connect(0, "lookup");
+    ending late_ending(late);
+    CHECK(run(late, select_value("k")) == "v");
+    auto const busy = it.connect(0, "intake");
+    ending busy_ending(busy);
+    CHECK(PQsendQuery(busy.get(), "SELECT pg_sleep(0.5)") == 1);
+    CHECK(eventually(
+        [&]
+        { return PQstatus(it.connect(0, "intake").get()) == CONNECTION_BAD; }));
+    CHECK(run(in_transaction, increment("k")) == "UPDATE 1");
+    CHECK(run(in_transaction, "COMMIT") == "COMMIT");
+    CHECK(finish(busy) == "");
+    for (auto* end :
+         {&transaction_ending, &idle_ending, &late_ending, &busy_ending})
+        CHECK(end->wait() == "57P01");
+    CHECK(it.daemons[0]->wait() == daemon_error::none);
+    CHECK(run(it.connect(1, "lookup"),
+              "SELECT amount FROM item WHERE key = 'k'") == "2");
+}
+
+} // namespace basilreach::daemon
