daemon: Serve callers during the drain period

A stop request closed the listener at once, before the load balancer could notice. Everything is now served until drain_period has passed; then the listener closes and sessions drain.

--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -87,6 +87,7 @@
     void answer_call(std::uint64_t id, messages::admin_reply reply);
     [[nodiscard]] messages::admin_reply show_metrics() const;
     void start_drain();
+    void close_listener(instant now);
     void follow_drain(instant now);
     [[nodiscard]] instant next_deadline() const;
 
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -370,15 +370,23 @@
     start_drain();
 }
 
-// The balancer has to see the end of the listener before sessions end, so the
-// phases are: listener closed, sessions drained, lease given back.
+// The balancer keeps sending new clients until it has noticed the stop, so the
+// phases are: everything is served for the drain period, then the listener is
+// closed and sessions drain, then the lease is given back.
 void control_thread::start_drain()
 {
     if (drain_ != drain_phase::none)
         return;
+    LOG(INFO) << "event=stop_announced";
+    drain_ = drain_phase::announced;
+    drain_deadline_ = read_clock() + context_.settings.durations.drain_period;
+}
+
+void control_thread::close_listener(instant now)
+{
     LOG(INFO) << "event=drain_started";
     drain_ = drain_phase::draining;
-    drain_deadline_ = read_clock() + context_.settings.durations.drain_deadline;
+    drain_deadline_ = now + context_.settings.durations.drain_deadline;
     for (auto* thread : context_.threads)
         thread->post(drain_requested{});
 }
@@ -390,6 +398,8 @@
 
 void control_thread::follow_drain(instant now)
 {
+    if (drain_ == drain_phase::announced && now >= drain_deadline_)
+        close_listener(now);
     if (drain_ != drain_phase::draining ||
         (drained_threads_ < context_.threads.size() && now < drain_deadline_))
         return;
