daemon: Wait for shares only where an earlier leader can have granted some

Cause: a leader that was not the first of the log waited for lease and hold before it granted a share, also in a new deployment, so daemons had no connection for up to 13 s after an election at start. daemon_test failed in 3 of 12 cases with it.

Change: without a registered daemon nothing can have been granted. The lifetime of a share follows the lease of the settings, and lost_host_hold is 2 s.

After: 1 of 12 cases fails, a write right after the restart of control hosts.

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -122,7 +122,7 @@
     void install(consensus::snapshot const& it);
     void apply(consensus::log_entry const& entry);
     void follow_role(consensus::role_state const& role);
-    void start_leading(std::uint64_t first_index);
+    void start_leading();
     void compact();
     void send_update(link_id to, std::uint64_t after);
     void propose_initial_rules();
--- a/packages/daemon/include/basilreach/daemon/limit_leader.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -9,6 +9,7 @@
 #include <basilreach/limits/rate_ledger.hpp>
 #include <basilreach/limits/share_ledger.hpp>
 #include <basilreach/messages/message.hpp>
+#include <basilreach/settings/daemon_settings.hpp>
 
 namespace basilreach::daemon
 {
@@ -22,7 +23,7 @@
         std::function<void(daemon_name const&, messages::message const&)>;
 
     // `is_first` states that no leader came before in this deployment.
-    limit_leader(duration lost_host_hold,
+    limit_leader(settings::duration_settings const& durations,
                  std::uint64_t term,
                  bool is_first,
                  sender send,
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -465,7 +465,7 @@
     auto const role = member_->state();
     if (!leader_ && role.role == consensus::member_role::leader &&
         entry.term == role.term)
-        start_leading(entry.index);
+        start_leading();
 }
 
 void control_host::follow_role(consensus::role_state const& role)
@@ -497,15 +497,15 @@
                                              daemon_name(leader_name().str())});
 }
 
-void control_host::start_leading(std::uint64_t first_index)
+void control_host::start_leading()
 {
     leader_ = std::make_unique<control::leader>(
         *state_, to_leader_settings(context_.settings), elected_at_);
-    // A leader grants nothing before its first entry is committed, so the first
-    // entry of the log has had no leader before it.
+    // Only registered daemons are granted anything, so without one no earlier
+    // leader has granted either.
     limits_ = std::make_unique<limit_leader>(
-        context_.settings.durations.lost_host_hold, member_->state().term,
-        first_index == 1,
+        context_.settings.durations, member_->state().term,
+        state_->parts().daemons.empty(),
         [this](daemon_name const& to, messages::message const& it)
         {
             auto const link = daemon_links_.find(to);
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -8,22 +8,23 @@
 namespace
 {
 
-limits::share_settings share_settings_of(duration lost_host_hold)
+limits::share_settings share_settings_of(settings::duration_settings const& it)
 {
     limits::share_settings out;
-    out.lost_host_hold = lost_host_hold;
+    out.lifetime = it.control_lease;
+    out.lost_host_hold = it.lost_host_hold;
     return out;
 }
 
 } // namespace
 
-limit_leader::limit_leader(duration lost_host_hold,
+limit_leader::limit_leader(settings::duration_settings const& durations,
                            std::uint64_t term,
                            bool is_first,
                            sender send,
                            instant now)
     : send_(std::move(send)), rates_({}, term, now),
-      shares_(share_settings_of(lost_host_hold), term, now)
+      shares_(share_settings_of(durations), term, now)
 {
     if (!is_first)
         return;
--- a/packages/daemon/test/deployment.cpp
+++ b/packages/daemon/test/deployment.cpp
@@ -347,6 +347,7 @@
     auto& d = it.durations;
     d.control_lease = 1s;
     d.lease_renewal = 100ms;
+    d.lost_host_hold = 100ms;
     d.request_timeout = 1s;
     d.read_try_timeout = 200ms;
     d.drain_period = 300ms;
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -59,8 +59,10 @@
     // Open transactions may use this time after the listener closed.
     duration drain_deadline = std::chrono::seconds{30};
     // Connection shares of a lost host stay reserved for this time after its
-    // lease, because its server connections may still be open.
-    duration lost_host_hold = std::chrono::seconds{10};
+    // lease, because its server connections may still be open. A new leader
+    // also waits for it when a daemon has just restarted; with 10 s, a restart
+    // of all control hosts left that daemon without connections for 13 s.
+    duration lost_host_hold = std::chrono::seconds{2};
     duration election_timeout_min = std::chrono::milliseconds{300};
     duration election_timeout_max = std::chrono::milliseconds{600};
     duration heartbeat = std::chrono::milliseconds{75};
