daemon: Run declared reads at the primary read-only

Connections to a primary are not opened read-only, so a write on a read route or in a read-only session succeeded there when the session had no position. As the answer of a read it was relayed without waiting for a majority, and a change of primary could lose it. Such a statement is now sent between BEGIN READ ONLY and ROLLBACK in the same network write, and BEGIN is completed by READ ONLY.

A client handed over to a thread that already drains is ended at once; it was left open until the thread stopped.

--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -120,6 +120,11 @@
         return is_read_only_;
     }
 
+    [[nodiscard]] bool is_in_transaction() const
+    {
+        return status_ != pgwire::ready_status::idle;
+    }
+
     [[nodiscard]] statement const& current() const
     {
         return current_;
--- a/packages/daemon/include/basilreach/daemon/server_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/server_connection.hpp
@@ -102,7 +102,8 @@
     void open(server_target const& target);
 
     // Sends a statement and, behind it in the same write, a positions query.
-    void send(statement const& it);
+    // With `read_only` set it runs in a read-only transaction of its own.
+    void send(statement const& it, bool read_only);
 
     // Sends a positions query alone.
     void ask_position();
@@ -117,6 +118,8 @@
 private:
     enum class step : std::uint8_t
     {
+        begin,
+        rollback,
         claim,
         prepare,
         statement,
@@ -129,6 +132,7 @@
 
     static step_handler const step_handlers[];
 
+    void ignore(result_ptr it);
     void on_claim(result_ptr it);
     void on_prepare(result_ptr it);
     void on_statement(result_ptr it);
@@ -141,7 +145,7 @@
     void flush();
     void lose();
     void expect(step it);
-    bool queue_statement(statement const& it);
+    bool queue_statement(statement const& it, bool read_only);
     void queue_position();
     void watch(bool for_writing);
 
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -87,6 +87,7 @@
         std::unique_ptr<server_connection> connection;
         // The client whose statement is outstanding, or 0.
         std::uint64_t session = 0;
+        bool read_only = false;
     };
 
     using message_handler = void (traffic_thread::*)(traffic_message&);
@@ -125,6 +126,8 @@
     [[nodiscard]] std::optional<client_identity>
     authenticate(std::string_view database,
                  std::optional<std::string_view> key) const;
+    [[nodiscard]] bool needs_read_only(client_connection const& client,
+                                       server_slot const& slot) const;
     [[nodiscard]] std::size_t owner_of(group_name const& group) const;
     [[nodiscard]] server_observer observe(traffic::connection_id id);
 
--- a/packages/daemon/src/placement_client.cpp
+++ b/packages/daemon/src/placement_client.cpp
@@ -66,7 +66,7 @@
     server_observer it;
     it.opened = [this, id, question = std::move(question)]
     {
-        questions_.at(id)->send(question);
+        questions_.at(id)->send(question, false);
     };
     it.lost = [this, id]
     {
--- a/packages/daemon/src/server_connection.cpp
+++ b/packages/daemon/src/server_connection.cpp
@@ -89,6 +89,7 @@
 
 // Indexed by step.
 server_connection::step_handler const server_connection::step_handlers[] = {
+    &server_connection::on_prepare,   &server_connection::ignore,
     &server_connection::on_claim,     &server_connection::on_prepare,
     &server_connection::on_statement, &server_connection::on_statement_sync,
     &server_connection::on_position,  &server_connection::on_position_sync};
@@ -230,7 +231,7 @@
     steps_.push_back(it);
 }
 
-bool server_connection::queue_statement(statement const& it)
+bool server_connection::queue_statement(statement const& it, bool read_only)
 {
     if (it.mode == statement_mode::describe)
     {
@@ -243,6 +244,13 @@
                              types.data()) != 0 &&
                PQsendDescribePrepared(connection_, "") != 0;
     }
+    if (read_only)
+    {
+        expect(step::begin);
+        if (PQsendQueryParams(connection_, "BEGIN READ ONLY", 0, nullptr,
+                              nullptr, nullptr, nullptr, 0) == 0)
+            return false;
+    }
     if (!it.request_id.empty())
     {
         std::array<char const*, 2> const values = {it.workspace.c_str(),
@@ -272,14 +280,22 @@
     flush();
 }
 
-void server_connection::send(statement const& it)
+void server_connection::send(statement const& it, bool read_only)
 {
     answer_ = {};
     is_alone_ = false;
-    bool const is_queued = queue_statement(it);
+    bool const is_queued = queue_statement(it, read_only);
     expect(step::statement_sync);
     if (!is_queued || PQpipelineSync(connection_) == 0)
         return lose();
+    // Also ends the transaction when the statement has failed.
+    if (read_only)
+    {
+        expect(step::rollback);
+        if (PQsendQueryParams(connection_, "ROLLBACK", 0, nullptr, nullptr,
+                              nullptr, nullptr, 0) == 0)
+            return lose();
+    }
     queue_position();
 }
 
@@ -326,6 +342,10 @@
         lose();
 }
 
+void server_connection::ignore(result_ptr /*it*/)
+{
+}
+
 void server_connection::on_claim(result_ptr it)
 {
     if (!is_error(it.get()))
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -67,6 +67,15 @@
                                  : traffic::transaction_status::idle;
 }
 
+// Adds the mode to a statement that begins a transaction. A line feed ends a
+// comment behind it.
+statement declare_read_only(statement it)
+{
+    it.text.erase(it.text.find_last_not_of("; \t\r\n") + 1);
+    it.text += "\nREAD ONLY";
+    return it;
+}
+
 } // namespace
 
 client_listener::client_listener(event_loop& loop,
@@ -268,6 +277,9 @@
     clients_.emplace(session, std::move(client));
     raw->start_session(session);
     open_session(*raw);
+    // The client was handed over while the drain began.
+    if (is_draining_)
+        raw->end(traffic::refusal_reason::draining);
 }
 
 void traffic_thread::on_admin_answer(traffic_message& it)
@@ -450,8 +462,9 @@
     auto connection = std::make_unique<server_connection>(
         loop_, context_.settings, context_.credential, observe(it.connection));
     auto* const raw = connection.get();
-    servers_.emplace(it.connection,
-                     server_slot{it.connection, std::move(connection), 0});
+    servers_.emplace(
+        it.connection,
+        server_slot{it.connection, std::move(connection), 0, it.read_only});
     raw->open({it.address, it.read_only});
 }
 
@@ -472,7 +485,29 @@
     if (slot == servers_.end() || client == nullptr)
         return;
     slot->second.session = client->session();
-    slot->second.connection->send(client->current());
+    auto const& statement = client->current();
+    auto& connection = *slot->second.connection;
+    if (!needs_read_only(*client, slot->second))
+        return connection.send(statement, false);
+    auto const verb = traffic::classify(statement.text);
+    if (verb == traffic::statement_verb::begin_read_write)
+        connection.send(declare_read_only(statement), false);
+    else
+        connection.send(statement, verb == traffic::statement_verb::other);
+}
+
+// The answer of a read is relayed without waiting for a majority, so a wrongly
+// declared write must fail at the primary as it does at a replica.
+bool traffic_thread::needs_read_only(client_connection const& client,
+                                     server_slot const& slot) const
+{
+    if (slot.read_only || client.is_in_transaction() ||
+        client.current().mode != statement_mode::run)
+        return false;
+    auto const route = view_->routes.find(client.identity().route);
+    return client.is_read_only() ||
+           (route != view_->routes.end() &&
+            route->second.kind == rules::route_class::read);
 }
 
 void traffic_thread::perform(traffic::ask_position const& it)
--- a/packages/daemon/test/path_test.cpp
+++ b/packages/daemon/test/path_test.cpp
@@ -173,6 +173,28 @@
     CHECK(run(writer, select_value("k1")) == "v");
 }
 
+// Guards against a write that is declared as a read and so acknowledged before
+// a majority has it.
+TEST_CASE("a write on a read route fails at the primary too")
+{
+    deployment it;
+    auto const options = std::string("-c default_transaction_read_only=on");
+    for (auto const* route : {"lookup", "intake"})
+    {
+        auto const c =
+            it.connect(1, route, caller_key,
+                       route == std::string("intake") ? options : "");
+        CHECK(run(c, insert("x")) == "25006");
+        CHECK(PQtransactionStatus(c.get()) == PQTRANS_IDLE);
+        CHECK(run(c, select_value("x")).empty());
+        CHECK(run(c, "nonsense") == "42601");
+        CHECK(run(c, select_value("x")).empty());
+        CHECK(run_all(c, {"BEGIN;", insert("x")}) == "25006");
+        CHECK(run(c, "ROLLBACK") == "ROLLBACK");
+    }
+    CHECK(run(it.connect(0, "intake"), insert("x")) == "INSERT 0 1");
+}
+
 // Guards against a connection that does not follow the protocol and takes
 // others with it or never ends.
 TEST_CASE("startup negotiation, malformed messages and refused statements")
