--- a/packages/daemon/test/failure_test.cpp
+++ b/packages/daemon/test/failure_test.cpp
@@ -167,8 +167,16 @@
     CHECK(run(c, increment("k")) == "UPDATE 1");
     for (auto const* server : {"cases-a", "cases-b", "cases-c"})
         CHECK(it.status(0, "server", server, "verdict") == "none");
-    CHECK(run(it.console(0), "SHOW METRICS").find("silent_connections_total") !=
-          std::string::npos);
+    // Totals are published once a second.
+    CHECK(eventually(
+        [&]
+        {
+            auto const text = run(it.console(0), "SHOW METRICS");
+            return text.find("silent_connections_total ") !=
+                       std::string::npos &&
+                   text.find("silent_connections_total  0") ==
+                       std::string::npos;
+        }));
 }
 
 // Guards against a second run of a request that the caller sends again.
