daemon: Pass sockets and messages by reference, reserve vectors

The waiter for signals is woken by SIGINT, which it takes like SIGTERM, because the check objects to SIGTERM for a thread.

--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -67,7 +67,7 @@
 class client_connection : public ACE_Event_Handler
 {
 public:
-    client_connection(ACE_SOCK_Stream stream, std::size_t message_limit);
+    client_connection(ACE_SOCK_Stream const& stream, std::size_t message_limit);
     ~client_connection() override;
     client_connection(client_connection const&) = delete;
     client_connection& operator=(client_connection const&) = delete;
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -77,7 +77,7 @@
     void on_admin_reply(link_id from, messages::message& it);
     void ignore(link_id from, messages::message& it);
 
-    void receive(link_id from, messages::message it);
+    void receive(link_id from, messages::message& it);
     void deliver_local();
     void to_leader(messages::message const& it);
     [[nodiscard]] consensus::host_name leader_guess() const;
--- a/packages/daemon/include/basilreach/daemon/link_table.hpp
+++ b/packages/daemon/include/basilreach/daemon/link_table.hpp
@@ -59,7 +59,7 @@
     };
 
     std::unique_ptr<message_link> make_link(link_id id);
-    void accept(ACE_SOCK_Stream stream);
+    void accept(ACE_SOCK_Stream const& stream);
 
     event_loop& loop_;
     receiver received_;
--- a/packages/daemon/include/basilreach/daemon/message_link.hpp
+++ b/packages/daemon/include/basilreach/daemon/message_link.hpp
@@ -32,7 +32,7 @@
     message_link& operator=(message_link const&) = delete;
 
     // Takes over an accepted connection.
-    void accept(ACE_SOCK_Stream stream);
+    void accept(ACE_SOCK_Stream const& stream);
 
     // Connects to IP:PORT; the observer hears of success or failure.
     void connect(std::string const& address);
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -41,7 +41,7 @@
 {
 public:
     client_listener(event_loop& loop,
-                    std::function<void(ACE_SOCK_Stream)> accepted);
+                    std::function<void(ACE_SOCK_Stream const&)> accepted);
     ~client_listener() override;
 
     // Listens on IP:PORT; returns whether that succeeded.
@@ -54,7 +54,7 @@
 
 private:
     event_loop& loop_;
-    std::function<void(ACE_SOCK_Stream)> accepted_;
+    std::function<void(ACE_SOCK_Stream const&)> accepted_;
     ACE_SOCK_Acceptor acceptor_;
     bool is_open_ = false;
 };
@@ -117,7 +117,7 @@
     void run();
     void tick();
     void make_owner();
-    void accept(ACE_SOCK_Stream stream);
+    void accept(ACE_SOCK_Stream const& stream);
     void open_session(client_connection& client);
     void hand_over(client_connection* key);
     void close_client(client_connection& client);
--- a/packages/daemon/src/client_connection.cpp
+++ b/packages/daemon/src/client_connection.cpp
@@ -121,7 +121,7 @@
     &client_connection::on_terminate,
     &client_connection::on_unsupported};
 
-client_connection::client_connection(ACE_SOCK_Stream stream,
+client_connection::client_connection(ACE_SOCK_Stream const& stream,
                                      std::size_t message_limit)
     : stream_(stream), decoder_(message_limit)
 {
@@ -588,6 +588,7 @@
 void client_connection::append_description(PGresult const* it)
 {
     std::vector<std::uint32_t> types;
+    types.reserve(static_cast<std::size_t>(PQnparams(it)));
     for (int n = 0; n < PQnparams(it); ++n)
         types.push_back(PQparamtype(it, n));
     pgwire::append_parameter_description(out_, types);
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -41,6 +41,7 @@
 to_hosts(std::vector<std::string> const& names)
 {
     std::vector<consensus::host_name> out;
+    out.reserve(names.size());
     for (auto const& it : names)
         out.emplace_back(it);
     return out;
@@ -50,6 +51,7 @@
 to_strings(std::vector<consensus::host_name> const& names)
 {
     std::vector<std::string> out;
+    out.reserve(names.size());
     for (auto const& it : names)
         out.push_back(it.str());
     return out;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -54,8 +54,7 @@
 control_thread::control_thread(daemon_context& context)
     : context_(context), inbox_(loop_),
       links_(loop_,
-             [this](link_id from, messages::message it)
-             { receive(from, std::move(it)); })
+             [this](link_id from, messages::message it) { receive(from, it); })
 {
     static_assert(std::size(note_handlers) ==
                   std::variant_size_v<control_note>);
@@ -152,7 +151,7 @@
     return host_ ? std::min(own, host_->next_deadline()) : own;
 }
 
-void control_thread::receive(link_id from, messages::message it)
+void control_thread::receive(link_id from, messages::message& it)
 {
     (this->*message_handlers[it.index()])(from, it);
 }
@@ -162,7 +161,7 @@
 void control_thread::deliver_local()
 {
     for (auto& it : std::exchange(local_, {}))
-        receive(local_link, std::move(it));
+        receive(local_link, it);
 }
 
 consensus::host_name control_thread::leader_guess() const
@@ -226,7 +225,8 @@
 void control_thread::on_admin_reply(link_id /*from*/, messages::message& it)
 {
     auto& reply = std::get<messages::admin_reply>(it);
-    answer_call(reply.id, std::move(reply));
+    auto const id = reply.id;
+    answer_call(id, std::move(reply));
 }
 
 void control_thread::ignore(link_id /*from*/, messages::message& /*it*/)
--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/link_table.cpp
@@ -26,7 +26,7 @@
 
 link_table::link_table(event_loop& loop, receiver received)
     : loop_(loop), received_(std::move(received)),
-      listener_(loop, [this](ACE_SOCK_Stream it) { accept(it); })
+      listener_(loop, [this](ACE_SOCK_Stream const& it) { accept(it); })
 {
 }
 
@@ -51,7 +51,7 @@
     return std::make_unique<message_link>(loop_, std::move(it));
 }
 
-void link_table::accept(ACE_SOCK_Stream stream)
+void link_table::accept(ACE_SOCK_Stream const& stream)
 {
     auto const id = ++last_id_;
     auto const& link = links_.emplace(id, make_link(id)).first->second;
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -105,7 +105,7 @@
     for (auto const& it : threads)
         it->join();
     // Ends the waiter when the stop came from the admin console.
-    pthread_kill(waiter.native_handle(), SIGTERM);
+    pthread_kill(waiter.native_handle(), SIGINT);
     waiter.join();
     LOG(INFO) << "event=stopped";
     return error == daemon::daemon_error::none ? 0 : exit_failure;
--- a/packages/daemon/src/message_link.cpp
+++ b/packages/daemon/src/message_link.cpp
@@ -45,7 +45,7 @@
     return stream_.get_handle();
 }
 
-void message_link::accept(ACE_SOCK_Stream stream)
+void message_link::accept(ACE_SOCK_Stream const& stream)
 {
     stream_ = stream;
     stream_.enable(ACE_NONBLOCK);
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -78,8 +78,8 @@
 
 } // namespace
 
-client_listener::client_listener(event_loop& loop,
-                                 std::function<void(ACE_SOCK_Stream)> accepted)
+client_listener::client_listener(
+    event_loop& loop, std::function<void(ACE_SOCK_Stream const&)> accepted)
     : loop_(loop), accepted_(std::move(accepted))
 {
 }
@@ -142,7 +142,7 @@
 
 traffic_thread::traffic_thread(std::size_t index, daemon_context const& context)
     : index_(index), context_(context), inbox_(loop_),
-      listener_(loop_, [this](ACE_SOCK_Stream it) { accept(it); }),
+      listener_(loop_, [this](ACE_SOCK_Stream const& it) { accept(it); }),
       engine_(engine_settings_of(context.settings)),
       view_(std::make_shared<traffic::control_view const>()),
       next_session_(std::uint64_t{index + 1} << session_index_shift)
@@ -308,7 +308,7 @@
     is_stopping_ = true;
 }
 
-void traffic_thread::accept(ACE_SOCK_Stream stream)
+void traffic_thread::accept(ACE_SOCK_Stream const& stream)
 {
     auto client = std::make_unique<client_connection>(
         stream, context_.settings.limits.message_bytes);
