--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -84,7 +84,7 @@
     void on_token_grant(link_id from, messages::message& it);
     void on_share_grant(link_id from, messages::message& it);
 
-    void receive(link_id from, messages::message&& it);
+    void receive(link_id from, messages::message& it);
     void deliver_local();
     void to_leader(messages::message const& it);
     [[nodiscard]] consensus::host_name leader_guess() const;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -54,8 +54,7 @@
 control_thread::control_thread(daemon_context& context)
     : context_(context), inbox_(loop_),
       links_(loop_,
-             [this](link_id from, messages::message it)
-             { receive(from, std::move(it)); })
+             [this](link_id from, messages::message it) { receive(from, it); })
 {
     static_assert(std::size(note_handlers) ==
                   std::variant_size_v<control_note>);
@@ -158,7 +157,7 @@
     return host_ ? std::min(own, host_->next_deadline()) : own;
 }
 
-void control_thread::receive(link_id from, messages::message&& it)
+void control_thread::receive(link_id from, messages::message& it)
 {
     (this->*message_handlers[it.index()])(from, it);
 }
@@ -168,7 +167,7 @@
 void control_thread::deliver_local()
 {
     for (auto& it : std::exchange(local_, {}))
-        receive(local_link, std::move(it));
+        receive(local_link, it);
 }
 
 consensus::host_name control_thread::leader_guess() const
