tools: Count only real leases in the capacity measurement

Shares of a daemon are fitted over the sums of all daemons, since a line through values that fall with the number of daemons was negative at full size. Changes are paced, so that no change carries the commit of another.

--- a/tools/measure_daemon_program/capacity.cpp
+++ b/tools/measure_daemon_program/capacity.cpp
@@ -41,12 +41,18 @@
     std::string name;
     std::string unit;
     double baseline = 0;
+    // The figure is a share of what all daemons use together.
+    bool is_share = false;
     std::map<double, double> points;
 };
 
-// The straight line through the points by least squares, at full size.
-double at_full_size(std::map<double, double> const& points)
+// The straight line through the points by least squares, at full size. For a
+// share the line goes through the sums of all daemons.
+double at_full_size(series const& of)
 {
+    auto points = of.points;
+    for (auto& [x, y] : points)
+        y *= of.is_share ? x : 1;
     double n = 0;
     double sum_x = 0;
     double sum_y = 0;
@@ -64,20 +70,21 @@
     if (divisor <= 0)
         return 0;
     auto const slope = (n * sum_xy - sum_x * sum_y) / divisor;
-    return (sum_y - slope * sum_x) / n + slope * full_size;
+    auto const value = (sum_y - slope * sum_x) / n + slope * full_size;
+    return of.is_share ? value / full_size : value;
 }
 
 struct capacity_series
 {
-    series bytes{"bytes_per_daemon", "B/s", bytes_limit, {}};
-    series cpu{"cpu_per_daemon", "%", cpu_limit, {}};
-    series memory{"memory_per_daemon", "MB", memory_limit, {}};
-    series in_force{"change_in_force", "s", in_force_limit, {}};
+    series bytes{"bytes_per_daemon", "B/s", bytes_limit, true, {}};
+    series cpu{"cpu_per_daemon", "%", cpu_limit, true, {}};
+    series memory{"memory_per_daemon", "MB", memory_limit, false, {}};
+    series in_force{"change_in_force", "s", in_force_limit, false, {}};
     // Of the whole leader, which may use one core.
-    series leader_cpu{"leader_cpu", "%", 100, {}};
-    series leader_memory{"leader_memory", "MB", 0, {}};
-    series start{"start_leases", "s", 0, {}};
-    series storm{"storm_leases", "s", 0, {}};
+    series leader_cpu{"leader_cpu", "%", 100, false, {}};
+    series leader_memory{"leader_memory", "MB", 0, false, {}};
+    series start{"start_leases", "s", 0, false, {}};
+    series storm{"storm_leases", "s", 0, false, {}};
 };
 
 // Runs one number of daemons against fresh control hosts.
@@ -94,6 +101,10 @@
     out.start.points[x] = seconds_since(started);
     if (!fleet.wait_for_quiet())
         std::printf("note=state_does_not_settle daemons=%zu\n", n);
+    if (fleet.revision() < n)
+        std::printf("note=daemons_are_not_registered daemons=%zu "
+                    "revision=%llu\n",
+                    n, static_cast<unsigned long long>(fleet.revision()));
     out.memory.points[x] = (own_resident_bytes() - memory) / x / mib;
 
     auto const before = fleet.usage();
@@ -136,8 +147,8 @@
         print_figure("capacity." + it.name + '.' +
                          std::to_string(static_cast<int>(n)),
                      value, it.unit, it.baseline, seed);
-    print_figure("capacity." + it.name + ".at_size", at_full_size(it.points),
-                 it.unit, it.baseline, seed);
+    print_figure("capacity." + it.name + ".at_size", at_full_size(it), it.unit,
+                 it.baseline, seed);
 }
 
 } // namespace
--- a/tools/measure_daemon_program/control.cpp
+++ b/tools/measure_daemon_program/control.cpp
@@ -20,10 +20,14 @@
 constexpr std::size_t control_hosts = 3;
 constexpr std::size_t daemons = 9;
 constexpr std::size_t changes = 200;
+constexpr auto change_pause = std::chrono::milliseconds(37);
 constexpr std::size_t cut_rounds = 5;
 constexpr std::size_t leader_rounds = 5;
 constexpr std::size_t restart_changes = 1000;
 constexpr auto idle_time = std::chrono::seconds(5);
+// A daemon that ended without a goodbye counts for changes until its lease has
+// ended, which is 3 s and a margin after its last renewal.
+constexpr auto lease_end = std::chrono::milliseconds(3500);
 constexpr double mib = 1 << 20;
 
 // The aims of the design.
@@ -84,7 +88,12 @@
     auto const ends = log_ends(hosts);
     console admin(hosts.client_port(0));
     for (std::size_t n = 1; n <= changes; ++n)
+    {
         (void)admin.run(withdrawal(n));
+        // A change that follows at once carries the commit of the one before to
+        // the other control hosts, which hides how long they wait for it.
+        std::this_thread::sleep_for(change_pause);
+    }
     wait_until([&] { return new_changes(hosts, ends).size() >= changes; },
                milliseconds(5000), milliseconds(50));
     auto const elapsed = new_changes(hosts, ends);
@@ -209,6 +218,7 @@
         fleet.wait_for_leases();
         fleet.wait_for_quiet();
         measure_idle(hosts, fleet, seed);
+        std::this_thread::sleep_for(lease_end);
         measure_changes(hosts, seed);
         measure_cut(hosts, fleet, seed);
         measure_new_leader(hosts, seed);
--- a/tools/measure_daemon_program/control_fleet.cpp
+++ b/tools/measure_daemon_program/control_fleet.cpp
@@ -104,7 +104,10 @@
     if (auto const* grant = std::get_if<control::grant_lease>(&it))
     {
         row.lease->receive(*grant);
-        has_lease_[n] = true;
+        // A daemon that is not registered or has an old state gets a grant of
+        // no duration.
+        if (grant->lease.count() > 0)
+            has_lease_[n] = true;
     }
     else if (auto const* update = std::get_if<messages::state_update>(&it))
         row.lease->receive(*update);
@@ -197,6 +200,11 @@
         std::chrono::seconds(30), std::chrono::milliseconds(20));
 }
 
+std::uint64_t control_fleet::revision() const
+{
+    return *std::min_element(revisions_.begin(), revisions_.end());
+}
+
 void control_fleet::restart()
 {
     for (auto& it : has_lease_)
--- a/tools/measure_daemon_program/control_fleet.hpp
+++ b/tools/measure_daemon_program/control_fleet.hpp
@@ -50,6 +50,9 @@
     // arrives for a second.
     bool wait_for_quiet() const;
 
+    // The lowest revision that a daemon has.
+    [[nodiscard]] std::uint64_t revision() const;
+
     // All daemons start again with empty memory, at once.
     void restart();
 
