--- a/tools/measure_daemon_program/capacity.cpp
+++ b/tools/measure_daemon_program/capacity.cpp
@@ -105,7 +105,6 @@
         std::printf("note=daemons_are_not_registered daemons=%zu "
                     "revision=%llu\n",
                     n, static_cast<unsigned long long>(fleet.revision()));
-    out.memory.points[x] = (own_resident_bytes() - memory) / x / mib;
 
     auto const before = fleet.usage();
     auto const leader_before = hosts.host(leader).cpu_seconds();
@@ -138,6 +137,10 @@
     if (!fleet.wait_for_leases())
         std::printf("note=no_lease_after_storm daemons=%zu\n", n);
     out.storm.points[x] = seconds_since(started);
+    // Every daemon has read a whole state now, as after a restart.
+    if (!fleet.wait_for_quiet())
+        std::printf("note=state_does_not_settle_after_storm daemons=%zu\n", n);
+    out.memory.points[x] = (own_resident_bytes() - memory) / x / mib;
     out.leader_memory.points[x] = hosts.host(leader).resident_bytes() / mib;
 }
 
--- a/tools/measure_daemon_program/control_fleet.cpp
+++ b/tools/measure_daemon_program/control_fleet.cpp
@@ -209,6 +209,8 @@
 {
     for (auto& it : has_lease_)
         it = false;
+    for (auto& it : revisions_)
+        it = 0;
     restarts_ = true;
     loop_.wake();
 }
