tools: Follow the leader when the capacity measurement starts

While 1,000 daemons registered on a machine with a load average of 11, another control host came to lead; the run then printed the processor time and the changes of the old leader.

--- a/tools/measure_daemon_program/capacity.cpp
+++ b/tools/measure_daemon_program/capacity.cpp
@@ -92,7 +92,7 @@
 {
     auto const x = static_cast<double>(n);
     deployment hosts(control_hosts, R"(["control"])", "");
-    auto const leader = hosts.wait_for_leader();
+    auto const first_leader = hosts.wait_for_leader();
     auto const memory = own_resident_bytes();
     auto started = steady::now();
     control_fleet fleet(hosts, n);
@@ -101,6 +101,10 @@
     out.start.points[x] = seconds_since(started);
     if (!fleet.wait_for_quiet())
         std::printf("note=state_does_not_settle daemons=%zu\n", n);
+    // The load of the registrations can end a leadership.
+    auto const leader = hosts.wait_for_leader();
+    if (leader != first_leader)
+        std::printf("note=leader_changed_while_starting daemons=%zu\n", n);
     if (fleet.revision() < n)
         std::printf("note=daemons_are_not_registered daemons=%zu "
                     "revision=%llu\n",
