tools: Bound a measurement of daemons by 60 seconds

Three findings of the linter are resolved: a copied message, unreserved ports and temporary strings.

--- a/tools/measure_daemon_program/control_fleet.cpp
+++ b/tools/measure_daemon_program/control_fleet.cpp
@@ -76,7 +76,7 @@
     it.context.settings =
         hosts_.follower_settings("daemon-" + std::to_string(n));
     it.links = std::make_unique<daemon::link_table>(
-        loop_, [this, n](daemon::link_id /*from*/, messages::message m)
+        loop_, [this, n](daemon::link_id /*from*/, messages::message const& m)
         { receive(n, m); });
     // The lease client waits for one traffic thread and posts to none.
     it.context.threads = {nullptr};
--- a/tools/measure_daemon_program/main.cpp
+++ b/tools/measure_daemon_program/main.cpp
@@ -37,7 +37,7 @@
 };
 
 // A measurement that hangs is ended, with everything that it started.
-constexpr unsigned time_limit_s = 120;
+constexpr unsigned time_limit_s = 60;
 
 } // namespace
 
--- a/tools/measure_daemon_program/proxy.cpp
+++ b/tools/measure_daemon_program/proxy.cpp
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <cstdio>
 #include <memory>
+#include <sstream>
 #include <string>
 #include <thread>
 #include <vector>
@@ -70,15 +71,15 @@
 
 std::string rules_for(std::vector<std::string> const& names)
 {
-    std::string out;
+    std::ostringstream out;
     for (auto const& it : names)
-        out += "route read-" + it + " group=" + it +
-               " class=read  # asked by developers: measurement\n" +
-               "route write-" + it + " group=" + it +
-               "  # asked by developers: measurement\nserver_limit " + it +
-               " connections=25 slots=25  # asked by developers: "
+        out << "route read-" << it << " group=" << it
+            << " class=read  # asked by developers: measurement\n"
+            << "route write-" << it << " group=" << it
+            << "  # asked by developers: measurement\nserver_limit " << it
+            << " connections=25 slots=25  # asked by developers: "
                "measurement\n";
-    return out;
+    return out.str();
 }
 
 void add(load_clients& to, wire_target target, std::string statement)
@@ -180,6 +181,7 @@
     deployment hosts(1, R"(["entry", "control"])", rules_for(names));
     (void)hosts.wait_for_leader();
     std::vector<std::vector<std::uint16_t>> servers;
+    servers.reserve(names.size());
     for (auto const& it : names)
         servers.push_back(hosts.start_group(it));
     if (!wait_for_groups(hosts, names))
