--- a/tools/measure_daemon_program/control_fleet.cpp
+++ b/tools/measure_daemon_program/control_fleet.cpp
@@ -76,7 +76,7 @@
     it.context.settings =
         hosts_.follower_settings("daemon-" + std::to_string(n));
     it.links = std::make_unique<daemon::link_table>(
-        loop_, [this, n](daemon::link_id /*from*/, messages::message m)
+        loop_, [this, n](daemon::link_id /*from*/, messages::message const& m)
         { receive(n, m); });
     // The lease client waits for one traffic thread and posts to none.
     it.context.threads = {nullptr};
@@ -104,7 +104,10 @@
     if (auto const* grant = std::get_if<control::grant_lease>(&it))
     {
         row.lease->receive(*grant);
-        has_lease_[n] = true;
+        // A daemon that is not registered or has an old state gets a grant of
+        // no duration.
+        if (grant->lease.count() > 0)
+            has_lease_[n] = true;
     }
     else if (auto const* update = std::get_if<messages::state_update>(&it))
         row.lease->receive(*update);
@@ -197,10 +200,17 @@
         std::chrono::seconds(30), std::chrono::milliseconds(20));
 }
 
+std::uint64_t control_fleet::revision() const
+{
+    return *std::min_element(revisions_.begin(), revisions_.end());
+}
+
 void control_fleet::restart()
 {
     for (auto& it : has_lease_)
         it = false;
+    for (auto& it : revisions_)
+        it = 0;
     restarts_ = true;
     loop_.wake();
 }
