traffic: Keep a session's position when it reads at the primary

Cause: a session whose replicas were behind read at the primary, whose answer moved the session's position ahead of the replicas again, so that it never returned to them. Read-your-writes needs the position of the session's own writes only, and that of the first read of a session without a position.

Change: only the first read at the primary sets the position. Replicas not known to be in the group's term are asked while a read waits, because a position of an earlier term no longer moves on by itself.

--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -114,8 +114,12 @@
         request->answer_position = it.position;
         return hold_answer(s, id, *request, *it.position);
     }
-    if (request->at_primary)
+    // A session that reads at the primary because replicas are behind must not
+    // move its own position ahead of them with each read.
+    if (request->at_primary && !(request->is_read && session.position))
         request->answer_position = it.position;
+    else if (request->at_primary)
+        return relay_request(s, id);
     else if (s.settings.reads == read_policy::session_position &&
              !session.in_transaction && is_behind_session(session, it))
     {
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -247,7 +247,11 @@
     };
     if (group.primary == id)
         return false;
-    return behind(group.held) || behind(group.waiting_position);
+    // A replica serves reads once it is known to be in the group's term.
+    bool const is_in_term =
+        server.position && server.position->term == group.term;
+    return behind(group.held) || behind(group.waiting_position) ||
+           (!group.waiting_position.empty() && !is_in_term);
 }
 
 // Sends a positions query where a connection is idle. A busy server needs none,
--- a/packages/traffic/test/engine_test.cpp
+++ b/packages/traffic/test/engine_test.cpp
@@ -320,3 +320,49 @@
     f.run();
     CHECK(f.find<relay_answer>().has_value());
 }
+
+// Guards against sessions that follow the primary's position with each read.
+TEST_CASE("a read at the primary leaves the position of its session")
+{
+    fixture f;
+    f.open_session(1, "lookup");
+    auto const connection = f.send(1, statement_verb::other);
+    f.it->push(answer_received{connection, false, transaction_status::idle,
+                               log_position{1, 10}});
+    f.run();
+    CHECK(f.find<relay_answer>()->position == log_position{1, 10});
+    // No replica qualifies within the wait.
+    f.it->push(statement_received{session_id{1}, statement_verb::other});
+    f.run();
+    f.now += 2ms;
+    f.run();
+    REQUIRE(f.find<send_statement>().has_value());
+    f.it->push(answer_received{f.find<send_statement>()->connection, false,
+                               transaction_status::idle, log_position{1, 20}});
+    f.run();
+    REQUIRE(f.find<relay_answer>().has_value());
+    CHECK_FALSE(f.find<relay_answer>()->position.has_value());
+}
+
+// Guards against replicas that no read asks again after a promotion.
+TEST_CASE("a read asks for replicas of the new term")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const write = f.send(1, statement_verb::other);
+    f.it->push(answer_received{write, false, transaction_status::idle,
+                               log_position{1, 10}});
+    f.run();
+    f.answer_positions({1, 10});
+    auto view = make_view();
+    view.revision = 2;
+    view.groups[group_name("g")].term = 2;
+    f.it->push(control_changed{std::make_shared<control_view>(view)});
+    f.open_session(2, "lookup");
+    f.it->push(token_presented{session_id{2}, {1, 10}});
+    f.it->push(statement_received{session_id{2}, statement_verb::other});
+    f.run();
+    f.now += 1ms;
+    f.run();
+    CHECK(f.find<ask_position>().has_value());
+}
