traffic: Keep samples of the primary's position for every age

Cause: the last 64 positions of the primary covered a fraction of a second under load, so a replica 10 s behind was never known to be within a stated age of 15 s.

Change: samples are at least a poll interval apart, and the one whose neighbours are closest in relation to its age goes first.

--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -1,6 +1,7 @@
 // Chooses the server of each admitted statement.
 #include <algorithm>
 #include <array>
+#include <limits>
 
 #include <basilreach/traffic/detail/state.hpp>
 
@@ -31,6 +32,31 @@
                        });
 }
 
+// Adds a sample. When there are too many, the one goes whose neighbours are
+// closest in relation to its age, so that samples of every age remain.
+void add_sample(state const& s, group_row& group, primary_sample const& it)
+{
+    auto& samples = group.samples;
+    samples.push_back(it);
+    if (samples.size() <= sample_limit)
+        return;
+    auto least = samples.begin() + 1;
+    double least_gap = std::numeric_limits<double>::max();
+    for (auto at = samples.begin() + 1; at + 1 != samples.end(); ++at)
+    {
+        auto const between = (at + 1)->asked_at - (at - 1)->asked_at;
+        auto const age = s.now - at->asked_at + duration(1);
+        auto const gap = static_cast<double>(between.count()) /
+                         static_cast<double>(age.count());
+        if (gap < least_gap)
+        {
+            least = at;
+            least_gap = gap;
+        }
+    }
+    samples.erase(least);
+}
+
 using qualifies = bool (*)(state const&,
                            group_row const&,
                            request_row const&,
@@ -290,13 +316,9 @@
         server->position = position;
     auto* group = s.groups.find(server->group);
     if (group->primary == id && position.term == group->term &&
-        (group->samples.empty() || group->samples.back().position < position ||
+        (group->samples.empty() ||
          group->samples.back().asked_at + s.settings.poll_interval <= asked_at))
-    {
-        group->samples.push_back({asked_at, position});
-        if (group->samples.size() > sample_limit)
-            group->samples.pop_front();
-    }
+        add_sample(s, *group, {asked_at, position});
     auto const end = group->waiting_position.upper_bound(position);
     for (auto it = group->waiting_position.begin(); it != end;
          it = group->waiting_position.erase(it))
--- a/packages/traffic/test/engine_test.cpp
+++ b/packages/traffic/test/engine_test.cpp
@@ -23,6 +23,8 @@
     view.routes.emplace(route_name("ledger"), route);
     route.kind = rules::route_class::read;
     view.routes.emplace(route_name("lookup"), route);
+    route.max_age = 15s;
+    view.routes.emplace(route_name("aged"), route);
     view.keys.emplace(key_digest{1}, workspace_name("w"));
     view.servers.emplace(server_name("s1"), server_at("127.0.0.1:1"));
     view.servers.emplace(server_name("s2"), server_at("127.0.0.1:2"));
@@ -366,3 +368,34 @@
     f.run();
     CHECK(f.find<ask_position>().has_value());
 }
+
+// Guards against a stated age that only very recent replicas satisfy, because
+// many answers have pushed out the older positions of the primary.
+TEST_CASE("a replica within the stated age serves after many answers")
+{
+    fixture f;
+    f.open_session(1, "aged");
+    f.it->push(token_presented{session_id{1}, {1, 500}});
+    // Each session without a position reads at the primary.
+    for (std::uint64_t n = 2; n != 1000; ++n)
+    {
+        f.now += 10ms;
+        f.it->push(lease_changed{f.now + 3s});
+        f.open_session(n, "lookup");
+        auto const connection = f.send(n, statement_verb::other);
+        f.it->push(answer_received{connection, false, transaction_status::idle,
+                                   log_position{1, n}});
+        f.run();
+        if (n != 500)
+            continue;
+        f.it->push(statement_received{session_id{1}, statement_verb::other});
+        f.run();
+        // The next tick, due at once, opens connections to the replicas.
+        f.run();
+        f.answer_positions({1, 500});
+        f.it->push(session_closed{session_id{1}});
+    }
+    f.open_session(1, "aged");
+    f.it->push(token_presented{session_id{1}, {1, 500}});
+    CHECK(f.server_of(f.send(1, statement_verb::other)) != server_name("s1"));
+}
