--- a/packages/traffic/test/replay_test.cpp
+++ b/packages/traffic/test/replay_test.cpp
@@ -10,9 +10,8 @@
 
 #include <doctest/doctest.h>
 
-using namespace basilreach;
-using namespace basilreach::traffic;
-using namespace basilreach::traffic::replay;
+namespace basilreach::traffic::replay
+{
 
 namespace
 {
@@ -129,3 +128,5 @@
         for (auto const& it : run_random(seed, {}))
             FAIL_CHECK("seed " << seed << ": " << print(it));
 }
+
+} // namespace basilreach::traffic::replay
--- a/tools/measure_program/decisions.cpp
+++ b/tools/measure_program/decisions.cpp
@@ -43,7 +43,26 @@
 {
 
 using namespace std::chrono_literals;
-using namespace traffic;
+using traffic::answer_received;
+using traffic::ask_position;
+using traffic::connection_id;
+using traffic::connection_opened;
+using traffic::control_changed;
+using traffic::control_view;
+using traffic::engine;
+using traffic::engine_settings;
+using traffic::group_view;
+using traffic::key_digest;
+using traffic::lease_changed;
+using traffic::open_connection;
+using traffic::position_observed;
+using traffic::send_statement;
+using traffic::server_view;
+using traffic::session_id;
+using traffic::session_opened;
+using traffic::statement_received;
+using traffic::statement_verb;
+using traffic::transaction_status;
 
 // Statements of one tick, and ticks of one measurement.
 constexpr std::size_t active = 8;
--- a/tools/measure_program/failover.cpp
+++ b/tools/measure_program/failover.cpp
@@ -13,8 +13,13 @@
 {
 
 using namespace std::chrono_literals;
-using namespace traffic;
-using namespace traffic::replay;
+using traffic::replay::statement_end;
+using traffic::replay::statement_kind;
+using traffic::replay::violation_kind;
+using traffic::replay::workload;
+using traffic::replay::workload_settings;
+using traffic::replay::world;
+using traffic::replay::world_settings;
 
 constexpr std::uint64_t seeds = 200;
 constexpr workload_settings load = {24, 10ms, 0.5, 0, 0, 0, 1};
--- a/tools/measure_program/reads.cpp
+++ b/tools/measure_program/reads.cpp
@@ -13,8 +13,12 @@
 {
 
 using namespace std::chrono_literals;
-using namespace traffic;
-using namespace traffic::replay;
+using traffic::read_policy;
+using traffic::replay::statement_kind;
+using traffic::replay::workload;
+using traffic::replay::workload_settings;
+using traffic::replay::world;
+using traffic::replay::world_settings;
 
 struct lag_case
 {
