--- a/packages/traffic/test/engine_test.cpp
+++ b/packages/traffic/test/engine_test.cpp
@@ -23,6 +23,8 @@
     view.routes.emplace(route_name("ledger"), route);
     route.kind = rules::route_class::read;
     view.routes.emplace(route_name("lookup"), route);
+    route.max_age = 15s;
+    view.routes.emplace(route_name("aged"), route);
     view.keys.emplace(key_digest{1}, workspace_name("w"));
     view.servers.emplace(server_name("s1"), server_at("127.0.0.1:1"));
     view.servers.emplace(server_name("s2"), server_at("127.0.0.1:2"));
@@ -320,3 +322,80 @@
     f.run();
     CHECK(f.find<relay_answer>().has_value());
 }
+
+// Guards against sessions that follow the primary's position with each read.
+TEST_CASE("a read at the primary leaves the position of its session")
+{
+    fixture f;
+    f.open_session(1, "lookup");
+    auto const connection = f.send(1, statement_verb::other);
+    f.it->push(answer_received{connection, false, transaction_status::idle,
+                               log_position{1, 10}});
+    f.run();
+    CHECK(f.find<relay_answer>()->position == log_position{1, 10});
+    // No replica qualifies within the wait.
+    f.it->push(statement_received{session_id{1}, statement_verb::other});
+    f.run();
+    f.now += 2ms;
+    f.run();
+    REQUIRE(f.find<send_statement>().has_value());
+    f.it->push(answer_received{f.find<send_statement>()->connection, false,
+                               transaction_status::idle, log_position{1, 20}});
+    f.run();
+    REQUIRE(f.find<relay_answer>().has_value());
+    CHECK_FALSE(f.find<relay_answer>()->position.has_value());
+}
+
+// Guards against replicas that no read asks again after a promotion.
+TEST_CASE("a read asks for replicas of the new term")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const write = f.send(1, statement_verb::other);
+    f.it->push(answer_received{write, false, transaction_status::idle,
+                               log_position{1, 10}});
+    f.run();
+    f.answer_positions({1, 10});
+    auto view = make_view();
+    view.revision = 2;
+    view.groups[group_name("g")].term = 2;
+    f.it->push(control_changed{std::make_shared<control_view>(view)});
+    f.open_session(2, "lookup");
+    f.it->push(token_presented{session_id{2}, {1, 10}});
+    f.it->push(statement_received{session_id{2}, statement_verb::other});
+    f.run();
+    f.now += 1ms;
+    f.run();
+    CHECK(f.find<ask_position>().has_value());
+}
+
+// Guards against a stated age that only very recent replicas satisfy, because
+// many answers have pushed out the older positions of the primary.
+TEST_CASE("a replica within the stated age serves after many answers")
+{
+    fixture f;
+    f.open_session(1, "aged");
+    f.it->push(token_presented{session_id{1}, {1, 500}});
+    // Each session without a position reads at the primary.
+    for (std::uint64_t n = 2; n != 1000; ++n)
+    {
+        f.now += 10ms;
+        f.it->push(lease_changed{f.now + 3s});
+        f.open_session(n, "lookup");
+        auto const connection = f.send(n, statement_verb::other);
+        f.it->push(answer_received{connection, false, transaction_status::idle,
+                                   log_position{1, n}});
+        f.run();
+        if (n != 500)
+            continue;
+        f.it->push(statement_received{session_id{1}, statement_verb::other});
+        f.run();
+        // The next tick, due at once, opens connections to the replicas.
+        f.run();
+        f.answer_positions({1, 500});
+        f.it->push(session_closed{session_id{1}});
+    }
+    f.open_session(1, "aged");
+    f.it->push(token_presented{session_id{1}, {1, 500}});
+    CHECK(f.server_of(f.send(1, statement_verb::other)) != server_name("s1"));
+}
