limits: Keep a floor through the first grant of a new leader

Cause: the first grant of a leader, sent before it knows the holder's floor, took that floor back.

Change: a grant without lifetime leaves the floor alone, and the ledger takes the floor of the first report as told. Statements wait 1.2 s for a token, because the floor begins 1.5 s after the last grant and tokens end after 1 s.

After: limits_test passes with the new case, which fails without the change.

--- a/packages/consensus/include/basilreach/consensus/member.hpp
+++ b/packages/consensus/include/basilreach/consensus/member.hpp
@@ -137,6 +137,8 @@
         std::uint64_t next_index = 1;
         std::uint64_t match_index = 0;
         std::size_t appends_in_flight = 0;
+        // The commit index in the last append.
+        std::uint64_t told_commit = 0;
         std::uint64_t acknowledged_round = 0;
         // When the last acknowledged round was sent.
         instant contact{};
@@ -176,6 +178,7 @@
     void start_read_round();
     void confirm_reads();
     void replicate();
+    void announce_commit();
 
     void election_due();
     void heartbeat_due();
--- a/packages/consensus/src/replication.cpp
+++ b/packages/consensus/src/replication.cpp
@@ -99,6 +99,22 @@
             send_append(*it);
     }
     changed_peers_.clear();
+    announce_commit();
+}
+
+// Followers learn of a commit at once. With the next heartbeat they would apply
+// it, and report it in force, up to 75 ms later.
+void member::announce_commit()
+{
+    if (role_ != member_role::leader)
+        return;
+    for (auto const& [host, id] : peer_by_name_)
+    {
+        auto& it = *peers_.find(id);
+        if (it.transfer == nullptr && it.told_commit < commit_index_ &&
+            it.next_index > log_.last_index())
+            send_append(it);
+    }
 }
 
 void member::send_to(peer& to)
@@ -127,6 +143,7 @@
     if (!request.entries.empty())
         ++to.appends_in_flight;
     to.next_index += request.entries.size();
+    to.told_commit = commit_index_;
     send(to.host, std::move(request));
 }
 
--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -186,6 +186,8 @@
     void on_unsupported(pgwire::frontend_message& it);
 
     void process(std::string_view input);
+    void pause_reading();
+    void resume_reading();
     void handle(pgwire::frontend_message& it);
     void finish_authentication(std::optional<std::string_view> key);
     void take_startup_options(pgwire::startup_message const& it);
@@ -212,6 +214,7 @@
     std::string out_;
     std::size_t out_offset_ = 0;
     bool waits_to_write_ = false;
+    bool is_reading_paused_ = false;
     bool is_processing_ = false;
     phase phase_ = phase::startup;
     std::uint64_t session_ = 0;
--- a/packages/daemon/src/client_connection.cpp
+++ b/packages/daemon/src/client_connection.cpp
@@ -19,6 +19,10 @@
 // client holds none.
 constexpr std::size_t receive_bytes = std::size_t{64} << 10U;
 
+// Bytes kept for a caller that sends while its statement is in progress. Beyond
+// them its connection is not read, so that it cannot use up the memory.
+constexpr std::size_t backlog_limit = std::size_t{64} << 10U;
+
 constexpr std::string_view variable_prefix = "basilreach.";
 
 pgwire::error_fields error(char const* sqlstate, std::string message)
@@ -143,6 +147,7 @@
 void client_connection::attach(client_owner const& owner)
 {
     owner_ = &owner;
+    is_reading_paused_ = false;
     owner_->loop->reactor().register_handler(this,
                                              ACE_Event_Handler::READ_MASK);
 }
@@ -210,9 +215,12 @@
         phase_ == phase::handing_over)
     {
         backlog_.append(input);
+        if (backlog_.size() > backlog_limit)
+            pause_reading();
         return;
     }
     std::string waiting = std::exchange(backlog_, {});
+    resume_reading();
     if (!waiting.empty())
     {
         waiting.append(input);
@@ -238,6 +246,20 @@
     write();
 }
 
+void client_connection::pause_reading()
+{
+    if (owner_ != nullptr && !std::exchange(is_reading_paused_, true))
+        owner_->loop->reactor().cancel_wakeup(this,
+                                              ACE_Event_Handler::READ_MASK);
+}
+
+void client_connection::resume_reading()
+{
+    if (owner_ != nullptr && std::exchange(is_reading_paused_, false))
+        owner_->loop->reactor().schedule_wakeup(this,
+                                                ACE_Event_Handler::READ_MASK);
+}
+
 void client_connection::handle(pgwire::frontend_message& it)
 {
     bool const is_sync = std::holds_alternative<pgwire::sync>(it) ||
--- a/packages/daemon/test/failure_test.cpp
+++ b/packages/daemon/test/failure_test.cpp
@@ -223,8 +223,8 @@
     CHECK(eventually(digests_agree));
     CHECK(it.status(0, "control", "state", "digest") == digest);
     // The former processes may still have connections at the servers, so none
-    // is opened before lease and hold have passed: until then a write is refused
-    // as "not run", and nothing else.
+    // is opened before lease and hold have passed: until then a write is
+    // refused as "not run", and nothing else.
     std::string outcome;
     CHECK(eventually(
         [&]
--- a/packages/limits/src/rate_holder.cpp
+++ b/packages/limits/src/rate_holder.cpp
@@ -107,7 +107,9 @@
     it->asking = it->asking || it->heard.term != grant.id.term;
     it->heard = grant.id;
     it->heard_sent = grant.sent;
-    it->floor = grant.floor;
+    // The first grant of a leader is sent before it knows the holder's floor.
+    if (grant.lifetime > duration{})
+        it->floor = grant.floor;
     it->rest_until = std::max(now + grant.floor_rest, it->expiry);
     it->refilled = it->rest_until;
     it->answered = it->answered || grant.echo >= it->sent;
--- a/packages/limits/src/rate_ledger.cpp
+++ b/packages/limits/src/rate_ledger.cpp
@@ -171,6 +171,9 @@
     set_outstanding(it, from, value);
     if (from.reported)
         it.level += std::clamp<std::int64_t>(returned, 0, freed);
+    // The floor of an earlier leader stays in force: taking it back left a
+    // holder without any tokens when this leader was lost as well.
+    auto const told = from.reported ? from.told : request.floor;
     from.reported = true;
     it.unreported.erase(from.holder);
     if (it.unreported.empty())
@@ -185,7 +188,7 @@
         from.rest_until = std::max(from.rest_until, rest);
         rests_.set(it.accounts.at(from.holder), from.rest_until);
     }
-    set_floor(it, from, request.floor, from.told, from.rest_until > now);
+    set_floor(it, from, request.floor, told, from.rest_until > now);
     clamp(it);
 }
 
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -14,6 +14,7 @@
 using basilreach::instant;
 using basilreach::workspace_name;
 using basilreach::limits::rate_holder;
+using basilreach::limits::rate_ledger;
 using basilreach::limits::token_grant;
 using basilreach::limits::replay::configure_rule;
 using basilreach::limits::replay::count_over_rate;
@@ -180,3 +181,39 @@
     REQUIRE(requests.size() == 1);
     CHECK(requests.front().heard == grant.id);
 }
+
+// A leader that was lost right after its election had taken back the floor of
+// the one before, so a daemon without control hosts had no tokens at all.
+TEST_CASE("a holder keeps its floor when leaders are lost one after the other")
+{
+    workspace_name const workspace("w");
+    rate_holder holder({}, daemon_name("d"), 1);
+    rate_holder lost({}, daemon_name("lost"), 1);
+    auto now = at_ms(0);
+    for (auto* it : {&holder, &lost})
+        it->add_workspace(workspace, now);
+    auto const run_leader = [&](rate_ledger& ledger,
+                                std::vector<rate_holder*> const& reached,
+                                int rounds)
+    {
+        ledger.configure(workspace, 1000, 100, now);
+        for (auto const* it : {"d", "lost"})
+            ledger.register_holder(daemon_name(it), now);
+        for (int n = 0; n != rounds; ++n)
+        {
+            now += std::chrono::milliseconds(10);
+            for (auto* it : reached)
+                for (auto const& request : it->tick(now))
+                    ledger.receive(request, now);
+            for (auto const& grant : ledger.tick(now))
+                for (auto* it : reached)
+                    it->receive(grant, now);
+        }
+    };
+    rate_ledger first({}, 1, now);
+    run_leader(first, {&holder, &lost}, 300);
+    rate_ledger second({}, 2, now);
+    run_leader(second, {&holder}, 60);
+    now += std::chrono::seconds(3);
+    CHECK(holder.available(workspace, now) > 0);
+}
--- a/packages/telemetry/src/decision_log.cpp
+++ b/packages/telemetry/src/decision_log.cpp
@@ -1,5 +1,7 @@
 #include <basilreach/telemetry/decision_log.hpp>
 
+#include <algorithm>
+#include <chrono>
 #include <iterator>
 #include <utility>
 
@@ -11,6 +13,9 @@
 namespace
 {
 
+// Longest time that a line of any thread stays in the buffer of the log.
+constexpr std::chrono::milliseconds flush_interval{100};
+
 void append(std::string& line, char const* field, std::string const& value)
 {
     if (value.empty())
@@ -88,11 +93,13 @@
     std::unique_lock lock(mutex_);
     while (!stopping_ || !waiting_.empty())
     {
-        changed_.wait(lock, [this] { return stopping_ || !waiting_.empty(); });
+        changed_.wait_for(lock, flush_interval,
+                          [this] { return stopping_ || !waiting_.empty(); });
         auto const records = std::exchange(waiting_, {});
         lock.unlock();
         for (auto const& it : records)
             LOG(INFO) << to_line(it);
+        el::Loggers::flushAll();
         lock.lock();
     }
 }
--- a/packages/telemetry/src/log_output.cpp
+++ b/packages/telemetry/src/log_output.cpp
@@ -22,11 +22,13 @@
                     log_threshold threshold)
 {
     el::Loggers::addFlag(el::LoggingFlag::HierarchicalLogging);
-    el::Loggers::addFlag(el::LoggingFlag::StrictLogFileSizeCheck);
     el::Configurations it;
     it.setToDefault();
     it.setGlobally(el::ConfigurationType::Format,
                    "%datetime{%Y-%M-%dT%H:%m:%s.%g} %level %msg");
+    // A flush of each line cost 2.5 system calls a statement. The writer of the
+    // decision log flushes when it has caught up, and every 100 ms.
+    it.setGlobally(el::ConfigurationType::LogFlushThreshold, "1000");
     it.setGlobally(el::ConfigurationType::ToFile, directory ? "true" : "false");
     it.setGlobally(el::ConfigurationType::ToStandardOutput,
                    directory ? "false" : "true");
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <unordered_map>
@@ -12,6 +13,7 @@
 
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/base/table.hpp>
+#include <basilreach/limits/fair_queue.hpp>
 #include <basilreach/limits/rate_holder.hpp>
 #include <basilreach/traffic/action.hpp>
 #include <basilreach/traffic/engine_settings.hpp>
@@ -81,6 +83,8 @@
     server_row_id server;
     connection_id connection;
     bool at_primary = false;
+    // The entry in the server's queue.
+    std::optional<row_id> queue_entry;
     // Servers at which a connection could not be opened for this request.
     std::vector<server_row_id> excluded;
     // The position to which the answer brings the session.
@@ -126,7 +130,9 @@
     std::uint32_t reported_wanted = 0;
     std::vector<connection_id> connections;
     std::vector<connection_id> idle;
-    std::deque<request_row_id> queue;
+    // Statements that wait for a connection, served fairly among workspaces.
+    // Behind a pointer, because its entries must not move with the row.
+    std::unique_ptr<limits::fair_queue<request_row_id>> queue;
     std::uint32_t opening = 0;
     // Statements sent to the server and not answered.
     std::uint32_t outstanding = 0;
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -36,8 +36,10 @@
     duration read_try_timeout = std::chrono::seconds(1);
     // Time that a read waits for a replica to reach the session's position.
     duration replica_wait = std::chrono::milliseconds(2);
-    // Time that a statement waits for a token of its workspace's rate.
-    duration token_wait = std::chrono::milliseconds(250);
+    // Time that a statement waits for a token of its workspace's rate. Without
+    // a leader the last tokens end after 1 s and the floor begins after 1.5 s;
+    // a shorter wait refused statements within the rate in between.
+    duration token_wait = std::chrono::milliseconds(1200);
     // Time between two positions queries to a server that is waited for.
     duration poll_interval = std::chrono::milliseconds(1);
     // Idle time after which a connection is probed.
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -40,6 +40,9 @@
         row.name = name;
         row.group = find_or_add_group(s, view.group);
         row.share = s.settings.initial_connections;
+        row.queue = std::make_unique<limits::fair_queue<request_row_id>>(
+            limits::fair_queue_settings{s.settings.queue_limit,
+                                        rules::server_limit_rule{}.slots});
         auto const id = s.servers.insert(std::move(row));
         s.groups.find(s.servers.find(id)->group)->servers.push_back(id);
         found = s.server_by_name.emplace(name, id).first;
@@ -58,15 +61,13 @@
 // Moves requests that wait for a server that must get no new work.
 void requeue_waiting(state& s, server_row& server)
 {
-    for (auto const id : server.queue)
+    while (auto const id = server.queue->pop())
     {
-        auto* request = s.requests.find(id);
-        if (request == nullptr || request->state != request_state::queued)
-            continue;
+        auto* request = s.requests.find(*id);
+        request->queue_entry.reset();
         request->state = request_state::arrived;
-        s.to_route.push_back(id);
+        s.to_route.push_back(*id);
     }
-    server.queue.clear();
 }
 
 void remove_missing_servers(state& s, control_view const& view)
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -25,13 +25,6 @@
                                            server.address, row.read_only});
 }
 
-bool is_still_queued(state const& s, request_row_id id, server_row_id server)
-{
-    auto const* request = s.requests.find(id);
-    return request != nullptr && request->state == request_state::queued &&
-           request->server == server;
-}
-
 // A statement may have waited since its admission; its key must still be
 // certain at the moment it is sent.
 bool lost_lease(state& s, request_row_id id)
@@ -45,20 +38,19 @@
     return true;
 }
 
-void send_queued(state& s, server_row_id id, server_row& server)
+void send_queued(state& s, server_row& server)
 {
-    while (!server.queue.empty())
+    while (!server.idle.empty())
     {
-        auto const request = server.queue.front();
-        if (is_still_queued(s, request, id) && !lost_lease(s, request))
-        {
-            if (server.idle.empty())
-                return;
-            auto const connection = server.idle.back();
-            server.idle.pop_back();
-            send_request(s, request, connection);
-        }
-        server.queue.pop_front();
+        auto const request = server.queue->pop();
+        if (!request)
+            return;
+        s.requests.find(*request)->queue_entry.reset();
+        if (lost_lease(s, *request))
+            continue;
+        auto const connection = server.idle.back();
+        server.idle.pop_back();
+        send_request(s, *request, connection);
     }
 }
 
@@ -75,7 +67,7 @@
 {
     if (server.is_removed || server.is_leaving || s.now < server.next_open)
         return;
-    auto const needed = std::max(server.queue.size(), polls_needed(s, server));
+    auto const needed = std::max(server.queue->size(), polls_needed(s, server));
     while (server.opening < needed && server.connections.size() < server.share)
         open_one(s, id, server);
     s.to_report.push_back(id);
@@ -88,23 +80,18 @@
         server.idle.erase(it);
 }
 
-// Gives reads that wait for a server that cannot be reached to another one.
-// This is a retry of these statements and no verdict on the server.
-void reroute_queued_reads(state& s, server_row_id id, server_row& server)
+// Routes what waits for a server that cannot be reached anew, reads to another
+// server. This is a retry of these statements and no verdict on the server.
+void reroute_queued(state& s, server_row_id id, server_row& server)
 {
-    for (auto const request_id : std::exchange(server.queue, {}))
+    while (auto const request_id = server.queue->pop())
     {
-        if (!is_still_queued(s, request_id, id))
-            continue;
-        auto* request = s.requests.find(request_id);
-        if (!request->is_read || request->at_primary)
-        {
-            server.queue.push_back(request_id);
-            continue;
-        }
-        request->excluded.push_back(id);
+        auto* request = s.requests.find(*request_id);
+        request->queue_entry.reset();
+        if (request->is_read && !request->at_primary)
+            request->excluded.push_back(id);
         request->state = request_state::arrived;
-        s.to_route.push_back(request_id);
+        s.to_route.push_back(*request_id);
     }
 }
 
@@ -114,7 +101,7 @@
     server->next_open = s.now + s.settings.reconnect_pause;
     s.timers.set({timer_kind::server_reconnect, id}, server->next_open);
     if (server->connections.empty())
-        reroute_queued_reads(s, id, *server);
+        reroute_queued(s, id, *server);
 }
 
 bool is_retryable(request_row const& request, bool in_transaction)
@@ -183,7 +170,7 @@
     remove_idle(*server, id);
     std::erase(server->connections, id);
     s.timers.erase({timer_kind::connection, id});
-    if (!server->queue.empty())
+    if (!server->queue->empty())
         s.to_dispatch.push_back(row->server);
     s.to_report.push_back(row->server);
     s.connections.erase(id);
@@ -241,7 +228,7 @@
             static_cast<std::uint32_t>(server->connections.size());
         auto const busy = open - server->idle.size() - server->opening;
         auto const wanted = static_cast<std::uint32_t>(
-            busy + std::max(server->queue.size(), polls_needed(s, *server)));
+            busy + std::max(server->queue->size(), polls_needed(s, *server)));
         if (open == server->reported_open && wanted == server->reported_wanted)
             continue;
         server->reported_open = open;
@@ -255,7 +242,7 @@
     for (auto const id : std::exchange(s.to_dispatch, {}))
     {
         auto* server = s.servers.find(id);
-        send_queued(s, id, *server);
+        send_queued(s, *server);
         open_needed(s, id, *server);
     }
 }
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -161,7 +161,9 @@
     auto const sent_at = connection->sent_at;
     auto const server_id = connection->server;
     connection->request.reset();
-    --s.servers.find(server_id)->outstanding;
+    auto* server = s.servers.find(server_id);
+    --server->outstanding;
+    server->queue->record_service(1, s.now - sent_at);
     // From here the connection is counted by its new state.
     connection->state = connection_state::pinned;
     s.timers.erase({timer_kind::read_try, request_id});
@@ -265,6 +267,8 @@
     }
     else if (request.state == request_state::waiting_position)
         erase_from(s.groups.find(request.group)->waiting_position);
+    if (request.queue_entry)
+        s.servers.find(request.server)->queue->erase(*request.queue_entry);
     s.sessions.find(request.session)->request.reset();
     s.requests.erase(id);
 }
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -115,7 +115,7 @@
 {
     auto const load = [](server_row const& it)
     {
-        return it.outstanding + it.queue.size();
+        return it.outstanding + it.queue->size();
     };
     auto const rank = [&s, &load](server_row const& it)
     {
@@ -164,13 +164,18 @@
              bool at_primary)
 {
     auto* server = s.servers.find(server_id);
-    if (server->queue.size() >= s.settings.queue_limit)
+    auto const& workspace = s.sessions.find(request.session)->workspace;
+    auto const entry =
+        server->queue->push(workspace, 1, request.deadline, id, s.now);
+    if (!entry)
         return refuse_request(s, id, refusal_outcome::not_run,
-                              refusal_reason::queue_full);
+                              entry.error() == limits::queue_refusal::queue_full
+                                  ? refusal_reason::queue_full
+                                  : refusal_reason::deadline);
     request.server = server_id;
     request.at_primary = at_primary;
     request.state = request_state::queued;
-    server->queue.push_back(id);
+    request.queue_entry = entry.value();
     s.to_dispatch.push_back(server_id);
 }
 
