traffic: Adopt a control view before the later events of its tick

Cause: a tick handled all events before it adopted a new view. A share of connections that came in the same tick named servers that the tables did not know yet and was dropped; the daemon then opened no connection to them until the share changed. daemon_test under load showed a restarted daemon that refused every statement for 10 s.

Ruled out: the share ledger (its grants were sent) and the lease.

Change: the view is adopted when its event is handled. The new case fails before and passes after.

--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -152,6 +152,9 @@
 void on(state& s, control_changed const& it)
 {
     s.next_view = it.view;
+    // Later events of the same tick can name servers that this view adds; a
+    // share of connections for an unknown server would be lost.
+    detail::adopt_control(s);
 }
 
 void on(state& s, lease_changed const& it)
@@ -214,11 +217,10 @@
 using system = void (*)(state&);
 
 constexpr std::array systems = {
-    &detail::adopt_control,      &detail::expire_deadlines,
-    &detail::admit_requests,     &detail::route_requests,
-    &detail::dispatch_requests,  &detail::release_held_answers,
-    &detail::poll_positions,     &detail::ask_for_tokens,
-    &detail::report_connections,
+    &detail::expire_deadlines,     &detail::admit_requests,
+    &detail::route_requests,       &detail::dispatch_requests,
+    &detail::release_held_answers, &detail::poll_positions,
+    &detail::ask_for_tokens,       &detail::report_connections,
 };
 
 bool has_work(state const& s)
--- a/packages/traffic/test/engine_test.cpp
+++ b/packages/traffic/test/engine_test.cpp
@@ -2,6 +2,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace basilreach;
 using namespace basilreach::traffic;
 using namespace std::chrono_literals;
@@ -399,3 +401,27 @@
     f.it->push(token_presented{session_id{1}, {1, 500}});
     CHECK(f.server_of(f.send(1, statement_verb::other)) != server_name("s1"));
 }
+
+// A share that came in the same tick as the first view of its server was
+// dropped, and the daemon opened no connection until the share changed again.
+TEST_CASE("a share of connections counts in the tick of its server's view")
+{
+    engine_settings settings;
+    settings.limits_enabled = false;
+    settings.initial_connections = 0;
+    engine it(settings);
+    it.push(control_changed{std::make_shared<control_view>(make_view())});
+    it.push(connection_share_changed{server_name("s1"), 1, false});
+    it.push(lease_changed{instant{3s}});
+    session_opened session;
+    session.session = session_id{1};
+    session.route = route_name("ledger");
+    session.workspace = workspace_name("w");
+    session.key = key_digest{1};
+    it.push(session);
+    it.push(statement_received{session_id{1}, statement_verb::other});
+    auto const actions = it.tick(instant{});
+    CHECK(std::any_of(actions.begin(), actions.end(),
+                      [](action const& a)
+                      { return std::holds_alternative<open_connection>(a); }));
+}
