--- a/packages/daemon/test/path_test.cpp
+++ b/packages/daemon/test/path_test.cpp
@@ -48,6 +48,23 @@
               static_cast<ssize_t>(bytes.size()));
     }
 
+    // Sends the bytes again and again until the other side takes no more for a
+    // while, or the limit is reached; returns how many were taken.
+    std::size_t flood(std::string const& bytes, std::size_t limit) const
+    {
+        std::size_t taken = 0;
+        pollfd entry{socket_, POLLOUT, 0};
+        while (taken < limit && poll(&entry, 1, 200) == 1)
+        {
+            auto const n = ::send(socket_, bytes.data(), bytes.size(),
+                                  MSG_NOSIGNAL | MSG_DONTWAIT);
+            if (n <= 0)
+                break;
+            taken += static_cast<std::size_t>(n);
+        }
+        return taken;
+    }
+
     // Reads until the text has arrived, or the connection has ended.
     std::string read_until(std::string const& text) const
     {
@@ -250,6 +267,21 @@
     CHECK(run(it.connect(0, "open", ""), select_value("after")) == "v");
 }
 
+// Guards against a caller that uses up the memory by sending while its
+// statement is in progress. The kernel's buffers on both sides take up to 10
+// MiB.
+TEST_CASE("a caller that sends ahead is not read without bound")
+{
+    deployment const it;
+    raw_caller const caller(0);
+    caller.send(startup("open"));
+    CHECK(contains(caller.read_until("server_version"), "server_version"));
+    caller.send(message("Q", std::string("SELECT pg_sleep(0.8)") + '\0'));
+    constexpr std::size_t limit = std::size_t{64} << 20U;
+    std::string const padding(64000, ' ');
+    CHECK(caller.flood(message("Q", padding + '\0'), limit) < limit / 2);
+}
+
 // Guards against a caller's key in anything that leaves the daemon's memory.
 TEST_CASE("the caller's key is found nowhere")
 {
