daemon: Answer a Describe of a portal that no Execute follows

The columns of a portal came with the result of its Execute only, so a driver that described a portal and then sent Sync got no description. Sync now asks a backend server for the columns first. A case sends Parse, Bind, Describe and Sync.

--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -189,6 +189,7 @@
     void pause_reading();
     void resume_reading();
     void handle(pgwire::frontend_message& it);
+    [[nodiscard]] bool describe_waiting_portal();
     void finish_authentication(std::optional<std::string_view> key);
     void take_startup_options(pgwire::startup_message const& it);
     void begin(statement it, bool is_simple);
@@ -231,6 +232,10 @@
     statement current_;
     bool current_is_simple_ = true;
     bool current_is_described_ = false;
+    // The current statement only gives the columns of a portal.
+    bool current_describes_portal_ = false;
+    // A Sync that is answered after the current statement.
+    bool is_sync_waiting_ = false;
     // Statements outside a transaction since the last Sync.
     int executed_since_sync_ = 0;
     instant submitted_at_;
--- a/packages/daemon/src/client_connection.cpp
+++ b/packages/daemon/src/client_connection.cpp
@@ -471,8 +471,28 @@
     begin(found->second.bound, false);
 }
 
+// Describes a portal that no Execute has followed; returns whether there is
+// one.
+bool client_connection::describe_waiting_portal()
+{
+    for (auto& [name, it] : portals_)
+    {
+        if (!std::exchange(it.is_described, false))
+            continue;
+        statement described = it.bound;
+        described.mode = statement_mode::describe;
+        current_describes_portal_ = true;
+        is_sync_waiting_ = true;
+        begin(std::move(described), false);
+        return true;
+    }
+    return false;
+}
+
 void client_connection::on_sync(pgwire::frontend_message& /*it*/)
 {
+    if (phase_ != phase::skipping && describe_waiting_portal())
+        return;
     executed_since_sync_ = 0;
     phase_ = phase::ready;
     // Portals end with their transaction.
@@ -547,10 +567,16 @@
 
 void client_connection::finish_statement()
 {
+    current_describes_portal_ = false;
     if (phase_ == phase::busy)
         phase_ = phase::ready;
     if (current_is_simple_)
         append_ready();
+    if (std::exchange(is_sync_waiting_, false))
+    {
+        pgwire::frontend_message sync = pgwire::sync{};
+        on_sync(sync);
+    }
     if (is_processing_)
         return;
     process({});
@@ -609,6 +635,8 @@
 
 void client_connection::append_description(PGresult const* it)
 {
+    if (std::exchange(current_describes_portal_, false))
+        return append_columns(it);
     std::vector<std::uint32_t> types;
     types.reserve(static_cast<std::size_t>(PQnparams(it)));
     for (int n = 0; n < PQnparams(it); ++n)
--- a/packages/daemon/test/path_test.cpp
+++ b/packages/daemon/test/path_test.cpp
@@ -267,6 +267,24 @@
     CHECK(run(it.connect(0, "open", ""), select_value("after")) == "v");
 }
 
+// Guards against a driver that waits for the columns of a portal which it only
+// describes.
+TEST_CASE("a portal that is described without being run gets its columns")
+{
+    using namespace std::string_literals;
+    deployment const it;
+    raw_caller const caller(0);
+    caller.send(startup("open"));
+    CHECK(contains(caller.read_until("server_version"), "server_version"));
+    caller.send(
+        message("P", "\0SELECT value FROM item WHERE key = 'k'\0\0\0"s) +
+        message("B", "\0\0\0\0\0\0\0\0"s) + message("D", "P\0"s) +
+        message("S", ""));
+    CHECK(contains(caller.read_until("value"), "value"));
+    caller.send(message("Q", "SHOW basilreach.token\0"s));
+    CHECK(contains(caller.read_until("SHOW"), "SHOW"));
+}
+
 // Guards against a caller that uses up the memory by sending while its
 // statement is in progress. The kernel's buffers on both sides take up to 10
 // MiB.
