cmake: Build with sanitizers under g++ 12

The compiler takes a value inside Boost.Histogram for uninitialised when the sanitizers are on, so the sanitize preset did not build the telemetry package.

--- a/cmake/BasilreachOptions.cmake
+++ b/cmake/BasilreachOptions.cmake
@@ -8,6 +8,8 @@
 
 add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Werror)
 if(BASILREACH_SANITIZE)
+  # With sanitizers g++ 12 warns of uninitialised use inside Boost.Histogram.
+  add_compile_options(-Wno-maybe-uninitialized)
   add_compile_options(-fsanitize=${BASILREACH_SANITIZE}
     -fno-omit-frame-pointer)
   add_link_options(-fsanitize=${BASILREACH_SANITIZE})
