daemon, traffic: Configure limits once a revision, drop repeated steps

The control thread compared all workspaces and servers in each round of its loop, although they change with the control state only. Three copies of the answer to a refused step of the console become one, and the engine's tables no longer keep a pending view, since a view is adopted when its event is handled.

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -131,6 +131,9 @@
     void answer_read(consensus::read_outcome const& it);
     void refuse_pending();
     bool redirect(link_id from);
+    void run_for(origin const& to,
+                 consensus::step_result step,
+                 messages::admin_reply refusal);
 
     daemon_context const& context_;
     control_host_outputs outputs_;
--- a/packages/daemon/include/basilreach/daemon/limit_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 #include <set>
 
 #include <basilreach/control/control_state.hpp>
@@ -52,6 +53,8 @@
     limits::rate_holder rates_;
     limits::rate_ledger threads_;
     limits::share_holder shares_;
+    // Revision of the control state that was last configured.
+    std::optional<std::uint64_t> configured_;
     std::set<workspace_name> workspaces_;
     // Shares as the traffic threads know them.
     std::map<server_name, std::uint32_t> servers_;
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -283,6 +283,19 @@
     outputs_.to_link(to.link, reply);
 }
 
+// Runs a step that a console asked for and answers it at once when the step was
+// refused, otherwise when its entry is applied.
+void control_host::run_for(origin const& to,
+                           consensus::step_result step,
+                           messages::admin_reply refusal)
+{
+    if (step.accepted)
+        proposals_[{step.accepted->index, step.accepted->term}] = to;
+    else
+        answer(to, std::move(refusal));
+    run(std::move(step));
+}
+
 void control_host::on_admin(link_id from, messages::message const& it)
 {
     if (redirect(from))
@@ -295,24 +308,18 @@
                       make_error("42601", admin::to_string(parsed.error())));
     if (auto const entry = to_control_command(parsed.value()))
     {
-        auto step = member_->propose(messages::encode_command(*entry), now_);
-        if (step.accepted)
-            proposals_[{step.accepted->index, step.accepted->term}] = to;
-        else
-            answer(to, make_error("57P03", "the control host cannot accept "
-                                           "the change now"));
-        return run(std::move(step));
+        return run_for(
+            to, member_->propose(messages::encode_command(*entry), now_),
+            make_error("57P03",
+                       "the control host cannot accept the change now"));
     }
     if (auto const* add = std::get_if<admin::add_control_host>(&parsed.value()))
-    {
-        auto step = member_->add_learner(
-            make_host_name({add->host, add->address, add->data_centre}), now_);
-        if (step.accepted)
-            proposals_[{step.accepted->index, step.accepted->term}] = to;
-        else
-            answer(to, make_error("55000", "the membership cannot change now"));
-        return run(std::move(step));
-    }
+        return run_for(
+            to,
+            member_->add_learner(
+                make_host_name({add->host, add->address, add->data_centre}),
+                now_),
+            make_error("55000", "the membership cannot change now"));
     if (auto const* remove =
             std::get_if<admin::remove_control_host>(&parsed.value()))
     {
@@ -320,12 +327,8 @@
         for (auto const& host : member_->members().voters)
             if (host.str().starts_with(remove->host.str() + '='))
                 target = host;
-        auto step = member_->remove(target, now_);
-        if (step.accepted)
-            proposals_[{step.accepted->index, step.accepted->term}] = to;
-        else
-            answer(to, make_error("55000", "the membership cannot change now"));
-        return run(std::move(step));
+        return run_for(to, member_->remove(target, now_),
+                       make_error("55000", "the membership cannot change now"));
     }
     // What remains reads the state, which must not be stale.
     auto const id = ++last_read_;
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -42,6 +42,9 @@
 
 void limit_client::configure(control::control_state const& state, instant now)
 {
+    // The control thread calls this in each round of its loop.
+    if (std::exchange(configured_, state.revision()) == state.revision())
+        return;
     auto const& rules = state.rules()->workspaces;
     for (auto const& [name, it] : rules)
         if (workspaces_.insert(name).second)
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -196,7 +196,6 @@
     instant lease_until;
     bool draining = false;
     control_view_ptr view;
-    control_view_ptr next_view;
 
     table<session_row> sessions;
     table<request_row> requests;
@@ -233,8 +232,10 @@
     }
 };
 
+// Brings the tables in line with a view; runs when its event is handled.
+void adopt_control(state& s, control_view_ptr const& view);
+
 // Systems, in the order in which a tick runs them.
-void adopt_control(state& s);
 void expire_deadlines(state& s);
 void admit_requests(state& s);
 void route_requests(state& s);
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -188,11 +188,8 @@
 
 } // namespace
 
-void adopt_control(state& s)
+void adopt_control(state& s, control_view_ptr const& view)
 {
-    if (!s.next_view)
-        return;
-    auto const view = std::exchange(s.next_view, nullptr);
     // A view older than the one in effect is never adopted.
     if (view->revision < s.view->revision)
         return;
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -151,10 +151,9 @@
 
 void on(state& s, control_changed const& it)
 {
-    s.next_view = it.view;
     // Later events of the same tick can name servers that this view adds; a
     // share of connections for an unknown server would be lost.
-    detail::adopt_control(s);
+    detail::adopt_control(s, it.view);
 }
 
 void on(state& s, lease_changed const& it)
