traffic: Serve groups whose servers check positions themselves

Cause: a group was served under leases and positions that the proxy had observed; a host that was suspended or cut off could still send a read to a superseded primary, and each change of primary waited for all leases. Ruled out: stricter checks at relaying, which come too late for a read that has run. Change: a group can state that its servers check positions and terms. Reads then carry the position that they need, work that needs the primary opens a transaction that only a primary accepts, refusals that prove that nothing ran are tried elsewhere, and writes are relayed at once. A connection serves one workspace there. The loop's clock and timer count the time of a suspension.

--- a/packages/daemon/src/event_loop.cpp
+++ b/packages/daemon/src/event_loop.cpp
@@ -7,6 +7,7 @@
 #include <ace/Dev_Poll_Reactor.h>
 #include <ace/OS_NS_unistd.h>
 #include <ace/Time_Value.h>
+#include <ctime>
 #include <sys/timerfd.h>
 
 namespace basilreach::daemon
@@ -15,6 +16,10 @@
 namespace
 {
 
+// Goes on while the host is suspended. With the monotonic clock a host that
+// woke up still believed in leases that had ended meanwhile.
+constexpr clockid_t loop_clock = CLOCK_BOOTTIME;
+
 // File handles that one reactor can serve. The reactor refuses to open when
 // this exceeds the limit of the process, which is raised as far as allowed.
 constexpr int wanted_handles = 65'536;
@@ -34,12 +39,14 @@
 
 instant read_clock()
 {
-    return instant(std::chrono::duration_cast<duration>(
-        std::chrono::steady_clock::now().time_since_epoch()));
+    timespec time{};
+    clock_gettime(loop_clock, &time);
+    return instant(std::chrono::seconds(time.tv_sec) +
+                   std::chrono::nanoseconds(time.tv_nsec));
 }
 
 wake_timer::wake_timer(ACE_Reactor& reactor)
-    : handle_(timerfd_create(CLOCK_MONOTONIC, TFD_NONBLOCK | TFD_CLOEXEC))
+    : handle_(timerfd_create(loop_clock, TFD_NONBLOCK | TFD_CLOEXEC))
 {
     ACE_Event_Handler::reactor(&reactor);
     reactor.register_handler(this, ACE_Event_Handler::READ_MASK);
--- a/packages/rules/include/basilreach/rules/rule_set.hpp
+++ b/packages/rules/include/basilreach/rules/rule_set.hpp
@@ -25,6 +25,28 @@
     read
 };
 
+// Which data a read of a route must see, in groups whose servers check
+// positions themselves.
+enum class read_guarantee : std::uint8_t
+{
+    // The session's own writes, and everything older than the greatest age.
+    session,
+    // Everything older than the greatest age.
+    bounded_age,
+    // Every acknowledged write; such reads run at the primary.
+    latest
+};
+
+// Who makes sure that a statement meets a server that is fit for it.
+enum class position_check : std::uint8_t
+{
+    // The proxy, by leases and by the positions that it has observed.
+    proxy,
+    // The server: it refuses a read behind a stated position, and any work of
+    // a primary after it has lost its term.
+    server
+};
+
 struct workspace_rule
 {
     // Statements a second.
@@ -46,6 +68,10 @@
     std::optional<workspace_name> open;
     // Greatest age of the data that reads of this route accept.
     std::optional<duration> max_age;
+    read_guarantee reads = read_guarantee::session;
+    // Time from a statement's arrival to its answer; the daemon's setting
+    // holds where it is absent.
+    std::optional<duration> timeout;
 
     friend bool operator==(route_rule const&, route_rule const&) = default;
 };
@@ -56,6 +82,7 @@
     std::uint32_t connections = 25;
     // Statements that each server of the group runs at the same time.
     std::uint32_t slots = 3;
+    position_check checked_by = position_check::proxy;
 
     friend bool operator==(server_limit_rule const&,
                            server_limit_rule const&) = default;
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -21,6 +21,9 @@
     connection_id connection;
     server_name server;
     std::string address;
+    group_name group{};
+    // The workspace for whose statement the connection is opened.
+    workspace_name workspace{};
     // A read-only connection makes a wrongly declared write fail at the server.
     bool read_only = false;
 
@@ -37,11 +40,26 @@
                            close_connection const&) = default;
 };
 
+// What surrounds a statement at a server that checks positions itself.
+enum class statement_frame : std::uint8_t
+{
+    none,
+    // The statement is the first of a transaction.
+    begin_read_write,
+    begin_read_only,
+    // The statement runs in a transaction of the proxy's own, which the server
+    // refuses unless it leads.
+    leader_check
+};
+
 // Sends the session's statement, followed by a positions query.
 struct send_statement
 {
     session_id session;
     connection_id connection;
+    statement_frame frame = statement_frame::none;
+    // The position that the server must have reached.
+    std::optional<log_position> after{};
 
     friend bool operator==(send_statement const&,
                            send_statement const&) = default;
@@ -184,6 +202,15 @@
     friend bool operator==(log_decision const&, log_decision const&) = default;
 };
 
+// A session's transaction was lost while no statement was in progress.
+struct abort_transaction
+{
+    session_id session;
+
+    friend bool operator==(abort_transaction const&,
+                           abort_transaction const&) = default;
+};
+
 using action = std::variant<open_connection,
                             close_connection,
                             send_statement,
@@ -195,7 +222,8 @@
                             connections_used,
                             term_ended,
                             adopted,
-                            log_decision>;
+                            log_decision,
+                            abort_transaction>;
 
 } // namespace basilreach::traffic
 
--- a/packages/traffic/include/basilreach/traffic/control_view.hpp
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -36,6 +36,7 @@
     std::optional<server_name> primary;
     // Statements that one server of the group runs at the same time.
     std::uint32_t slots = 3;
+    rules::position_check checked_by = rules::position_check::proxy;
 
     friend bool operator==(group_view const&, group_view const&) = default;
 };
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -70,6 +70,7 @@
     std::uint64_t number = 0;
     session_row_id session;
     statement_verb verb = statement_verb::other;
+    transaction_opening opens = transaction_opening::none;
     request_state state = request_state::arrived;
     bool is_read = false;
     bool paid = false;
@@ -79,7 +80,13 @@
     bool waited = false;
     group_row_id group;
     std::optional<std::chrono::nanoseconds> max_age;
+    rules::read_guarantee reads = rules::read_guarantee::session;
+    instant arrived_at;
     instant deadline;
+    // The position that the server must have reached, in groups whose servers
+    // check it.
+    std::optional<log_position> after;
+    std::uint32_t tries = 0;
     server_row_id server;
     connection_id connection;
     bool at_primary = false;
@@ -108,6 +115,9 @@
     server_row_id server;
     connection_state state = connection_state::opening;
     bool read_only = false;
+    // Servers that check positions are told the workspace when a connection
+    // opens, so that it serves this workspace only.
+    workspace_name workspace;
     std::optional<request_row_id> request;
     // The session whose transaction the connection is bound to.
     std::optional<session_row_id> pinned_by;
@@ -133,6 +143,9 @@
     // Statements that wait for a connection, served fairly among workspaces.
     // Behind a pointer, because its entries must not move with the row.
     std::unique_ptr<limits::fair_queue<request_row_id>> queue;
+    // Statements taken from the queue that wait for a connection of their
+    // workspace; rows that are gone or have moved on are skipped.
+    std::deque<request_row_id> unmatched;
     std::uint32_t opening = 0;
     // Statements sent to the server and not answered.
     std::uint32_t outstanding = 0;
@@ -154,6 +167,9 @@
     std::uint64_t term = 0;
     std::optional<server_row_id> primary;
     std::uint32_t slots = 3;
+    rules::position_check checked_by = rules::position_check::proxy;
+    // Until then nothing is sent to the primary, which said that it is none.
+    instant primary_refused_until;
     std::vector<server_row_id> servers;
     std::deque<request_row_id> waiting_primary;
     std::multimap<log_position, request_row_id> waiting_position;
@@ -171,7 +187,8 @@
     token_wait,
     connection,
     group_poll,
-    server_reconnect
+    server_reconnect,
+    primary_retry
 };
 
 struct timer_key
@@ -268,12 +285,29 @@
 // Ends a session that has no request in progress.
 void close_idle_session(state& s, session_row_id id, refusal_reason reason);
 
+// Takes the statements that wait for a connection to a server.
+std::vector<request_row_id>
+take_waiting(state& s, server_row_id id, server_row& server);
+
 // Sends a request's statement over a connection.
 void send_request(state& s, request_row_id id, connection_id connection);
 
 // Sends a positions query alone over a connection that is not in use.
 void ask_over(state& s, connection_id connection);
 
+// Whether the group's servers check positions and terms themselves.
+[[nodiscard]] bool is_server_checked(state const& s,
+                                     request_row const& request);
+
+// Whether a statement that was sent may have had an effect that lasts.
+[[nodiscard]] bool may_have_effect(state const& s, request_row const& request);
+
+// Adds a position of the primary that was asked for at a point in time.
+void add_primary_sample(state& s,
+                        group_row& group,
+                        instant asked_at,
+                        log_position position);
+
 // Handles the loss of a connection, with what that means for its request.
 void lose_connection(state& s, connection_id id, refusal_reason reason);
 
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -52,6 +52,14 @@
     std::uint32_t initial_connections = 2;
     // Statements of one workspace that wait for one server.
     std::size_t queue_limit = 1000;
+    // Whether keyed statements run while no control lease is held. A key that
+    // was withdrawn meanwhile then works until the daemon hears of it.
+    bool serves_without_lease = false;
+    // Tries of one statement that servers have refused without running it.
+    std::uint32_t max_tries = 4;
+    // Time after which a server that refused as "not the primary" is asked
+    // again if no other primary has become known.
+    duration primary_retry = std::chrono::milliseconds(100);
     // Whether tokens of the workspace's rate are needed.
     bool limits_enabled = true;
     // Names the engine as a holder of tokens; different in each thread.
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -69,6 +69,8 @@
 {
     session_id session;
     statement_verb verb = statement_verb::other;
+    // The statement is the first of a transaction that no server knows yet.
+    transaction_opening opens = transaction_opening::none;
 
     friend bool operator==(statement_received const&,
                            statement_received const&) = default;
@@ -100,6 +102,18 @@
     failed_transaction
 };
 
+// What an answer proves about its statement.
+enum class answer_proof : std::uint8_t
+{
+    none,
+    // The statement did not run: the server has too much work.
+    not_run_busy,
+    // The statement did not run: the server lacks the stated position.
+    not_run_behind,
+    // The statement did not run: the server is not the primary.
+    not_run_not_primary
+};
+
 // A whole answer to a statement has arrived, followed by the server's position.
 struct answer_received
 {
@@ -109,6 +123,9 @@
     transaction_status status = transaction_status::idle;
     // Position of the server after the statement, absent inside a transaction.
     std::optional<log_position> position;
+    answer_proof proof = answer_proof::none;
+    // The server led its group after the statement was sent.
+    bool is_from_primary = false;
 
     friend bool operator==(answer_received const&,
                            answer_received const&) = default;
--- a/packages/traffic/include/basilreach/traffic/statement.hpp
+++ b/packages/traffic/include/basilreach/traffic/statement.hpp
@@ -22,7 +22,18 @@
     session_state,
     // SET or SHOW of a basilreach.* variable, answered by the proxy.
     proxy_variable,
-    empty
+    empty,
+    // What the protocol itself says of a statement; no text is classified so.
+    read,
+    write
+};
+
+// How a transaction is opened for its first statement.
+enum class transaction_opening : std::uint8_t
+{
+    none,
+    read_write,
+    read_only
 };
 
 // Classifies a statement by its first keywords.
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -38,7 +38,12 @@
 {
     if (session.in_transaction)
         return session.in_transaction->read_only;
-    if (request.verb == statement_verb::begin_read_only)
+    if (request.opens == transaction_opening::read_write ||
+        request.verb == statement_verb::write)
+        return false;
+    if (request.opens == transaction_opening::read_only ||
+        request.verb == statement_verb::read ||
+        request.verb == statement_verb::begin_read_only)
         return true;
     return session.read_only || route.kind == rules::route_class::read;
 }
@@ -50,7 +55,11 @@
                 request_row& request,
                 session_row const& session)
 {
-    if (!s.settings.limits_enabled || request.paid ||
+    // Where the protocol tells where a transaction begins, it pays once.
+    bool const is_paid =
+        request.paid ||
+        (session.in_transaction && is_server_checked(s, request));
+    if (!s.settings.limits_enabled || is_paid ||
         is_end_of_transaction(request.verb))
         return true;
     if (s.tokens.spend(session.workspace, 1, s.now))
@@ -88,7 +97,8 @@
                               refusal_reason::session_state_unsupported);
     // Without a lease a withdrawal of the key could have been missed. The end
     // of a transaction needs no key: its statements were admitted.
-    if (session.key && !s.has_lease() && !is_end_of_transaction(request->verb))
+    if (session.key && !s.has_lease() && !s.settings.serves_without_lease &&
+        !is_end_of_transaction(request->verb))
     {
         request->state = request_state::waiting_lease;
         s.waiting_lease.push_back(id);
@@ -98,12 +108,13 @@
     if (group == s.group_by_name.end())
         return refuse_request(s, id, refusal_outcome::not_run,
                               refusal_reason::unknown_route);
+    request->group = group->second;
     if (!take_token(s, id, *request, session))
         return;
     s.timers.erase({timer_kind::token_wait, id});
-    request->group = group->second;
     request->is_read = declares_read(*request, session, route->second);
     request->max_age = route->second.max_age;
+    request->reads = route->second.reads;
     request->state = request_state::arrived;
     s.to_route.push_back(id);
 }
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -59,14 +59,13 @@
 }
 
 // Moves requests that wait for a server that must get no new work.
-void requeue_waiting(state& s, server_row& server)
+void requeue_waiting(state& s, server_row_id server_id)
 {
-    while (auto const id = server.queue->pop())
+    for (auto const id :
+         take_waiting(s, server_id, *s.servers.find(server_id)))
     {
-        auto* request = s.requests.find(*id);
-        request->queue_entry.reset();
-        request->state = request_state::arrived;
-        s.to_route.push_back(*id);
+        s.requests.find(id)->state = request_state::arrived;
+        s.to_route.push_back(id);
     }
 }
 
@@ -80,7 +79,7 @@
         row->is_removed = true;
         while (!row->idle.empty())
             drop_connection(s, row->idle.back());
-        requeue_waiting(s, *row);
+        requeue_waiting(s, id);
     }
 }
 
@@ -116,7 +115,32 @@
     while (!server->connections.empty())
         lose_connection(s, server->connections.back(),
                         refusal_reason::superseded);
-    requeue_waiting(s, *server);
+    requeue_waiting(s, *group.primary);
+}
+
+void route_waiting_for_primary(state& s, group_row& group)
+{
+    while (!group.waiting_primary.empty())
+    {
+        s.to_route.push_back(group.waiting_primary.front());
+        group.waiting_primary.pop_front();
+    }
+}
+
+// A former primary refuses what only a primary may run, so that its
+// connections and its open transactions can stay.
+void follow_primary(state& s,
+                    group_row& group,
+                    std::uint64_t term,
+                    std::optional<server_row_id> primary)
+{
+    if (group.primary)
+        requeue_waiting(s, *group.primary);
+    group.term = term;
+    group.primary = primary;
+    group.primary_refused_until = instant{};
+    if (primary)
+        route_waiting_for_primary(s, group);
 }
 
 void adopt_group(state& s, group_name const& name, group_view const& view)
@@ -125,8 +149,11 @@
     auto* group = s.groups.find(id);
     auto const primary = find_server(s, view.primary);
     group->slots = view.slots;
+    group->checked_by = view.checked_by;
     if (group->term == view.term && group->primary == primary)
         return;
+    if (view.checked_by == rules::position_check::server)
+        return follow_primary(s, *group, view.term, primary);
     end_term(s, *group);
     group->term = view.term;
     group->primary = primary;
@@ -137,12 +164,8 @@
     while (!server->connections.empty())
         lose_connection(s, server->connections.back(),
                         refusal_reason::connection_lost);
-    requeue_waiting(s, *server);
-    while (!group->waiting_primary.empty())
-    {
-        s.to_route.push_back(group->waiting_primary.front());
-        group->waiting_primary.pop_front();
-    }
+    requeue_waiting(s, *primary);
+    route_waiting_for_primary(s, *group);
 }
 
 // Cuts off the callers whose key is no longer valid. A statement that is
@@ -205,7 +228,7 @@
     {
         auto* server = s.servers.find(id);
         if (server->is_down || server->is_leaving)
-            requeue_waiting(s, *server);
+            requeue_waiting(s, id);
     }
     s.actions.emplace_back(adopted{view->revision});
 }
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -31,11 +31,15 @@
             reason_while[static_cast<std::size_t>(request->state)]);
     auto* session = s.sessions.find(request->session);
     bool const in_transaction = session->in_transaction.has_value();
+    auto const outcome = may_have_effect(s, *request)
+                             ? refusal_outcome::unknown
+                             : refusal_outcome::not_run;
+    request->was_sent = outcome == refusal_outcome::unknown;
+    bool const ends_session = in_transaction && !is_server_checked(s, *request);
     session->in_transaction.reset();
     ++s.counts.silent_connections;
     drop_connection(s, request->connection);
-    refuse_request(s, id, refusal_outcome::unknown, refusal_reason::deadline,
-                   in_transaction);
+    refuse_request(s, id, outcome, refusal_reason::deadline, ends_session);
 }
 
 void expire_read_try(state& s, row_id id)
@@ -97,13 +101,20 @@
     s.to_dispatch.push_back(id);
 }
 
+void expire_primary_retry(state& s, row_id id)
+{
+    auto* group = s.groups.find(id);
+    for (auto const request : std::exchange(group->waiting_primary, {}))
+        s.to_route.push_back(request);
+}
+
 using expiry = void (*)(state&, row_id);
 
 // Indexed by timer_kind.
-constexpr std::array<expiry, 7> expiries = {
+constexpr std::array<expiry, 8> expiries = {
     expire_request,         expire_read_try,   expire_position_wait,
     expire_token_wait,      expire_connection, expire_group_poll,
-    expire_server_reconnect};
+    expire_server_reconnect, expire_primary_retry};
 
 } // namespace
 
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -9,12 +9,16 @@
 namespace
 {
 
-void open_one(state& s, server_row_id id, server_row& server)
+void open_one(state& s,
+              server_row_id id,
+              server_row& server,
+              workspace_name const& workspace = {})
 {
     auto const& group = *s.groups.find(server.group);
     connection_row row;
     row.server = id;
     row.read_only = group.primary != id;
+    row.workspace = workspace;
     row.sent_at = s.now;
     auto const connection = s.connections.insert(row);
     server.connections.push_back(connection);
@@ -22,7 +26,8 @@
     s.timers.set({timer_kind::connection, connection},
                  s.now + s.settings.probe_timeout);
     s.actions.emplace_back(open_connection{connection, server.name,
-                                           server.address, row.read_only});
+                                           server.address, group.name,
+                                           workspace, row.read_only});
 }
 
 // A statement may have waited since its admission; its key must still be
@@ -30,7 +35,8 @@
 bool lost_lease(state& s, request_row_id id)
 {
     auto* request = s.requests.find(id);
-    if (!s.sessions.find(request->session)->key || s.has_lease())
+    if (!s.sessions.find(request->session)->key || s.has_lease() ||
+        s.settings.serves_without_lease)
         return false;
     request->state = request_state::waiting_lease;
     s.waiting_lease.push_back(id);
@@ -54,6 +60,82 @@
     }
 }
 
+// Takes an idle connection that was opened for the workspace.
+std::optional<connection_id> take_idle(state const& s,
+                                       server_row& server,
+                                       workspace_name const& workspace)
+{
+    auto const it =
+        std::find_if(server.idle.rbegin(), server.idle.rend(),
+                     [&](connection_id id) {
+                         return s.connections.find(id)->workspace == workspace;
+                     });
+    if (it == server.idle.rend())
+        return std::nullopt;
+    auto const id = *it;
+    server.idle.erase(std::next(it).base());
+    return id;
+}
+
+// Opens connections for statements of a workspace. When the server's share is
+// used up, an idle connection of another workspace makes room.
+void open_for_workspace(state& s,
+                        server_row_id id,
+                        server_row& server,
+                        workspace_name const& workspace,
+                        std::size_t needed)
+{
+    auto const opening = std::count_if(
+        server.connections.begin(), server.connections.end(),
+        [&](connection_id it)
+        {
+            auto const& row = *s.connections.find(it);
+            return row.state == connection_state::opening &&
+                   row.workspace == workspace;
+        });
+    for (auto n = static_cast<std::size_t>(opening); n < needed; ++n)
+    {
+        if (server.connections.size() >= server.share && !server.idle.empty())
+            drop_connection(s, server.idle.front());
+        if (server.connections.size() >= server.share)
+            return;
+        open_one(s, id, server, workspace);
+    }
+}
+
+// Matches statements with connections of their workspaces.
+void match_by_workspace(state& s, server_row_id id, server_row& server)
+{
+    while (auto const request = server.queue->pop())
+    {
+        s.requests.find(*request)->queue_entry.reset();
+        server.unmatched.push_back(*request);
+    }
+    std::map<workspace_name, std::size_t> needed;
+    for (auto const request_id : std::exchange(server.unmatched, {}))
+    {
+        auto const* request = s.requests.find(request_id);
+        bool const waits_here = request != nullptr && request->server == id &&
+                                request->state == request_state::queued;
+        if (!waits_here || lost_lease(s, request_id))
+            continue;
+        auto const& workspace = s.sessions.find(request->session)->workspace;
+        if (auto const connection = take_idle(s, server, workspace))
+        {
+            send_request(s, request_id, *connection);
+            continue;
+        }
+        ++needed[workspace];
+        server.unmatched.push_back(request_id);
+    }
+    bool const may_open = !server.is_removed && !server.is_leaving &&
+                          s.now >= server.next_open;
+    if (may_open)
+        for (auto const& [workspace, n] : needed)
+            open_for_workspace(s, id, server, workspace, n);
+    s.to_report.push_back(id);
+}
+
 // Connections that positions queries need beyond those that are open.
 std::size_t polls_needed(state const& s, server_row const& server)
 {
@@ -84,14 +166,13 @@
 // server. This is a retry of these statements and no verdict on the server.
 void reroute_queued(state& s, server_row_id id, server_row& server)
 {
-    while (auto const request_id = server.queue->pop())
+    for (auto const request_id : take_waiting(s, id, server))
     {
-        auto* request = s.requests.find(*request_id);
-        request->queue_entry.reset();
+        auto* request = s.requests.find(request_id);
         if (request->is_read && !request->at_primary)
             request->excluded.push_back(id);
         request->state = request_state::arrived;
-        s.to_route.push_back(*request_id);
+        s.to_route.push_back(request_id);
     }
 }
 
@@ -104,6 +185,22 @@
         reroute_queued(s, id, *server);
 }
 
+statement_frame frame_of(state const& s,
+                         request_row const& request,
+                         session_row const& session)
+{
+    if (session.in_transaction || !is_server_checked(s, request))
+        return statement_frame::none;
+    // At the primary also a transaction that only reads must end with the
+    // primary's term, unless a position is stated.
+    if (request.opens == transaction_opening::read_only && request.after)
+        return statement_frame::begin_read_only;
+    if (request.opens != transaction_opening::none)
+        return statement_frame::begin_read_write;
+    return request.is_read && !request.after ? statement_frame::leader_check
+                                             : statement_frame::none;
+}
+
 bool is_retryable(request_row const& request, bool in_transaction)
 {
     return !in_transaction &&
@@ -113,6 +210,25 @@
 
 } // namespace
 
+std::vector<request_row_id>
+take_waiting(state& s, server_row_id id, server_row& server)
+{
+    std::vector<request_row_id> out;
+    while (auto const request = server.queue->pop())
+    {
+        s.requests.find(*request)->queue_entry.reset();
+        out.push_back(*request);
+    }
+    for (auto const request_id : std::exchange(server.unmatched, {}))
+    {
+        auto const* request = s.requests.find(request_id);
+        if (request != nullptr && request->server == id &&
+            request->state == request_state::queued)
+            out.push_back(request_id);
+    }
+    return out;
+}
+
 void send_request(state& s, request_row_id id, connection_id connection)
 {
     auto* request = s.requests.find(id);
@@ -129,7 +245,9 @@
     if (is_retryable(*request, session.in_transaction.has_value()))
         s.timers.set({timer_kind::read_try, id},
                      s.now + s.settings.read_try_timeout);
-    s.actions.emplace_back(send_statement{session.id, connection});
+    s.actions.emplace_back(send_statement{
+        session.id, connection, frame_of(s, *request, session),
+        session.in_transaction ? std::nullopt : request->after});
 }
 
 void ask_over(state& s, connection_id connection)
@@ -170,7 +288,7 @@
     remove_idle(*server, id);
     std::erase(server->connections, id);
     s.timers.erase({timer_kind::connection, id});
-    if (!server->queue->empty())
+    if (!server->queue->empty() || !server->unmatched.empty())
         s.to_dispatch.push_back(row->server);
     s.to_report.push_back(row->server);
     s.connections.erase(id);
@@ -191,6 +309,11 @@
         auto* request = s.requests.find(*row.request);
         auto* session = s.sessions.find(request->session);
         bool const in_transaction = session->in_transaction.has_value();
+        auto const outcome = may_have_effect(s, *request)
+                                 ? refusal_outcome::unknown
+                                 : refusal_outcome::not_run;
+        bool const ends_session =
+            in_transaction && !is_server_checked(s, *request);
         session->in_transaction.reset();
         s.timers.erase({timer_kind::read_try, *row.request});
         if (is_retryable(*request, in_transaction))
@@ -199,15 +322,27 @@
             s.to_route.push_back(*row.request);
             return;
         }
-        refuse_request(s, *row.request, refusal_outcome::unknown,
+        request->was_sent = outcome == refusal_outcome::unknown;
+        refuse_request(s, *row.request, outcome,
                        in_transaction ? refusal_reason::transaction_lost
                                       : reason,
-                       in_transaction);
+                       ends_session);
     }
     else if (row.pinned_by)
     {
         auto* session = s.sessions.find(*row.pinned_by);
         session->in_transaction.reset();
+        auto const* server = s.servers.find(row.server);
+        if (s.groups.find(server->group)->checked_by ==
+            rules::position_check::server)
+        {
+            if (session->request)
+                return refuse_request(s, *session->request,
+                                      refusal_outcome::not_run,
+                                      refusal_reason::transaction_lost);
+            s.actions.emplace_back(abort_transaction{session->id});
+            return;
+        }
         // A statement of the transaction that was not sent must not run alone.
         if (session->request)
             return refuse_request(s, *session->request,
@@ -228,7 +363,8 @@
             static_cast<std::uint32_t>(server->connections.size());
         auto const busy = open - server->idle.size() - server->opening;
         auto const wanted = static_cast<std::uint32_t>(
-            busy + std::max(server->queue->size(), polls_needed(s, *server)));
+            busy + std::max(server->queue->size() + server->unmatched.size(),
+                            polls_needed(s, *server)));
         if (open == server->reported_open && wanted == server->reported_wanted)
             continue;
         server->reported_open = open;
@@ -242,6 +378,12 @@
     for (auto const id : std::exchange(s.to_dispatch, {}))
     {
         auto* server = s.servers.find(id);
+        if (s.groups.find(server->group)->checked_by ==
+            rules::position_check::server)
+        {
+            match_by_workspace(s, id, *server);
+            continue;
+        }
         send_queued(s, *server);
         open_needed(s, id, *server);
     }
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -97,11 +97,17 @@
     row.number = ++s.last_request_number;
     row.session = *id;
     row.verb = it.verb;
-    row.deadline = s.now + s.settings.request_timeout;
+    row.opens = it.opens;
+    row.arrived_at = s.now;
+    auto const route = s.view->routes.find(session->route);
+    auto const timeout = route == s.view->routes.end()
+                             ? std::nullopt
+                             : route->second.timeout;
+    row.deadline = s.now + timeout.value_or(s.settings.request_timeout);
+    auto const deadline = row.deadline;
     auto const request = s.requests.insert(std::move(row));
     session->request = request;
-    s.timers.set({detail::timer_kind::request, request},
-                 s.now + s.settings.request_timeout);
+    s.timers.set({detail::timer_kind::request, request}, deadline);
     s.to_admit.push_back(request);
 }
 
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -132,6 +132,55 @@
     relay_request(s, id);
 }
 
+// Tries a statement again that a server has refused without running it.
+void try_again(state& s, request_row_id id, answer_received const& it)
+{
+    auto* request = s.requests.find(id);
+    auto* group = s.groups.find(request->group);
+    request->state = request_state::arrived;
+    if (it.proof == answer_proof::not_run_not_primary)
+    {
+        group->primary_refused_until = s.now + s.settings.primary_retry;
+        s.timers.set({timer_kind::primary_retry, request->group},
+                     group->primary_refused_until);
+    }
+    else if (!request->at_primary || request->after)
+        request->excluded.push_back(request->server);
+    s.to_route.push_back(id);
+}
+
+// Handles an answer of a server that checks positions and terms itself.
+void settle_checked(state& s,
+                    request_row_id id,
+                    instant sent_at,
+                    bool was_in_transaction,
+                    answer_received const& it)
+{
+    auto* request = s.requests.find(id);
+    auto* group = s.groups.find(request->group);
+    auto* session = s.sessions.find(request->session);
+    if (it.position && it.is_from_primary)
+        add_primary_sample(s, *group, sent_at, *it.position);
+    if (it.proof != answer_proof::none)
+    {
+        request->was_sent = false;
+        if (!was_in_transaction && it.status == transaction_status::idle &&
+            ++request->tries < s.settings.max_tries)
+            return try_again(s, id, it);
+        return relay_request(s, id);
+    }
+    bool const is_committed = !it.is_error && !request->is_read &&
+                              it.status == transaction_status::idle &&
+                              request->verb != statement_verb::rollback;
+    if (is_committed)
+        request->answer_position = it.position;
+    // Positions above the start of a later term are lost and no longer owed.
+    if (it.is_from_primary && it.position && session->position &&
+        it.position->term > session->position->term)
+        session->position = it.position;
+    relay_request(s, id);
+}
+
 void finish_request(state& s, request_row_id id)
 {
     auto const session_id = s.requests.find(id)->session;
@@ -145,6 +194,18 @@
 
 } // namespace
 
+bool may_have_effect(state const& s, request_row const& request)
+{
+    if (!is_server_checked(s, request))
+        return true;
+    auto const& session = *s.sessions.find(request.session);
+    // The server rolls an open transaction back with its connection.
+    bool const is_open = session.in_transaction ||
+                         request.opens != transaction_opening::none;
+    return !request.is_read && request.verb != statement_verb::read &&
+           (!is_open || request.verb == statement_verb::commit);
+}
+
 bool may_relay_from_primary(state const& s,
                             group_row const& group,
                             std::uint64_t term)
@@ -169,10 +230,13 @@
     s.timers.erase({timer_kind::read_try, request_id});
     auto const& request = *s.requests.find(request_id);
     auto const& session = *s.sessions.find(request.session);
+    bool const was_in_transaction = session.in_transaction.has_value();
     auto const began_in = session.in_transaction
                               ? session.in_transaction->term
                               : s.groups.find(request.group)->term;
     follow_transaction(s, id, request_id, it.status);
+    if (is_server_checked(s, request))
+        return settle_checked(s, request_id, sent_at, was_in_transaction, it);
     if (it.position)
         observe_position(s, server_id, *it.position, sent_at);
     if (it.is_error)
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -32,6 +32,28 @@
                        });
 }
 
+// Returns the position that a server must have reached to serve the read, or
+// nothing when only the primary is known to satisfy it. A position that the
+// primary had at a time covers every write acknowledged before that time.
+std::optional<log_position> required_position(group_row const& group,
+                                              request_row const& request,
+                                              session_row const& session)
+{
+    if (request.reads == rules::read_guarantee::latest || !request.max_age)
+        return std::nullopt;
+    auto const oldest = request.arrived_at - *request.max_age;
+    auto const sample =
+        std::find_if(group.samples.begin(), group.samples.end(),
+                     [oldest](primary_sample const& it)
+                     { return it.asked_at >= oldest; });
+    if (sample == group.samples.end())
+        return std::nullopt;
+    if (request.reads == rules::read_guarantee::bounded_age ||
+        !session.position)
+        return sample->position;
+    return std::max(sample->position, *session.position);
+}
+
 // Adds a sample. When there are too many, the one goes whose neighbours are
 // closest in relation to its age, so that samples of every age remain.
 void add_sample(state const& s, group_row& group, primary_sample const& it)
@@ -148,6 +170,41 @@
     return best;
 }
 
+// Work outstanding that makes a server in another data centre or the primary
+// as good as a replica nearby: the way costs bytes between data centres, and
+// writes can run at the primary only.
+constexpr std::size_t far_penalty = 2;
+constexpr std::size_t primary_penalty = 2;
+
+// Chooses among all servers of a group that checks positions itself.
+std::optional<server_row_id> choose_checked(state const& s,
+                                            request_row const& request)
+{
+    auto const& group = *s.groups.find(request.group);
+    std::optional<server_row_id> best;
+    auto const rank = [&](server_row_id id)
+    {
+        auto const& it = *s.servers.find(id);
+        auto const load =
+            it.outstanding + it.queue->size() + it.unmatched.size() +
+            (it.data_centre != s.settings.data_centre ? far_penalty : 0) +
+            (group.primary == id ? primary_penalty : 0);
+        return std::tuple(it.next_open > s.now && it.idle.empty(), load,
+                          it.idle.empty(), it.name);
+    };
+    for (auto const id : group.servers)
+    {
+        bool const is_excluded =
+            std::find(request.excluded.begin(), request.excluded.end(), id) !=
+            request.excluded.end();
+        if (!takes_work(*s.servers.find(id)) || is_excluded)
+            continue;
+        if (!best || rank(id) < rank(*best))
+            best = id;
+    }
+    return best;
+}
+
 bool has_replica(state const& s, group_row const& group)
 {
     return std::any_of(group.servers.begin(), group.servers.end(),
@@ -196,7 +253,9 @@
                       decision_reason reason)
 {
     auto const& group = *s.groups.find(request.group);
-    if (!group.primary || !takes_work(*s.servers.find(*group.primary)))
+    request.after.reset();
+    if (!group.primary || !takes_work(*s.servers.find(*group.primary)) ||
+        group.primary_refused_until > s.now)
         return wait_for_primary(s, id, request);
     note(s, id, decision_kind::route, reason, *group.primary);
     enqueue(s, id, request, *group.primary, true);
@@ -239,6 +298,27 @@
                          : decision_reason::primary_without_position);
 }
 
+// Routes a read in a group whose servers check positions themselves.
+void route_checked_read(state& s,
+                        request_row_id id,
+                        request_row& request,
+                        session_row const& session)
+{
+    auto const& group = *s.groups.find(request.group);
+    auto const after = required_position(group, request, session);
+    auto const server =
+        after ? choose_checked(s, request) : std::optional<server_row_id>{};
+    if (!server)
+        return route_to_primary(s, id, request,
+                                after
+                                    ? decision_reason::primary_no_replica_qualifies
+                                    : decision_reason::primary_without_position);
+    request.after = after;
+    note(s, id, decision_kind::route, decision_reason::least_loaded_replica,
+         server);
+    enqueue(s, id, request, *server, group.primary == server);
+}
+
 void send_in_transaction(state& s,
                          request_row_id id,
                          request_row& request,
@@ -259,6 +339,8 @@
     auto const& session = *s.sessions.find(request->session);
     if (session.in_transaction)
         return send_in_transaction(s, id, *request, *session.in_transaction);
+    if (request->is_read && is_server_checked(s, *request))
+        return route_checked_read(s, id, *request, session);
     if (request->is_read)
         return route_read(s, id, *request, session);
     route_to_primary(s, id, *request, decision_reason::primary_for_write);
@@ -310,6 +392,25 @@
         route(s, id);
 }
 
+bool is_server_checked(state const& s, request_row const& request)
+{
+    auto const* group = s.groups.find(request.group);
+    return group != nullptr &&
+           group->checked_by == rules::position_check::server;
+}
+
+void add_primary_sample(state& s,
+                        group_row& group,
+                        instant asked_at,
+                        log_position position)
+{
+    auto& samples = group.samples;
+    // Answers can overtake each other; a later sample covers an earlier one.
+    if (samples.empty() ||
+        samples.back().asked_at + s.settings.poll_interval <= asked_at)
+        add_sample(s, group, {asked_at, position});
+}
+
 void observe_position(state& s,
                       server_row_id id,
                       log_position position,
@@ -320,10 +421,10 @@
     if (!server->position || position > *server->position)
         server->position = position;
     auto* group = s.groups.find(server->group);
-    if (group->primary == id && position.term == group->term &&
-        (group->samples.empty() ||
-         group->samples.back().asked_at + s.settings.poll_interval <= asked_at))
-        add_sample(s, *group, {asked_at, position});
+    if (group->checked_by == rules::position_check::server)
+        return;
+    if (group->primary == id && position.term == group->term)
+        add_primary_sample(s, *group, asked_at, position);
     auto const end = group->waiting_position.upper_bound(position);
     for (auto it = group->waiting_position.begin(); it != end;
          it = group->waiting_position.erase(it))
--- /dev/null
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -0,0 +1,355 @@
+// Groups whose servers check positions and terms themselves.
+#include <basilreach/traffic/engine.hpp>
+
+#include <doctest/doctest.h>
+
+#include <map>
+
+using namespace basilreach;
+using namespace basilreach::traffic;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+server_view server_at(char const* address, char const* data_centre)
+{
+    return {group_name("g"), data_centre_name(data_centre), address, false,
+            false};
+}
+
+control_view make_view()
+{
+    control_view view;
+    view.revision = 1;
+    rules::route_rule route;
+    route.group = group_name("g");
+    route.timeout = 800ms;
+    route.reads = rules::read_guarantee::latest;
+    view.routes.emplace(route_name("intake"), route);
+    route.max_age = 1500ms;
+    route.reads = rules::read_guarantee::bounded_age;
+    view.routes.emplace(route_name("lookup"), route);
+    route.max_age = 2500ms;
+    route.reads = rules::read_guarantee::session;
+    view.routes.emplace(route_name("ledger"), route);
+    view.keys.emplace(key_digest{1}, workspace_name("w"));
+    view.keys.emplace(key_digest{2}, workspace_name("v"));
+    view.servers.emplace(server_name("s1"), server_at("127.0.0.1:1", "a"));
+    view.servers.emplace(server_name("s2"), server_at("127.0.0.1:2", "b"));
+    view.servers.emplace(server_name("s3"), server_at("127.0.0.1:3", "c"));
+    group_view group{1, server_name("s1"), 3};
+    group.checked_by = rules::position_check::server;
+    view.groups.emplace(group_name("g"), group);
+    return view;
+}
+
+struct fixture
+{
+    explicit fixture(std::uint32_t connections = 2)
+    {
+        engine_settings settings;
+        settings.data_centre = data_centre_name("b");
+        settings.limits_enabled = false;
+        settings.serves_without_lease = true;
+        settings.initial_connections = connections;
+        it.emplace(settings);
+        adopt(make_view());
+    }
+
+    void adopt(control_view const& view)
+    {
+        it->push(control_changed{std::make_shared<control_view>(view)});
+        run();
+    }
+
+    void run()
+    {
+        actions.clear();
+        for (bool again = true; std::exchange(again, false);)
+            for (auto const& a : it->tick(now))
+            {
+                actions.push_back(a);
+                if (auto const* open = std::get_if<open_connection>(&a))
+                {
+                    opened.insert_or_assign(open->connection, *open);
+                    it->push(connection_opened{open->connection});
+                    again = true;
+                }
+            }
+    }
+
+    template <class Action>
+    std::optional<Action> find() const
+    {
+        for (auto const& a : actions)
+            if (auto const* found = std::get_if<Action>(&a))
+                return *found;
+        return std::nullopt;
+    }
+
+    void open_session(std::uint64_t id, char const* route, std::uint8_t key = 1)
+    {
+        session_opened event;
+        event.session = session_id{id};
+        event.route = route_name(route);
+        event.workspace = workspace_name(key == 1 ? "w" : "v");
+        event.key = key_digest{key};
+        it->push(event);
+    }
+
+    send_statement
+    send(std::uint64_t id,
+         statement_verb verb,
+         transaction_opening opens = transaction_opening::none)
+    {
+        it->push(statement_received{session_id{id}, verb, opens});
+        run();
+        auto const sent = find<send_statement>();
+        REQUIRE(sent.has_value());
+        return *sent;
+    }
+
+    void answer(send_statement const& to,
+                log_position position,
+                bool is_from_primary,
+                transaction_status status = transaction_status::idle)
+    {
+        answer_received event{to.connection, false, status, position};
+        event.is_from_primary = is_from_primary;
+        it->push(event);
+        run();
+    }
+
+    void refuse(send_statement const& to, answer_proof proof)
+    {
+        answer_received event{to.connection, true, transaction_status::idle,
+                              std::nullopt};
+        event.proof = proof;
+        it->push(event);
+        run();
+    }
+
+    std::string server_of(send_statement const& sent) const
+    {
+        return opened.at(sent.connection).server.str();
+    }
+
+    // Writes through session `id`, so that the engine knows a position.
+    void write(std::uint64_t id, log_position position)
+    {
+        auto const sent = send(id, statement_verb::write);
+        CHECK(server_of(sent) == "s1");
+        answer(sent, position, true);
+        REQUIRE(find<relay_answer>().has_value());
+    }
+
+    instant now{1h};
+    std::optional<engine> it;
+    std::vector<action> actions;
+    std::map<connection_id, open_connection> opened;
+};
+
+} // namespace
+
+TEST_CASE("a write is relayed without waiting for replicas or for a lease")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    f.write(1, {3, 10});
+    CHECK(f.find<relay_answer>()->position == log_position{3, 10});
+}
+
+TEST_CASE("a read states the session's position, wherever it runs")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    f.open_session(2, "ledger");
+    f.write(1, {3, 10});
+    f.now += 10ms;
+    f.write(2, {3, 20});
+    f.now += 10ms;
+    CHECK(f.send(1, statement_verb::read).after == log_position{3, 10});
+    auto const second = f.send(2, statement_verb::read);
+    CHECK(second.after == log_position{3, 20});
+    // One statement outstanding nearby is no reason to leave the data centre.
+    CHECK(f.server_of(second) == "s2");
+}
+
+TEST_CASE("a read of a stated age waits for no newer position than it must")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    f.open_session(2, "lookup");
+    f.write(1, {3, 10});
+    f.now += 1s;
+    f.write(1, {3, 20});
+    f.now += 400ms;
+    auto const recent = f.send(2, statement_verb::read);
+    CHECK(recent.after == log_position{3, 10});
+    CHECK(recent.frame == statement_frame::none);
+    CHECK(f.server_of(recent) == "s2");
+    f.answer(recent, {3, 15}, false);
+    // The first position was observed too long ago now.
+    f.now += 200ms;
+    auto const later = f.send(2, statement_verb::read);
+    CHECK(later.after == log_position{3, 20});
+    f.answer(later, {3, 25}, false);
+    // A replica's position says nothing about what has been acknowledged.
+    f.now += 2s;
+    auto const last = f.send(2, statement_verb::read);
+    CHECK_FALSE(last.after.has_value());
+    CHECK(last.frame == statement_frame::leader_check);
+    CHECK(f.server_of(last) == "s1");
+}
+
+TEST_CASE("a read that must see every write runs where the server proves that "
+          "it leads")
+{
+    fixture f;
+    f.open_session(1, "intake");
+    f.write(1, {3, 10});
+    auto const read = f.send(1, statement_verb::read);
+    CHECK(f.server_of(read) == "s1");
+    CHECK(read.frame == statement_frame::leader_check);
+    f.answer(read, {3, 10}, true);
+    auto const first =
+        f.send(1, statement_verb::read, transaction_opening::read_only);
+    CHECK(f.server_of(first) == "s1");
+    CHECK(first.frame == statement_frame::begin_read_write);
+}
+
+TEST_CASE("a read that a replica refuses as behind runs elsewhere")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    f.write(1, {3, 10});
+    auto const first = f.send(1, statement_verb::read);
+    CHECK(f.server_of(first) == "s2");
+    f.refuse(first, answer_proof::not_run_behind);
+    auto const second = f.find<send_statement>();
+    REQUIRE(second.has_value());
+    CHECK(f.server_of(*second) != "s2");
+    f.refuse(*second, answer_proof::not_run_behind);
+    auto const third = f.find<send_statement>();
+    REQUIRE(third.has_value());
+    f.answer(*third, {3, 11}, false);
+    CHECK(f.find<relay_answer>().has_value());
+}
+
+TEST_CASE("a dead position of a former term does not starve its session")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    f.write(1, {3, 10});
+    // Every server refuses the position, which no log of term 4 holds.
+    auto sent = f.send(1, statement_verb::read);
+    for (int n = 0; n != 3; ++n)
+    {
+        f.refuse(sent, answer_proof::not_run_behind);
+        REQUIRE(f.find<send_statement>().has_value());
+        sent = *f.find<send_statement>();
+    }
+    CHECK(sent.frame == statement_frame::leader_check);
+    f.answer(sent, {4, 5}, true);
+    CHECK(f.find<relay_answer>().has_value());
+    f.now += 10ms;
+    CHECK(f.send(1, statement_verb::read).after == log_position{4, 5});
+}
+
+TEST_CASE("a write that meets a former primary runs once the new one is known")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const first = f.send(1, statement_verb::write);
+    f.refuse(first, answer_proof::not_run_not_primary);
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    CHECK_FALSE(f.find<relay_answer>().has_value());
+    auto view = make_view();
+    view.revision = 2;
+    view.groups.at(group_name("g")).primary = server_name("s3");
+    f.adopt(view);
+    auto const second = f.find<send_statement>();
+    REQUIRE(second.has_value());
+    CHECK(f.server_of(*second) == "s3");
+}
+
+TEST_CASE("a write is tried at the same primary again when no other is named")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    f.refuse(f.send(1, statement_verb::write),
+             answer_proof::not_run_not_primary);
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    f.now += 100ms;
+    f.run();
+    CHECK(f.find<send_statement>().has_value());
+}
+
+TEST_CASE("a connection serves only the workspace that it was opened for")
+{
+    fixture f(1);
+    f.open_session(1, "ledger", 1);
+    f.open_session(2, "ledger", 2);
+    f.write(1, {3, 10});
+    auto const other = f.send(2, statement_verb::write);
+    CHECK(f.opened.at(other.connection).workspace == workspace_name("v"));
+    // The only connection that the share allows had to make room.
+    CHECK(f.find<close_connection>().has_value());
+}
+
+TEST_CASE("only the loss of a commit or of a single write is unknown")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const write = f.send(1, statement_verb::write);
+    f.it->push(connection_failed{write.connection});
+    f.run();
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
+
+    auto const opening =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    CHECK(opening.frame == statement_frame::begin_read_write);
+    f.answer(opening, {3, 10}, true, transaction_status::in_transaction);
+    auto const inner = f.send(1, statement_verb::write);
+    CHECK(inner.frame == statement_frame::none);
+    f.it->push(connection_failed{inner.connection});
+    f.run();
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::not_run);
+    CHECK_FALSE(f.find<refuse>()->close_session);
+
+    auto const again =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    f.answer(again, {3, 10}, true, transaction_status::in_transaction);
+    auto const commit = f.send(1, statement_verb::commit);
+    f.it->push(connection_failed{commit.connection});
+    f.run();
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
+}
+
+TEST_CASE("a transaction that is lost while its caller pauses is reported")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const opening =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    f.answer(opening, {3, 10}, true, transaction_status::in_transaction);
+    f.it->push(connection_failed{opening.connection});
+    f.run();
+    CHECK(f.find<abort_transaction>().has_value());
+    CHECK_FALSE(f.find<end_session>().has_value());
+}
+
+TEST_CASE("a statement ends at its route's timeout")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const sent = f.send(1, statement_verb::write);
+    f.now += 799ms;
+    f.run();
+    CHECK_FALSE(f.find<refuse>().has_value());
+    f.now += 1ms;
+    f.run();
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
+    CHECK(f.find<close_connection>()->connection == sent.connection);
+}
