control: Follow servers that report themselves and rules with numbered versions

Cause: the control state knew primaries by its own fencing alone, rules by a base version alone, and servers by announcements of an operator. Change: offer_rules takes the highest version; an announcement carries the server's incarnation and role; a group whose servers check terms is led by the server that says so and is replaced without fencing; server_monitor turns reports into commands and forms verdicts by silence for such groups. Measured: 7 new cases of control_test; the log gets no entry for a report that says nothing new.

--- a/packages/control/include/basilreach/control/command.hpp
+++ b/packages/control/include/basilreach/control/command.hpp
@@ -27,6 +27,14 @@
     down
 };
 
+// What a server says that it is in its group, where servers say so.
+enum class server_role : std::uint8_t
+{
+    unknown,
+    primary,
+    replica
+};
+
 // Replaces the rules. Accepted only when base_version is the version in effect
 // and the command has an id.
 struct apply_rules
@@ -74,7 +82,8 @@
                             forget_daemon const&) = default;
 };
 
-// Adds a server, or changes its address; ends an earlier leaving.
+// Adds a server, or changes what is known of it. A server that leaves receives
+// no new work.
 struct announce_server
 {
     server_name server;
@@ -83,6 +92,10 @@
     // IP number and port.
     std::string address;
     std::uint64_t sequence = 0;
+    // Grows with each start of the server; the sequence counts within it.
+    std::uint64_t incarnation = 0;
+    server_role role = server_role::unknown;
+    bool is_leaving = false;
 
     friend auto operator<=>(announce_server const&,
                             announce_server const&) = default;
@@ -93,6 +106,7 @@
 {
     server_name server;
     std::uint64_t sequence = 0;
+    std::uint64_t incarnation = 0;
 
     friend auto operator<=>(announce_leaving const&,
                             announce_leaving const&) = default;
@@ -103,6 +117,7 @@
 {
     server_name server;
     std::uint64_t sequence = 0;
+    std::uint64_t incarnation = 0;
 
     friend auto operator<=>(remove_server const&,
                             remove_server const&) = default;
@@ -152,6 +167,16 @@
                             confirm_primary const&) = default;
 };
 
+// Replaces the rules by a version that its sender has numbered. The highest
+// version wins; one that is not higher changes nothing.
+struct offer_rules
+{
+    std::uint64_t version = 0;
+    std::string text;
+
+    friend auto operator<=>(offer_rules const&, offer_rules const&) = default;
+};
+
 using command_body = std::variant<apply_rules,
                                   withdraw_key,
                                   register_daemon,
@@ -163,7 +188,8 @@
                                   report_verdict,
                                   begin_fencing,
                                   choose_primary,
-                                  confirm_primary>;
+                                  confirm_primary,
+                                  offer_rules>;
 
 // One entry of the replicated log.
 struct command
--- a/packages/control/include/basilreach/control/control_state.hpp
+++ b/packages/control/include/basilreach/control/control_state.hpp
@@ -54,6 +54,8 @@
     bool is_removed = false;
     verdict health = verdict::none;
     std::uint64_t verdict_sequence = 0;
+    std::uint64_t incarnation = 0;
+    server_role role = server_role::unknown;
 
     friend bool operator==(server_entry const&, server_entry const&) = default;
 };
@@ -155,6 +157,10 @@
         return rules_;
     }
 
+    // Whether the group's servers check positions and terms and say which of
+    // them is the primary.
+    [[nodiscard]] bool is_server_checked(group_name const& it) const;
+
     // Returns the entry, or null when the name is unknown.
     [[nodiscard]] daemon_entry const* find(daemon_name const& it) const;
     [[nodiscard]] server_entry const* find(server_name const& it) const;
@@ -190,10 +196,13 @@
     first_answer apply_fencing(command const& it);
     first_answer apply_choice(command const& it);
     first_answer apply_confirmation(command const& it);
+    first_answer apply_offer(command const& it);
 
     [[nodiscard]] first_answer accept() const;
     [[nodiscard]] first_answer conflict_with(std::uint64_t base) const;
     [[nodiscard]] server_entry* find_member(server_name const& it);
+    void take_rules(rules::rule_set parsed, std::string const& text);
+    void follow_role(server_name const& server, server_role role);
     void record(history_entry entry);
     void index_entry(std::uint64_t number);
 
--- a/packages/control/include/basilreach/control/leader.hpp
+++ b/packages/control/include/basilreach/control/leader.hpp
@@ -28,6 +28,9 @@
     // Interval at which unanswered proposals, queries and promotions are sent
     // again.
     duration retry = std::chrono::milliseconds{200};
+    // Time in which a server that accepted a promotion says that it leads;
+    // after it the order is sent again.
+    duration claim_limit = std::chrono::milliseconds{2500};
     // A daemon that has not confirmed a change after this time gets no new
     // lease until it does. Otherwise one that can send and not receive, or has
     // a traffic thread that hangs, would keep the change from being in force
@@ -126,6 +129,8 @@
 enum class placement_reason : std::uint8_t
 {
     first_primary,
+    // The primary has said that it is none, or has left.
+    no_primary,
     primary_down,
     primary_leaving,
     // A daemon has neither confirmed the end of the term nor lost its lease.
@@ -268,6 +273,8 @@
     void run_serving(group_name const& group, instant now);
     [[nodiscard]] std::optional<placement_reason>
     reason_to_replace(group_name const& group) const;
+    [[nodiscard]] std::optional<placement_reason>
+    reason_to_replace_checked(group_entry const& group) const;
     void run_fencing(group_name const& group, instant now);
     void run_choosing(group_name const& group, instant now);
     void choose(group_name const& group, instant now);
--- /dev/null
+++ b/packages/control/include/basilreach/control/server_monitor.hpp
@@ -0,0 +1,91 @@
+#ifndef BASILREACH_CONTROL_SERVER_MONITOR_HPP
+#define BASILREACH_CONTROL_SERVER_MONITOR_HPP
+
+#include <compare>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <vector>
+
+#include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/control/control_state.hpp>
+
+namespace basilreach::control
+{
+
+// What a server says of itself at regular intervals.
+struct server_report
+{
+    server_name server;
+    group_name group;
+    data_centre_name data_centre;
+    // IP number and port.
+    std::string address;
+    std::uint64_t incarnation = 0;
+    std::uint64_t sequence = 0;
+    server_role role = server_role::unknown;
+    bool is_leaving = false;
+
+    friend bool operator==(server_report const&,
+                           server_report const&) = default;
+};
+
+struct monitor_settings
+{
+    // Time without a report after which a server is taken for down. Two
+    // reports may be lost on the way.
+    duration silence = std::chrono::milliseconds{3000};
+    // Interval at which a verdict that is not yet committed is proposed again.
+    duration retry = std::chrono::milliseconds{300};
+
+    friend bool operator==(monitor_settings const&,
+                           monitor_settings const&) = default;
+};
+
+// Turns the reports of servers into commands, at the leading control host. A
+// report that says nothing new costs no entry of the log. Verdicts are formed
+// for groups whose servers report by themselves; nobody else judges those.
+class server_monitor
+{
+public:
+    // The state must outlive the monitor. Reports may have gone to another
+    // host until now, so that silence counts from `started`.
+    server_monitor(control_state const& state,
+                   monitor_settings settings,
+                   instant started);
+
+    // Returns what must be committed before the report is acknowledged, if
+    // anything. A report that is older than an earlier one changes nothing.
+    std::optional<command_body> receive(server_report const& it, instant now);
+
+    // Returns the command that takes a server out of its group, if it is in.
+    [[nodiscard]] std::optional<command_body>
+    remove(server_name const& it) const;
+
+    // Returns the verdicts that are due.
+    std::vector<command_body> tick(instant now);
+
+    [[nodiscard]] instant next_deadline() const
+    {
+        return deadlines_.next();
+    }
+
+private:
+    struct row
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t sequence = 0;
+        instant heard;
+    };
+
+    [[nodiscard]] bool is_judged(server_name const& it) const;
+
+    control_state const& state_;
+    monitor_settings settings_;
+    std::map<server_name, row> rows_;
+    deadline_queue<server_name> deadlines_;
+};
+
+} // namespace basilreach::control
+
+#endif
--- a/packages/control/src/control_state.cpp
+++ b/packages/control/src/control_state.cpp
@@ -41,17 +41,17 @@
 void add_to(canonical_hash& h, announce_server const& it)
 {
     h.add(it.server).add(it.group).add(it.data_centre).add(it.address);
-    h.add(it.sequence);
+    h.add(it.sequence).add(it.incarnation).add(it.role).add(it.is_leaving);
 }
 
 void add_to(canonical_hash& h, announce_leaving const& it)
 {
-    h.add(it.server).add(it.sequence);
+    h.add(it.server).add(it.sequence).add(it.incarnation);
 }
 
 void add_to(canonical_hash& h, remove_server const& it)
 {
-    h.add(it.server).add(it.sequence);
+    h.add(it.server).add(it.sequence).add(it.incarnation);
 }
 
 void add_to(canonical_hash& h, report_verdict const& it)
@@ -74,6 +74,11 @@
     h.add(it.group).add(it.term).add(it.server);
 }
 
+void add_to(canonical_hash& h, offer_rules const& it)
+{
+    h.add(it.version).add(it.text);
+}
+
 void add_to(canonical_hash& h, accepted const& it)
 {
     h.add(it.revision).add(it.version);
@@ -106,6 +111,7 @@
     h.add(it.group).add(it.data_centre).add(it.address).add(it.sequence);
     h.add(it.is_leaving).add(it.is_removed);
     h.add(it.health).add(it.verdict_sequence);
+    h.add(it.incarnation).add(it.role);
 }
 
 void add_to(canonical_hash& h, group_entry const& it)
@@ -158,6 +164,14 @@
     return text;
 }
 
+// Whether an announcement is not newer than the last one of the server.
+template <class Body>
+bool is_old(Body const& body, server_entry const& known)
+{
+    return std::pair(body.incarnation, body.sequence) <=
+           std::pair(known.incarnation, known.sequence);
+}
+
 refused refuse(refusal_reason reason)
 {
     return {reason, {}};
@@ -179,7 +193,8 @@
     &control_state::apply_forgetting,   &control_state::apply_announcement,
     &control_state::apply_leaving,      &control_state::apply_server_removal,
     &control_state::apply_verdict,      &control_state::apply_fencing,
-    &control_state::apply_choice,       &control_state::apply_confirmation};
+    &control_state::apply_choice,       &control_state::apply_confirmation,
+    &control_state::apply_offer};
 
 control_state::control_state(rules_parser parser)
     : parser_(std::move(parser)),
@@ -241,6 +256,13 @@
     return find_in(parts_.daemons, it);
 }
 
+bool control_state::is_server_checked(group_name const& it) const
+{
+    auto const limit = rules_->server_limits.find(it);
+    return limit != rules_->server_limits.end() &&
+           limit->second.checked_by == rules::position_check::server;
+}
+
 server_entry const* control_state::find(server_name const& it) const
 {
     return find_in(parts_.servers, it);
@@ -293,13 +315,34 @@
             withdrawn.details.push_back(to_hex(digest));
     if (!withdrawn.details.empty())
         return withdrawn;
-    rules_ = std::make_shared<rules::rule_set const>(std::move(parsed).value());
-    parts_.rules_text = change.text;
+    take_rules(std::move(parsed).value(), change.text);
     parts_.rules_id = it.id;
     ++parts_.rules_version;
     return accept();
 }
 
+first_answer control_state::apply_offer(command const& it)
+{
+    auto const& offer = std::get<offer_rules>(it.body);
+    auto parsed = parser_(offer.text);
+    if (!parsed)
+        return refused{refusal_reason::invalid_rules, parsed.error().lines};
+    if (offer.version <= parts_.rules_version)
+        return superseded{parts_.rules_version};
+    for (auto const& digest : parts_.withdrawn)
+        parsed.value().keys.erase(digest);
+    take_rules(std::move(parsed).value(), offer.text);
+    parts_.rules_id = it.id;
+    parts_.rules_version = offer.version;
+    return accept();
+}
+
+void control_state::take_rules(rules::rule_set parsed, std::string const& text)
+{
+    rules_ = std::make_shared<rules::rule_set const>(std::move(parsed));
+    parts_.rules_text = text;
+}
+
 first_answer control_state::apply_withdrawal(command const& it)
 {
     auto const& digest = std::get<withdraw_key>(it.body).digest;
@@ -348,32 +391,59 @@
     auto* const known = find_in(parts_.servers, body.server);
     if (known != nullptr)
     {
-        if (body.sequence <= known->sequence)
+        if (is_old(body, *known))
             return superseded{known->sequence};
         if (!known->is_removed && known->group != body.group)
             return refuse(refusal_reason::server_in_other_group);
     }
     auto& entry = parts_.servers[body.server];
+    // A verdict on an earlier life says nothing about this one.
+    if (entry.incarnation != body.incarnation)
+        entry.health = verdict::none;
     entry.group = body.group;
     entry.data_centre = body.data_centre;
     entry.address = body.address;
     entry.sequence = body.sequence;
-    entry.is_leaving = false;
+    entry.incarnation = body.incarnation;
+    entry.is_leaving = body.is_leaving;
     entry.is_removed = false;
     parts_.groups.try_emplace(body.group);
     servers_by_group_[body.group].insert(body.server);
+    follow_role(body.server, body.role);
     return accept();
 }
 
+// A server that says that it became the primary is believed: no other can lead
+// a later term unless it says so too.
+void control_state::follow_role(server_name const& server, server_role role)
+{
+    auto& entry = parts_.servers.at(server);
+    auto& group = parts_.groups.at(entry.group);
+    auto const before = std::exchange(entry.role, role);
+    if (role == server_role::primary && before != role)
+    {
+        bool const is_candidate =
+            group.phase == group_phase::choosing && group.primary == server;
+        if (!is_candidate && group.primary != server)
+            ++group.term;
+        group.primary = server;
+        group.phase = group_phase::serving;
+    }
+    else if (before == server_role::primary && role != before &&
+             group.phase == group_phase::serving && group.primary == server)
+        group.primary.reset();
+}
+
 first_answer control_state::apply_leaving(command const& it)
 {
     auto const& body = std::get<announce_leaving>(it.body);
     auto* const entry = find_member(body.server);
     if (entry == nullptr)
         return refuse(refusal_reason::unknown_server);
-    if (body.sequence <= entry->sequence)
+    if (is_old(body, *entry))
         return superseded{entry->sequence};
     entry->sequence = body.sequence;
+    entry->incarnation = body.incarnation;
     entry->is_leaving = true;
     return accept();
 }
@@ -384,11 +454,26 @@
     auto* const entry = find_member(body.server);
     if (entry == nullptr)
         return refuse(refusal_reason::unknown_server);
-    if (body.sequence <= entry->sequence)
+    if (is_old(body, *entry))
         return superseded{entry->sequence};
+    auto& group = parts_.groups.at(entry->group);
+    if (is_server_checked(entry->group))
+    {
+        // The server has gone; its group is led by whoever says so next.
+        if (group.primary == body.server)
+        {
+            group.primary.reset();
+            group.phase = group_phase::serving;
+        }
+        entry->sequence = body.sequence;
+        entry->incarnation = body.incarnation;
+        entry->role = server_role::unknown;
+        entry->is_removed = true;
+        servers_by_group_[entry->group].erase(body.server);
+        return accept();
+    }
     if (!entry->is_leaving)
         return refuse(refusal_reason::server_not_leaving);
-    auto const& group = parts_.groups.at(entry->group);
     if (group.phase != group_phase::serving || group.primary == body.server)
         return refuse(refusal_reason::server_in_use);
     entry->sequence = body.sequence;
@@ -442,7 +527,8 @@
         return accept();
     if (body.term <= entry->term)
         return superseded{entry->term};
-    if (entry->phase == group_phase::serving)
+    // Servers that check terms need no fencing before the choice.
+    if (entry->phase == group_phase::serving && !is_server_checked(body.group))
         return refuse(refusal_reason::wrong_phase);
     auto const* const server = find_member(body.server);
     if (server == nullptr || server->group != body.group)
--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -18,6 +18,7 @@
 
 constexpr std::array reason_texts{
     reason_text{placement_reason::first_primary, "first_primary"},
+    reason_text{placement_reason::no_primary, "no_primary"},
     reason_text{placement_reason::primary_down, "primary_down"},
     reason_text{placement_reason::primary_leaving, "primary_leaving"},
     reason_text{placement_reason::waiting_for_daemons, "waiting_for_daemons"},
@@ -189,7 +190,7 @@
     changed_groups_.insert(server->group);
 }
 
-void leader::on_promotion_answer(leader_input const& it, instant)
+void leader::on_promotion_answer(leader_input const& it, instant now)
 {
     auto const& answer = std::get<promotion_answered>(it);
     auto const* const server = state_.find(answer.server);
@@ -199,7 +200,10 @@
     if (group->phase != group_phase::choosing || group->term != answer.term ||
         group->primary != answer.server)
         return;
-    promotions_[server->group].answer = answer;
+    auto& row = promotions_[server->group];
+    row.answer = answer;
+    if (answer.ok)
+        row.resend_at = now + settings_.claim_limit;
     changed_groups_.insert(server->group);
 }
 
@@ -355,10 +359,16 @@
 {
     auto const& entry = *state_.find(group);
     auto& row = promotions_[group];
+    auto const reason = reason_to_replace(group);
+    if (reason && state_.is_server_checked(group))
+    {
+        if (!row.round)
+            decide(group, entry.primary, *reason);
+        return choose(group, now);
+    }
     row.round.reset();
     row.positions.clear();
     row.answer.reset();
-    auto const reason = reason_to_replace(group);
     if (!reason)
     {
         if (row.last_decision)
@@ -374,6 +384,8 @@
 {
     auto const& entry = *state_.find(group);
     auto const& servers = state_.servers_of(group);
+    if (state_.is_server_checked(group))
+        return reason_to_replace_checked(entry);
     if (!entry.primary)
         return servers.size() >= settings_.first_servers
                    ? std::optional{placement_reason::first_primary}
@@ -395,9 +407,31 @@
     return std::nullopt;
 }
 
+// The first primary is the one that says so; nobody else names a later one.
+std::optional<placement_reason>
+leader::reason_to_replace_checked(group_entry const& group) const
+{
+    if (!group.primary)
+        return group.term == 0 ? std::nullopt
+                               : std::optional{placement_reason::no_primary};
+    auto const& primary = *state_.find(*group.primary);
+    if (primary.health == verdict::down)
+        return placement_reason::primary_down;
+    if (!primary.is_leaving)
+        return std::nullopt;
+    auto const& servers = state_.servers_of(primary.group);
+    bool const has_successor =
+        std::any_of(servers.begin(), servers.end(),
+                    [this](auto const& it) { return can_serve(it); });
+    return has_successor ? std::optional{placement_reason::primary_leaving}
+                         : std::nullopt;
+}
+
 void leader::run_fencing(group_name const& group, instant now)
 {
     auto const& entry = *state_.find(group);
+    if (state_.is_server_checked(group))
+        return choose(group, now);
     if (in_force_ >= entry.fenced_at)
     {
         choose(group, now);
@@ -421,7 +455,15 @@
         // Answers to a query for the choice of this candidate must not count
         // for the choice of the next one.
         row.round.reset();
-        if (has_answer)
+        // A server that checks terms says itself when it leads.
+        if (has_answer && state_.is_server_checked(group))
+        {
+            decide(group, candidate, placement_reason::candidate_accepted);
+            if (now < row.resend_at)
+                return group_deadlines_.set(group, row.resend_at);
+            row.answer.reset();
+        }
+        else if (has_answer)
         {
             decide(group, candidate, placement_reason::candidate_accepted);
             send(group, proposal(confirm_primary{group, entry.term, candidate}),
--- /dev/null
+++ b/packages/control/src/server_monitor.cpp
@@ -0,0 +1,96 @@
+#include <basilreach/control/server_monitor.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace basilreach::control
+{
+
+namespace
+{
+
+bool says_nothing_new(server_report const& it, server_entry const& known)
+{
+    return !known.is_removed && known.incarnation == it.incarnation &&
+           known.group == it.group && known.data_centre == it.data_centre &&
+           known.address == it.address && known.role == it.role &&
+           known.is_leaving == it.is_leaving;
+}
+
+command_body to_command(server_report const& it)
+{
+    return announce_server{it.server,   it.group,    it.data_centre,
+                           it.address,  it.sequence, it.incarnation,
+                           it.role,     it.is_leaving};
+}
+
+} // namespace
+
+server_monitor::server_monitor(control_state const& state,
+                               monitor_settings settings,
+                               instant started)
+    : state_(state), settings_(settings)
+{
+    for (auto const& [server, entry] : state.parts().servers)
+        if (!entry.is_removed)
+            deadlines_.set(server, started + settings_.silence);
+}
+
+std::optional<command_body> server_monitor::receive(server_report const& it,
+                                                    instant now)
+{
+    auto& known = rows_[it.server];
+    auto const age = std::pair(it.incarnation, it.sequence);
+    if (age < std::pair(known.incarnation, known.sequence))
+        return std::nullopt;
+    known = {it.incarnation, it.sequence, now};
+    deadlines_.set(it.server, now + settings_.silence);
+    auto const* const entry = state_.find(it.server);
+    if (entry == nullptr)
+        return to_command(it);
+    if (age < std::pair(entry->incarnation, entry->sequence))
+        return std::nullopt;
+    if (!says_nothing_new(it, *entry))
+        return to_command(it);
+    if (entry->health == verdict::down && is_judged(it.server))
+        return report_verdict{it.server, entry->verdict_sequence + 1,
+                              verdict::up};
+    return std::nullopt;
+}
+
+std::optional<command_body> server_monitor::remove(server_name const& it) const
+{
+    auto const* const entry = state_.find(it);
+    if (entry == nullptr || entry->is_removed)
+        return std::nullopt;
+    auto const known = rows_.find(it);
+    auto const sequence = std::max(
+        entry->sequence,
+        known == rows_.end() || known->second.incarnation != entry->incarnation
+            ? 0
+            : known->second.sequence);
+    return remove_server{it, sequence + 1, entry->incarnation};
+}
+
+std::vector<command_body> server_monitor::tick(instant now)
+{
+    std::vector<command_body> out;
+    while (auto const server = deadlines_.pop_due(now))
+    {
+        auto const* const entry = state_.find(*server);
+        if (entry == nullptr || entry->is_removed || !is_judged(*server) ||
+            entry->health == verdict::down)
+            continue;
+        out.emplace_back(report_verdict{*server, entry->verdict_sequence + 1,
+                                        verdict::down});
+        deadlines_.set(*server, now + settings_.retry);
+    }
+    return out;
+}
+
+bool server_monitor::is_judged(server_name const& it) const
+{
+    return state_.is_server_checked(state_.find(it)->group);
+}
+
+} // namespace basilreach::control
--- /dev/null
+++ b/packages/control/test/server_checked_test.cpp
@@ -0,0 +1,234 @@
+// Groups whose servers check terms and report by themselves.
+#include <doctest/doctest.h>
+
+#include <basilreach/control/leader.hpp>
+#include <basilreach/control/server_monitor.hpp>
+
+using namespace std::chrono_literals;
+
+namespace basilreach::control::test
+{
+
+namespace
+{
+
+result<rules::rule_set, rules_errors> parse(std::string_view text)
+{
+    if (text == "bad")
+        return rules_errors{{"1:1"}};
+    rules::rule_set out;
+    rules::server_limit_rule limit;
+    limit.checked_by = rules::position_check::server;
+    out.server_limits.emplace(group_name{"g"}, limit);
+    return out;
+}
+
+server_report report_of(char const* server,
+                        server_role role,
+                        std::uint64_t sequence,
+                        std::uint64_t incarnation = 1)
+{
+    return {server_name{server}, group_name{"g"}, data_centre_name{"a"},
+            "127.0.0.1:1",       incarnation,     sequence,
+            role,                false};
+}
+
+struct fixture
+{
+    fixture()
+    {
+        apply(offer_rules{3, "{}"});
+        report("s1", server_role::primary);
+        report("s2", server_role::replica);
+        report("s3", server_role::replica);
+    }
+
+    command_answer apply(command_body body)
+    {
+        command const it{{}, "test", std::move(body)};
+        auto const answer = state.apply(++index, it);
+        if (leader)
+            leader->receive(committed{index, it, answer});
+        return answer;
+    }
+
+    // Delivers a report as the leading host does.
+    void report(char const* server, server_role role)
+    {
+        if (auto it = monitor.receive(report_of(server, role, ++sequence), now))
+            apply(std::move(*it));
+    }
+
+    group_entry const& group() const
+    {
+        return *state.find(group_name{"g"});
+    }
+
+    // Runs the leader until it has nothing more to commit at this time.
+    void run()
+    {
+        if (!leader)
+            leader = std::make_unique<control::leader>(
+                state, leader_settings{}, now);
+        for (bool again = true; std::exchange(again, false);)
+            for (auto const& it : leader->tick(now))
+            {
+                if (auto const* change = std::get_if<propose>(&it))
+                {
+                    apply(change->entry.body);
+                    again = true;
+                }
+                if (auto const* order = std::get_if<promote>(&it))
+                    promoted.push_back(*order);
+                if (auto const* ask = std::get_if<ask_positions>(&it))
+                    for (auto const& server : ask->servers)
+                        if (auto const at = positions.find(server);
+                            at != positions.end())
+                        {
+                            leader->receive(position_reported{
+                                server, ask->round, 5, at->second});
+                            again = true;
+                        }
+            }
+    }
+
+    control_state state{parse};
+    server_monitor monitor{state, {}, instant{}};
+    std::unique_ptr<control::leader> leader;
+    std::map<server_name, std::uint64_t> positions;
+    std::vector<promote> promoted;
+    std::uint64_t index = 0;
+    std::uint64_t sequence = 0;
+    instant now{1s};
+};
+
+} // namespace
+
+// Guards against an older or an equal version that replaces a newer one, and
+// against a resent one that is refused.
+TEST_CASE("the highest version of the rules wins")
+{
+    control_state state(parse);
+    CHECK(state.apply(1, {{}, "", offer_rules{7, "seven"}}) ==
+          command_answer{accepted{1, 7}});
+    CHECK(state.apply(2, {{}, "", offer_rules{5, "five"}}) ==
+          command_answer{superseded{7}});
+    CHECK(state.apply(3, {{}, "", offer_rules{7, "other"}}) ==
+          command_answer{superseded{7}});
+    CHECK(state.parts().rules_text == "seven");
+    // An invalid text is refused also when its version is old.
+    for (std::uint64_t n = 0; n != 2; ++n)
+        CHECK(std::holds_alternative<refused>(
+            state.apply(4 + n, {{}, "", offer_rules{4 + 10 * n, "bad"}})));
+    CHECK(state.parts().rules_version == 7);
+    auto const restored = control_state::restore(state.parts(), parse);
+    REQUIRE(restored);
+    CHECK(restored.value() == state);
+}
+
+// Guards against an entry of the log for each report.
+TEST_CASE("a report that says nothing new is not committed")
+{
+    fixture f;
+    auto const before = f.index;
+    f.report("s1", server_role::primary);
+    f.report("s2", server_role::replica);
+    CHECK(f.index == before);
+    CHECK(f.group().primary == server_name{"s1"});
+}
+
+// Guards against a report of an earlier life that arrives late.
+TEST_CASE("a late report changes nothing")
+{
+    fixture f;
+    CHECK(f.monitor.receive(report_of("s2", server_role::replica, 1, 2), f.now));
+    f.apply(*f.monitor.receive(report_of("s2", server_role::replica, 2, 2),
+                               f.now));
+    CHECK_FALSE(f.monitor.receive(
+        report_of("s2", server_role::primary, 900, 1), f.now));
+    CHECK_FALSE(f.monitor.receive(
+        report_of("s2", server_role::primary, 1, 2), f.now));
+    // Nor at a host that has heard of the server through the log only.
+    server_monitor other(f.state, {}, f.now);
+    CHECK_FALSE(
+        other.receive(report_of("s2", server_role::primary, 900, 1), f.now));
+}
+
+// Guards against a primary that is silent and stays, and against one that is
+// judged again in a later life by the verdict on the earlier one.
+TEST_CASE("a silent server is taken for down until it reports")
+{
+    fixture f;
+    f.now += 2999ms;
+    CHECK(f.monitor.tick(f.now).empty());
+    f.report("s2", server_role::replica);
+    f.now += 1ms;
+    auto const verdicts = f.monitor.tick(f.now);
+    REQUIRE(verdicts.size() == 2);
+    for (auto const& it : verdicts)
+        f.apply(it);
+    CHECK(f.state.find(server_name{"s1"})->health == verdict::down);
+    CHECK(f.state.find(server_name{"s2"})->health == verdict::none);
+    f.report("s1", server_role::primary);
+    CHECK(f.state.find(server_name{"s1"})->health == verdict::up);
+}
+
+// Guards against a promotion that waits for leases which the servers make
+// needless, and against a candidate that lacks what another replica has.
+TEST_CASE("the replica with the highest position replaces a dead primary")
+{
+    fixture f;
+    f.positions = {{server_name{"s2"}, 40}, {server_name{"s3"}, 41}};
+    f.run();
+    CHECK(f.promoted.empty());
+    f.apply(report_verdict{server_name{"s1"}, 1, verdict::down});
+    f.run();
+    REQUIRE(f.promoted.size() == 1);
+    CHECK(f.promoted[0].server == server_name{"s3"});
+    // Above every term that a server has reported.
+    CHECK(f.promoted[0].term == 6);
+    CHECK(f.group().phase == group_phase::choosing);
+    f.leader->receive(
+        promotion_answered{server_name{"s3"}, f.promoted[0].term, true});
+    f.run();
+    // The order was accepted; the server leads when it says so.
+    CHECK(f.group().phase == group_phase::choosing);
+    CHECK(f.promoted.size() == 1);
+    f.report("s3", server_role::primary);
+    CHECK(f.group().phase == group_phase::serving);
+    CHECK(f.group().primary == server_name{"s3"});
+    f.report("s1", server_role::replica);
+    CHECK(f.group().primary == server_name{"s3"});
+}
+
+// Guards against a second order under the number of an earlier one, which may
+// still be carried out later.
+TEST_CASE("each order for a group has a higher number")
+{
+    fixture f;
+    f.positions = {{server_name{"s2"}, 40}, {server_name{"s3"}, 41}};
+    f.apply(report_verdict{server_name{"s1"}, 1, verdict::down});
+    f.run();
+    f.leader->receive(
+        promotion_answered{server_name{"s3"}, f.promoted[0].term, false});
+    f.run();
+    REQUIRE(f.promoted.size() == 2);
+    CHECK(f.promoted[1].term > f.promoted[0].term);
+}
+
+// Guards against a group that stays without a primary after its primary left.
+TEST_CASE("a primary that leaves is replaced, also when it is gone already")
+{
+    fixture f;
+    f.positions = {{server_name{"s2"}, 40}, {server_name{"s3"}, 41}};
+    f.run();
+    auto const gone = f.monitor.remove(server_name{"s1"});
+    REQUIRE(gone.has_value());
+    f.apply(*gone);
+    CHECK_FALSE(f.monitor.remove(server_name{"s1"}).has_value());
+    f.run();
+    REQUIRE(f.promoted.size() == 1);
+    CHECK(f.promoted[0].server == server_name{"s3"});
+}
+
+} // namespace basilreach::control::test
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -243,6 +243,9 @@
     d(v.data_centre, w.data_centre);
     d(v.address, w.address);
     d(v.sequence, w.sequence);
+    d(v.incarnation, w.incarnation);
+    d(v.role, w.role);
+    d(v.is_leaving, w.is_leaving);
 }
 
 template <class D, class V>
@@ -250,6 +253,7 @@
 {
     d(v.server, w.server);
     d(v.sequence, w.sequence);
+    d(v.incarnation, w.incarnation);
 }
 
 template <class D, class V>
@@ -257,6 +261,14 @@
 {
     d(v.server, w.server);
     d(v.sequence, w.sequence);
+    d(v.incarnation, w.incarnation);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::offer_rulesT& w)
+{
+    d(v.version, w.version);
+    d(v.text, w.text);
 }
 
 template <class D, class V>
@@ -308,6 +320,8 @@
     d(v.is_removed, w.is_removed);
     d(v.health, w.health);
     d(v.verdict_sequence, w.verdict_sequence);
+    d(v.incarnation, w.incarnation);
+    d(v.role, w.role);
 }
 
 template <class D, class V>
@@ -697,7 +711,8 @@
                                  wire::report_verdictT,
                                  wire::begin_fencingT,
                                  wire::choose_primaryT,
-                                 wire::confirm_primaryT>;
+                                 wire::confirm_primaryT,
+                                 wire::offer_rulesT>;
 
 using peer_wires = std::tuple<wire::pre_vote_requestT,
                               wire::pre_vote_replyT,
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -23,6 +23,8 @@
     server.group = group_name("g");
     server.health = control::verdict::down;
     server.verdict_sequence = 4;
+    server.incarnation = 5;
+    server.role = control::server_role::replica;
     parts.servers[server_name("s")] = server;
     parts.groups[group_name("g")] = {3, control::group_phase::fencing,
                                      server_name("s"), 8};
@@ -49,6 +51,14 @@
     update.commands.push_back(
         {3, {control::change_id("i"), "a", control::apply_rules{1, "t"}}});
     update.commands.push_back({4, {{}, "", control::withdraw_key{{9}}}});
+    update.commands.push_back({5, {{}, "", control::offer_rules{7, "{}"}}});
+    update.commands.push_back(
+        {6,
+         {{},
+          "",
+          control::announce_server{
+              server_name("s"), group_name("g"), data_centre_name("a"),
+              "127.0.0.1:1", 2, 3, control::server_role::primary, true}}});
     update.snapshot = example_parts();
     admin_reply reply{1, "", "", "SHOW", {"a"}, {{{"x"}}, {{"y"}}}};
     limits::token_request tokens;
