--- a/cmake/BasilreachOptions.cmake
+++ b/cmake/BasilreachOptions.cmake
@@ -6,7 +6,15 @@
 set(BASILREACH_SANITIZE "" CACHE STRING
   "Comma-separated list of sanitizers, empty for none")
 
-add_compile_options(-Wall -Wextra -Wpedantic -Wshadow -Werror)
+option(BASILREACH_DEVELOPMENT "Build tests, stand-ins and tools" ON)
+
+add_compile_options(-Wall -Wextra -Wpedantic -Wshadow)
+if(BASILREACH_DEVELOPMENT)
+  add_compile_options(-Werror)
+else()
+  # At -O3, g++ 12 warns of overlapping copies inside its own std::string.
+  add_compile_options(-Wno-restrict)
+endif()
 if(BASILREACH_SANITIZE)
   # With sanitizers g++ 12 warns of uninitialised use inside Boost.Histogram.
   add_compile_options(-Wno-maybe-uninitialized)
--- a/cmake/BasilreachPackage.cmake
+++ b/cmake/BasilreachPackage.cmake
@@ -32,3 +32,12 @@
   add_test(NAME ${name} COMMAND ${target})
   set_tests_properties(${name} PROPERTIES TIMEOUT 120)
 endfunction()
+
+# basilreach_add_tests()
+#
+# Adds the package's folder test/ where tests are built.
+macro(basilreach_add_tests)
+  if(BASILREACH_DEVELOPMENT)
+    add_subdirectory(test)
+  endif()
+endmacro()
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/call_service.hpp
@@ -0,0 +1,71 @@
+#ifndef BASILREACH_DAEMON_CALL_SERVICE_HPP
+#define BASILREACH_DAEMON_CALL_SERVICE_HPP
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/daemon/control_interface.hpp>
+#include <basilreach/daemon/http_server.hpp>
+
+namespace basilreach::daemon
+{
+
+// The HTTP side of a daemon: calls of operators and reporting servers, and the
+// readiness check of a load balancer. Calls run in tick(), never in the
+// handlers of the reactor, as their answers can come in the middle of a step of
+// the agreement.
+class call_service
+{
+public:
+    // Carries a call out; its answer comes through answer().
+    using runner = std::function<void(std::uint64_t, control_call const&)>;
+
+    call_service(event_loop& loop,
+                 control_interface const& calls,
+                 runner run,
+                 std::function<bool()> is_ready);
+
+    // Listens for calls at one address and for readiness checks at the other;
+    // empty addresses are left out. Returns whether that succeeded.
+    [[nodiscard]] bool listen(std::string const& calls,
+                              std::string const& readiness);
+
+    // Stores the answer to a call for the next tick.
+    void answer(std::uint64_t id, call_answer it);
+
+    void tick(instant now);
+
+    [[nodiscard]] instant next_deadline() const;
+
+private:
+    struct pending_call
+    {
+        exchange_id exchange = 0;
+        http_request request;
+        control_call call;
+    };
+
+    void receive(exchange_id exchange, http_request it);
+    void check_readiness(exchange_id exchange, http_request const& it);
+    void respond(std::uint64_t id, call_answer const& it);
+
+    control_interface const& calls_;
+    runner run_;
+    std::function<bool()> is_ready_;
+    http_server call_server_;
+    http_server readiness_server_;
+    std::vector<std::pair<exchange_id, http_request>> arrived_;
+    std::map<std::uint64_t, pending_call> pending_;
+    std::vector<std::pair<std::uint64_t, call_answer>> answers_;
+    deadline_queue<std::uint64_t> deadlines_;
+    std::uint64_t last_id_ = 0;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -12,6 +12,7 @@
 #include <ace/Event_Handler.h>
 #include <ace/SOCK_Stream.h>
 
+#include <basilreach/daemon/caller_connection.hpp>
 #include <basilreach/daemon/event_loop.hpp>
 #include <basilreach/daemon/server_connection.hpp>
 #include <basilreach/messages/message.hpp>
@@ -25,46 +26,8 @@
 namespace basilreach::daemon
 {
 
-class client_connection;
-
-// Who the caller is and what it may use, once it has been authenticated.
-struct client_identity
-{
-    route_name route;
-    group_name group;
-    workspace_name workspace;
-    std::optional<traffic::key_digest> key;
-    // The session belongs to the admin console.
-    bool is_admin = false;
-
-    friend bool operator==(client_identity const&,
-                           client_identity const&) = default;
-};
-
-// What a client needs from the thread that serves it.
-struct client_owner
-{
-    event_loop* loop = nullptr;
-    // Returns the identity for a database name and a key. Without a key it is
-    // the identity on an open route; nothing means that access is denied.
-    std::function<std::optional<client_identity>(
-        std::string_view database, std::optional<std::string_view> key)>
-        authenticate;
-    // Whether the database name is a route or the admin console.
-    std::function<bool(std::string_view database)> is_known;
-    // The client has been authenticated; the owner opens its session, perhaps
-    // in another thread.
-    std::function<void(client_connection&)> ready;
-    // Starts the client's current statement.
-    std::function<void(client_connection&, traffic::statement_verb)> submit;
-    std::function<void(client_connection&, log_position)> token_presented;
-    std::function<void(client_connection&, std::string)> admin;
-    // The connection has ended; the owner destroys it later.
-    std::function<void(client_connection&)> closed;
-};
-
 // One caller's connection: the front end of the PostgreSQL protocol.
-class client_connection : public ACE_Event_Handler
+class client_connection : public caller_connection
 {
 public:
     client_connection(ACE_SOCK_Stream const& stream, std::size_t message_limit);
@@ -72,50 +35,39 @@
     client_connection(client_connection const&) = delete;
     client_connection& operator=(client_connection const&) = delete;
 
-    // Registers with the owner's reactor. Called again after a hand-over.
-    void attach(client_owner const& owner);
-
-    // Leaves the owner's reactor, for a hand-over to another thread.
-    void detach();
-
-    // Continues after a hand-over: tells the client that it is connected and
-    // handles what it sent meanwhile.
-    void start_session(std::uint64_t session);
-
-    // Passes the stored answer on. The position is the session's new one.
-    void relay(std::optional<log_position> position);
-
-    // Answers the current statement with an error.
-    void refuse(traffic::refuse const& it);
-
-    // Ends the connection with an error while no statement is in progress.
-    void end(traffic::refusal_reason reason);
-
-    void answer_admin(messages::admin_reply const& reply);
-
-    void store_answer(server_answer answer);
-
-    [[nodiscard]] std::uint64_t session() const
+    void attach(client_owner const& owner) override;
+    void detach() override;
+    void start_session(std::uint64_t session) override;
+    void relay(std::optional<log_position> position) override;
+    void refuse(traffic::refuse const& it) override;
+    void end(traffic::refusal_reason reason) override;
+    void abort_transaction() override;
+    void answer_admin(messages::admin_reply const& reply) override;
+    void store_answer(std::unique_ptr<answer_payload> answer) override;
+    [[nodiscard]] std::optional<log_position>
+    presented_position() const override;
+
+    [[nodiscard]] std::uint64_t session() const override
     {
         return session_;
     }
 
-    [[nodiscard]] client_identity const& identity() const
+    [[nodiscard]] client_identity const& identity() const override
     {
         return identity_;
     }
 
-    // The session's name, if the caller gave one.
-    [[nodiscard]] session_name const& label() const
+    [[nodiscard]] session_name const& label() const override
     {
         return label_;
     }
 
-    // The position that the caller's token states for the route's group.
-    [[nodiscard]] std::optional<log_position> presented_position() const;
+    [[nodiscard]] std::string const& request_label() const override
+    {
+        return request_id_;
+    }
 
-    // Whether the caller declared all its transactions read-only.
-    [[nodiscard]] bool is_read_only() const
+    [[nodiscard]] bool is_read_only() const override
     {
         return is_read_only_;
     }
@@ -130,7 +82,7 @@
         return current_;
     }
 
-    [[nodiscard]] instant submitted_at() const
+    [[nodiscard]] instant submitted_at() const override
     {
         return submitted_at_;
     }
--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -15,7 +15,9 @@
 #include <basilreach/control/leader.hpp>
 #include <basilreach/daemon/limit_leader.hpp>
 #include <basilreach/daemon/link_table.hpp>
-#include <basilreach/daemon/placement_client.hpp>
+#include <basilreach/control/server_monitor.hpp>
+#include <basilreach/daemon/control_interface.hpp>
+#include <basilreach/daemon/placement.hpp>
 #include <basilreach/messages/message.hpp>
 #include <basilreach/storage/store.hpp>
 
@@ -28,6 +30,8 @@
     std::function<void(consensus::host_name const&, messages::message const&)>
         to_host;
     std::function<void(link_id, messages::message const&)> to_link;
+    // Answers a call of an operator or a server.
+    std::function<void(std::uint64_t id, call_answer)> answer_call;
     // The control state has changed.
     std::function<void()> state_changed;
     // The data directory can no longer be written; the process must end.
@@ -53,6 +57,10 @@
     // Handles a message from a link.
     void receive(link_id from, messages::message const& it);
 
+    // Carries out a call of an operator or a server. The answer comes through
+    // the outputs, perhaps before this returns.
+    void call(std::uint64_t id, control_call const& it, instant now);
+
     void tick(instant now);
 
     [[nodiscard]] instant next_deadline() const;
@@ -82,6 +90,8 @@
     {
         link_id link = 0;
         std::uint64_t id = 0;
+        // The id is that of a call and not of a console's request.
+        bool is_call = false;
     };
 
     struct pending_read
@@ -117,6 +127,12 @@
     void on_in_force(control::leader_output const& it);
     void on_placement(control::leader_output const& it);
 
+    void run_call(std::uint64_t id, put_rules const& it);
+    void run_call(std::uint64_t id, get_rules const& it);
+    void run_call(std::uint64_t id, report_server const& it);
+    void run_call(std::uint64_t id, deregister_server const& it);
+    void commit_call(std::uint64_t id,
+                     std::optional<control::command_body> const& it);
     void run(consensus::step_result step);
     bool persist(consensus::step_result const& step);
     void install(consensus::snapshot const& it);
@@ -143,7 +159,8 @@
     std::unique_ptr<consensus::member> member_;
     std::unique_ptr<control::leader> leader_;
     std::unique_ptr<limit_leader> limits_;
-    placement_client placement_;
+    std::unique_ptr<placement> placement_;
+    std::unique_ptr<control::server_monitor> monitor_;
     instant now_;
     instant elected_at_;
     std::uint64_t compacted_at_ = 0;
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/control_interface.hpp
@@ -0,0 +1,102 @@
+#ifndef BASILREACH_DAEMON_CONTROL_INTERFACE_HPP
+#define BASILREACH_DAEMON_CONTROL_INTERFACE_HPP
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <variant>
+
+#include <basilreach/control/leader.hpp>
+#include <basilreach/control/server_monitor.hpp>
+#include <basilreach/daemon/http_message.hpp>
+
+namespace basilreach::daemon
+{
+
+// ---- Calls of operators and servers ----
+
+struct put_rules
+{
+    std::uint64_t version = 0;
+    std::string text;
+
+    friend bool operator==(put_rules const&, put_rules const&) = default;
+};
+
+struct get_rules
+{
+    friend bool operator==(get_rules const&, get_rules const&) = default;
+};
+
+struct report_server
+{
+    control::server_report report;
+
+    friend bool operator==(report_server const&,
+                           report_server const&) = default;
+};
+
+struct deregister_server
+{
+    server_name server;
+
+    friend bool operator==(deregister_server const&,
+                           deregister_server const&) = default;
+};
+
+using control_call =
+    std::variant<put_rules, get_rules, report_server, deregister_server>;
+
+enum class call_outcome : std::uint8_t
+{
+    done,
+    // The call is wrong in itself; sending it again does not help.
+    invalid,
+    // Another host leads.
+    redirect,
+    // This host cannot answer for certain now.
+    unavailable
+};
+
+struct call_answer
+{
+    call_outcome outcome = call_outcome::done;
+    // The rules for get_rules, the reason of a refusal otherwise.
+    std::string text;
+    // IP number of the leader, for a redirection.
+    std::string leader;
+
+    friend bool operator==(call_answer const&, call_answer const&) = default;
+};
+
+// The names and formats in which calls arrive over HTTP. It has no state and
+// decides nothing.
+class control_interface
+{
+public:
+    virtual ~control_interface() = default;
+
+    // Returns the call, or the response to a request that is none.
+    [[nodiscard]] virtual std::variant<control_call, http_response>
+    read_call(http_request const& it) const = 0;
+
+    // `own_address` is the IP:PORT at which the request arrived.
+    [[nodiscard]] virtual http_response
+    write_answer(http_request const& request,
+                 control_call const& call,
+                 call_answer const& answer,
+                 std::string const& own_address) const = 0;
+
+    [[nodiscard]] virtual bool
+    is_readiness_check(http_request const& it) const = 0;
+
+    // The request that makes a server the primary of its group. The holder is
+    // the name of this host.
+    [[nodiscard]] virtual http_request
+    write_promotion(control::promote const& order,
+                    daemon_name const& holder) const = 0;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -10,6 +10,7 @@
 
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/daemon/control_host.hpp>
+#include <basilreach/daemon/call_service.hpp>
 #include <basilreach/daemon/inbox.hpp>
 #include <basilreach/daemon/lease_client.hpp>
 #include <basilreach/daemon/limit_client.hpp>
@@ -84,6 +85,9 @@
     void on_token_grant(link_id from, messages::message& it);
     void on_share_grant(link_id from, messages::message& it);
 
+    [[nodiscard]] bool open_calls();
+    [[nodiscard]] bool is_ready() const;
+    [[nodiscard]] bool serves_callers() const;
     void receive(link_id from, messages::message& it);
     void deliver_local();
     void to_leader(messages::message const& it);
@@ -103,6 +107,8 @@
     inbox<control_note> inbox_;
     link_table links_;
     std::unique_ptr<control_host> host_;
+    // Absent where no address for it is set.
+    std::unique_ptr<call_service> service_;
     std::unique_ptr<lease_client> lease_;
     std::unique_ptr<limit_client> limits_;
     // Messages of this daemon to itself.
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/deployment_adapter.hpp
@@ -0,0 +1,24 @@
+#ifndef BASILREACH_DAEMON_DEPLOYMENT_ADAPTER_HPP
+#define BASILREACH_DAEMON_DEPLOYMENT_ADAPTER_HPP
+
+#include <memory>
+
+#include <basilreach/control/control_state.hpp>
+#include <basilreach/daemon/control_interface.hpp>
+#include <basilreach/daemon/line_codec.hpp>
+
+namespace basilreach::daemon
+{
+
+// What a deployment that does not speak the product's own interface brings.
+struct deployment_adapter
+{
+    std::shared_ptr<line_codec const> codec;
+    std::shared_ptr<control_interface const> calls;
+    // Reads the deployment's form of the rules.
+    control::rules_parser rules;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/http_call.hpp
@@ -0,0 +1,47 @@
+#ifndef BASILREACH_DAEMON_HTTP_CALL_HPP
+#define BASILREACH_DAEMON_HTTP_CALL_HPP
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <ace/Event_Handler.h>
+
+#include <basilreach/daemon/buffered_socket.hpp>
+#include <basilreach/daemon/http_message.hpp>
+#include <basilreach/daemon/http_reader.hpp>
+
+namespace basilreach::daemon
+{
+
+// One request to an HTTP server, over a connection of its own.
+class http_call : public ACE_Event_Handler
+{
+public:
+    // Hears of the response once, or of nothing when the connection failed.
+    using listener = std::function<void(std::optional<http_response>)>;
+
+    http_call(event_loop& loop, listener answered);
+    ~http_call() override;
+
+    void start(std::string const& address, http_request const& it);
+
+    int handle_input(ACE_HANDLE) override;
+    int handle_output(ACE_HANDLE) override;
+    ACE_HANDLE get_handle() const override;
+
+private:
+    void end(std::optional<http_response> it);
+
+    event_loop& loop_;
+    listener answered_;
+    buffered_socket socket_;
+    http_reader reader_;
+    std::string in_;
+    bool is_connecting_ = false;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/line_backend.hpp
@@ -0,0 +1,118 @@
+#ifndef BASILREACH_DAEMON_LINE_BACKEND_HPP
+#define BASILREACH_DAEMON_LINE_BACKEND_HPP
+
+#include <cstddef>
+#include <deque>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <ace/Event_Handler.h>
+
+#include <basilreach/daemon/backend_connection.hpp>
+#include <basilreach/daemon/buffered_socket.hpp>
+#include <basilreach/daemon/line_caller.hpp>
+#include <basilreach/daemon/line_codec.hpp>
+#include <basilreach/daemon/line_session.hpp>
+
+namespace basilreach::daemon
+{
+
+// A connection to a backend server in a line protocol. What has to precede a
+// statement (values, preparations, the beginning of a transaction) is sent
+// first and awaited: a statement behind a refused beginning would run outside
+// its transaction.
+class line_backend : public backend_connection, public ACE_Event_Handler
+{
+public:
+    line_backend(event_loop& loop,
+                 line_codec const& codec,
+                 backend_observer observer);
+
+    void open(traffic::open_connection const& target) override;
+    void send(caller_connection const& caller,
+              statement_order const& order) override;
+    void ask_position() override;
+    void close() override;
+
+    // Sends a status query alone; its row goes to the function.
+    void ask_status(std::function<void(backend_row const&)> answered);
+
+    int handle_input(ACE_HANDLE) override;
+    int handle_output(ACE_HANDLE) override;
+    ACE_HANDLE get_handle() const override;
+
+private:
+    // What the next answer belongs to.
+    enum class step : std::uint8_t
+    {
+        start,
+        variable,
+        begin,
+        statement,
+        rollback,
+        position,
+        status
+    };
+
+    struct pending_statement
+    {
+        std::string id;
+        std::string text;
+        std::optional<log_position> after;
+        traffic::statement_frame frame = traffic::statement_frame::none;
+        bool is_write = false;
+    };
+
+    using message_handler = void (line_backend::*)(backend_message&);
+    using step_handler = void (line_backend::*)();
+
+    static message_handler const message_handlers[];
+    static step_handler const step_handlers[];
+
+    void on_ready(backend_message& it);
+    void on_row(backend_message& it);
+    void on_complete(backend_message& it);
+    void on_error(backend_message& it);
+
+    void end_start();
+    void end_variable();
+    void end_begin();
+    void end_statement();
+    void end_rollback();
+    void end_position();
+    void end_status();
+
+    void process();
+    void prepare_variables(line_caller const& caller,
+                           std::optional<prepared_shape> const& shape);
+    void send_statement();
+    void send_rollback();
+    void finish();
+    void expect(step it);
+    void write();
+    void lose();
+
+    event_loop& loop_;
+    line_codec const& codec_;
+    backend_observer observer_;
+    buffered_socket socket_;
+    std::string in_;
+    bool is_connecting_ = false;
+    std::deque<step> steps_;
+    connection_variables held_;
+    bool changed_in_transaction_ = false;
+    bool wrote_in_transaction_ = false;
+    pending_statement pending_;
+    std::unique_ptr<line_answer> answer_;
+    // The answer that is being read.
+    line_answer reading_;
+    bool is_from_primary_ = false;
+    traffic::answer_proof proof_ = traffic::answer_proof::none;
+    traffic::transaction_status status_ = traffic::transaction_status::idle;
+    std::function<void(backend_row const&)> status_answered_;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/line_caller.hpp
@@ -0,0 +1,154 @@
+#ifndef BASILREACH_DAEMON_LINE_CALLER_HPP
+#define BASILREACH_DAEMON_LINE_CALLER_HPP
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <basilreach/daemon/buffered_socket.hpp>
+#include <basilreach/daemon/caller_connection.hpp>
+#include <basilreach/daemon/line_codec.hpp>
+#include <basilreach/daemon/line_session.hpp>
+
+namespace basilreach::daemon
+{
+
+// What a server answered to one statement of a line protocol.
+struct line_answer : answer_payload
+{
+    std::vector<backend_row> rows;
+    std::variant<backend_complete, backend_error> outcome;
+    backend_ready ready;
+};
+
+// One caller's connection in a line protocol. Transactions begin at the server
+// with their first statement; values and prepared statements belong to the
+// session and are restored on whichever server connection runs a statement.
+class line_caller : public caller_connection
+{
+public:
+    line_caller(ACE_SOCK_Stream const& stream, line_codec const& codec);
+
+    void attach(client_owner const& owner) override;
+    void detach() override;
+    void start_session(std::uint64_t session) override;
+    void relay(std::optional<log_position> position) override;
+    void refuse(traffic::refuse const& it) override;
+    void end(traffic::refusal_reason reason) override;
+    void abort_transaction() override;
+    void answer_admin(messages::admin_reply const& reply) override;
+    void store_answer(std::unique_ptr<answer_payload> answer) override;
+    [[nodiscard]] std::optional<log_position>
+    presented_position() const override;
+
+    [[nodiscard]] std::uint64_t session() const override
+    {
+        return session_;
+    }
+
+    [[nodiscard]] client_identity const& identity() const override
+    {
+        return identity_;
+    }
+
+    [[nodiscard]] session_name const& label() const override
+    {
+        return label_;
+    }
+
+    [[nodiscard]] std::string const& request_label() const override
+    {
+        return current_.id;
+    }
+
+    [[nodiscard]] bool is_read_only() const override
+    {
+        return false;
+    }
+
+    [[nodiscard]] instant submitted_at() const override
+    {
+        return submitted_at_;
+    }
+
+    // The statement in progress.
+    [[nodiscard]] caller_command const& current() const
+    {
+        return current_;
+    }
+
+    [[nodiscard]] session_variables const& variables() const
+    {
+        return variables_;
+    }
+
+    int handle_input(ACE_HANDLE) override;
+    int handle_output(ACE_HANDLE) override;
+    ACE_HANDLE get_handle() const override;
+
+private:
+    enum class phase : std::uint8_t
+    {
+        startup,
+        handing_over,
+        ready,
+        // A statement is in progress.
+        busy,
+        closing
+    };
+
+    using message_handler = void (line_caller::*)(caller_message&);
+    using command_handler = void (line_caller::*)();
+
+    static message_handler const message_handlers[];
+    static command_handler const command_handlers[];
+
+    void on_start(caller_message& it);
+    void on_command(caller_message& it);
+    void on_end(caller_message& it);
+
+    void run_begin();
+    void run_commit();
+    void run_rollback();
+    void run_read();
+    void run_write();
+    void run_set();
+    void run_prepare();
+    void run_execute();
+    void run_deallocate();
+    void run_unknown();
+
+    void process();
+    void submit(traffic::statement_verb verb);
+    void complete();
+    void fail(statement_error code);
+    void close_with(statement_error code);
+    void leave_transaction(traffic::transaction_status status);
+    void append_ready(std::optional<log_position> position);
+    void write();
+    void shut();
+
+    line_codec const& codec_;
+    buffered_socket socket_;
+    client_owner const* owner_ = nullptr;
+    std::string in_;
+    bool is_processing_ = false;
+    phase phase_ = phase::startup;
+    std::uint64_t session_ = 0;
+    client_identity identity_;
+    session_name label_;
+    session_variables variables_;
+    caller_command current_;
+    instant submitted_at_;
+    // What the caller sees of its transaction.
+    traffic::transaction_status status_ = traffic::transaction_status::idle;
+    // How the transaction is opened once a server has to know of it.
+    traffic::transaction_opening opening_ = traffic::transaction_opening::none;
+    bool is_read_only_transaction_ = false;
+    bool has_server_transaction_ = false;
+    std::unique_ptr<line_answer> answer_;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/line_placement.hpp
@@ -0,0 +1,65 @@
+#ifndef BASILREACH_DAEMON_LINE_PLACEMENT_HPP
+#define BASILREACH_DAEMON_LINE_PLACEMENT_HPP
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/daemon/deployment_adapter.hpp>
+#include <basilreach/daemon/http_call.hpp>
+#include <basilreach/daemon/line_backend.hpp>
+#include <basilreach/daemon/placement.hpp>
+#include <basilreach/settings/daemon_settings.hpp>
+
+namespace basilreach::daemon
+{
+
+// Placement over a line protocol; promotions are ordered from a service over
+// HTTP.
+class line_placement : public placement
+{
+public:
+    line_placement(event_loop& loop,
+                   settings::daemon_settings const& settings,
+                   deployment_adapter const& adapter,
+                   listener answered);
+
+    void ask_position(server_name const& server,
+                      control::server_entry const& entry,
+                      std::uint64_t round) override;
+
+    void promote(control::promote const& order,
+                 control::server_entry const& entry) override;
+
+    void tick(instant now) override;
+
+    [[nodiscard]] instant next_deadline() const override
+    {
+        return deadlines_.next();
+    }
+
+private:
+    struct question
+    {
+        std::unique_ptr<line_backend> position;
+        std::unique_ptr<http_call> order;
+    };
+
+    question& insert();
+    void end(std::uint64_t id);
+
+    event_loop& loop_;
+    settings::daemon_settings const& settings_;
+    deployment_adapter const& adapter_;
+    listener answered_;
+    std::map<std::uint64_t, question> rows_;
+    deadline_queue<std::uint64_t> deadlines_;
+    std::vector<std::uint64_t> ended_;
+    std::uint64_t last_id_ = 0;
+};
+
+} // namespace basilreach::daemon
+
+#endif
--- a/packages/daemon/include/basilreach/daemon/placement_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/placement_client.hpp
@@ -10,15 +10,15 @@
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/control/leader.hpp>
 #include <basilreach/daemon/event_loop.hpp>
+#include <basilreach/daemon/placement.hpp>
 #include <basilreach/daemon/server_connection.hpp>
 
 namespace basilreach::daemon
 {
 
-// Asks backend servers for their positions and orders promotions on behalf of
-// the leading control host. Each question uses a connection of its own, since
+// Placement over libpq. Each question uses a connection of its own, since
 // changes of primary are rare.
-class placement_client
+class placement_client : public placement
 {
 public:
     placement_client(event_loop& loop,
@@ -27,17 +27,15 @@
                      std::function<void(control::leader_input)> answered);
 
     void ask_position(server_name const& server,
-                      std::string const& address,
-                      std::uint64_t round);
+                      control::server_entry const& entry,
+                      std::uint64_t round) override;
 
-    void promote(server_name const& server,
-                 std::string const& address,
-                 std::uint64_t term);
+    void promote(control::promote const& order,
+                 control::server_entry const& entry) override;
 
-    // Ends questions that are due and destroys those that have ended.
-    void tick(instant now);
+    void tick(instant now) override;
 
-    [[nodiscard]] instant next_deadline() const
+    [[nodiscard]] instant next_deadline() const override
     {
         return deadlines_.next();
     }
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/protocol.hpp
@@ -0,0 +1,42 @@
+#ifndef BASILREACH_DAEMON_PROTOCOL_HPP
+#define BASILREACH_DAEMON_PROTOCOL_HPP
+
+#include <memory>
+
+#include <ace/SOCK_Stream.h>
+
+#include <basilreach/daemon/backend_connection.hpp>
+#include <basilreach/daemon/caller_connection.hpp>
+#include <basilreach/daemon/line_codec.hpp>
+#include <basilreach/settings/daemon_settings.hpp>
+
+namespace basilreach::daemon
+{
+
+// Makes the connections of one protocol. The traffic threads know callers and
+// servers only through it.
+class protocol
+{
+public:
+    virtual ~protocol() = default;
+
+    [[nodiscard]] virtual std::unique_ptr<caller_connection>
+    make_caller(ACE_SOCK_Stream const& stream) const = 0;
+
+    [[nodiscard]] virtual std::unique_ptr<backend_connection>
+    make_backend(event_loop& loop, backend_observer observer) const = 0;
+};
+
+// PostgreSQL towards callers, libpq towards servers. The arguments must outlive
+// the protocol.
+[[nodiscard]] std::unique_ptr<protocol>
+make_postgresql_protocol(settings::daemon_settings const& settings,
+                         settings::backend_credential const& credential);
+
+// A line protocol towards both. The codec must outlive the protocol.
+[[nodiscard]] std::unique_ptr<protocol>
+make_line_protocol(line_codec const& codec);
+
+} // namespace basilreach::daemon
+
+#endif
--- a/packages/daemon/include/basilreach/daemon/server_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/server_connection.hpp
@@ -13,6 +13,7 @@
 #include <libpq-fe.h>
 
 #include <basilreach/base/log_position.hpp>
+#include <basilreach/daemon/caller_connection.hpp>
 #include <basilreach/daemon/event_loop.hpp>
 #include <basilreach/pgwire/parameter_list.hpp>
 #include <basilreach/settings/daemon_settings.hpp>
@@ -55,7 +56,7 @@
 };
 
 // What a server answered to one statement.
-struct server_answer
+struct server_answer : answer_payload
 {
     result_ptr result;
     PGTransactionStatusType status = PQTRANS_UNKNOWN;
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -12,10 +12,11 @@
 #include <ace/Event_Handler.h>
 #include <ace/SOCK_Acceptor.h>
 
-#include <basilreach/daemon/client_connection.hpp>
+#include <basilreach/daemon/caller_connection.hpp>
+#include <basilreach/daemon/deployment_adapter.hpp>
 #include <basilreach/daemon/event_loop.hpp>
 #include <basilreach/daemon/inbox.hpp>
-#include <basilreach/daemon/server_connection.hpp>
+#include <basilreach/daemon/protocol.hpp>
 #include <basilreach/daemon/thread_messages.hpp>
 #include <basilreach/settings/daemon_settings.hpp>
 #include <basilreach/telemetry/decision_log.hpp>
@@ -31,11 +32,19 @@
 {
     settings::daemon_settings settings;
     settings::backend_credential credential;
+    deployment_adapter adapter;
+    std::unique_ptr<daemon::protocol> protocol;
+    // Reads the rules in the form that the deployment uses.
+    control::rules_parser rules;
     telemetry::decision_log* decisions = nullptr;
     inbox<control_note>* control = nullptr;
     std::vector<traffic_thread*> threads;
 };
 
+// Chooses protocol and form of the rules by the settings and the adapter, which
+// are set before.
+void choose_protocol(daemon_context& context);
+
 // Accepts callers. Closing it makes the balancer choose another host.
 class client_listener : public ACE_Event_Handler
 {
@@ -84,7 +93,7 @@
     struct server_slot
     {
         traffic::connection_id id;
-        std::unique_ptr<server_connection> connection;
+        std::unique_ptr<backend_connection> connection;
         // The client whose statement is outstanding, or 0.
         std::uint64_t session = 0;
         bool read_only = false;
@@ -113,23 +122,22 @@
     void perform(traffic::term_ended const& it);
     void perform(traffic::adopted const& it);
     void perform(traffic::log_decision const& it);
+    void perform(traffic::abort_transaction const& it);
 
     void run();
     void tick();
     void make_owner();
     void accept(ACE_SOCK_Stream const& stream);
-    void open_session(client_connection& client);
-    void hand_over(client_connection* key);
-    void close_client(client_connection& client);
+    void open_session(caller_connection& client);
+    void hand_over(caller_connection* key);
+    void close_client(caller_connection& client);
     void publish_metrics(instant now);
-    [[nodiscard]] client_connection* find_client(std::uint64_t session);
+    [[nodiscard]] caller_connection* find_client(std::uint64_t session);
     [[nodiscard]] std::optional<client_identity>
     authenticate(std::string_view database,
                  std::optional<std::string_view> key) const;
-    [[nodiscard]] bool needs_read_only(client_connection const& client,
-                                       server_slot const& slot) const;
     [[nodiscard]] std::size_t owner_of(group_name const& group) const;
-    [[nodiscard]] server_observer observe(traffic::connection_id id);
+    [[nodiscard]] backend_observer observe(traffic::connection_id id);
 
     std::size_t index_;
     daemon_context const& context_;
@@ -139,15 +147,16 @@
     client_owner owner_;
     traffic::engine engine_;
     traffic::control_view_ptr view_;
-    std::unordered_map<std::uint64_t, std::unique_ptr<client_connection>>
+    std::unordered_map<std::uint64_t, std::unique_ptr<caller_connection>>
         clients_;
     // Clients that have not been authenticated.
-    std::unordered_map<client_connection*, std::unique_ptr<client_connection>>
+    std::unordered_map<caller_connection*, std::unique_ptr<caller_connection>>
         strangers_;
-    std::vector<client_connection*> authenticated_;
+    std::vector<caller_connection*> authenticated_;
     std::unordered_map<traffic::connection_id, server_slot> servers_;
     // Handlers that may be on the stack are destroyed after the tick.
     std::vector<std::unique_ptr<ACE_Event_Handler>> retired_;
+    std::vector<std::unique_ptr<backend_connection>> retired_servers_;
     std::vector<telemetry::decision_record> decisions_;
     std::uint64_t next_session_ = 0;
     telemetry::latency_histogram reads_;
--- /dev/null
+++ b/packages/daemon/src/call_service.cpp
@@ -0,0 +1,98 @@
+#include <basilreach/daemon/call_service.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// A caller that gets no answer for a second turns to another host; it learns a
+// little earlier that this one has none.
+constexpr duration call_limit = std::chrono::milliseconds(900);
+
+constexpr int http_ok = 200;
+constexpr int http_not_found = 404;
+constexpr int http_unavailable = 503;
+
+} // namespace
+
+call_service::call_service(event_loop& loop,
+                           control_interface const& calls,
+                           runner run,
+                           std::function<bool()> is_ready)
+    : calls_(calls), run_(std::move(run)), is_ready_(std::move(is_ready)),
+      call_server_(loop, [this](exchange_id id, http_request it)
+                   { arrived_.emplace_back(id, std::move(it)); }),
+      readiness_server_(loop, [this](exchange_id id, http_request const& it)
+                        { check_readiness(id, it); })
+{
+}
+
+bool call_service::listen(std::string const& calls,
+                          std::string const& readiness)
+{
+    return (calls.empty() || call_server_.listen(calls)) &&
+           (readiness.empty() || readiness_server_.listen(readiness));
+}
+
+void call_service::check_readiness(exchange_id exchange, http_request const& it)
+{
+    auto status = http_not_found;
+    if (calls_.is_readiness_check(it))
+        status = is_ready_() ? http_ok : http_unavailable;
+    readiness_server_.respond(exchange, {status, {}, {}});
+}
+
+void call_service::receive(exchange_id exchange, http_request it)
+{
+    auto read = calls_.read_call(it);
+    if (auto const* response = std::get_if<http_response>(&read))
+        return call_server_.respond(exchange, *response);
+    auto const id = ++last_id_;
+    auto& row = pending_[id];
+    row = {exchange, std::move(it), std::move(std::get<control_call>(read))};
+    deadlines_.set(id, read_clock() + call_limit);
+    run_(id, row.call);
+}
+
+void call_service::answer(std::uint64_t id, call_answer it)
+{
+    answers_.emplace_back(id, std::move(it));
+}
+
+void call_service::respond(std::uint64_t id, call_answer const& it)
+{
+    auto const found = pending_.find(id);
+    if (found == pending_.end())
+        return;
+    auto const row = std::move(found->second);
+    pending_.erase(found);
+    deadlines_.erase(id);
+    call_server_.respond(row.exchange,
+                         calls_.write_answer(row.request, row.call, it,
+                                             call_server_.address()));
+}
+
+void call_service::tick(instant now)
+{
+    for (auto& [exchange, request] : std::exchange(arrived_, {}))
+        receive(exchange, std::move(request));
+    while (auto const id = deadlines_.pop_due(now))
+        respond(*id, {call_outcome::unavailable, {}, {}});
+    for (auto const& [id, it] : std::exchange(answers_, {}))
+        respond(id, it);
+    call_server_.remove_closed();
+    readiness_server_.remove_closed();
+}
+
+instant call_service::next_deadline() const
+{
+    if (!arrived_.empty() || !answers_.empty())
+        return instant::min();
+    return deadlines_.next();
+}
+
+} // namespace basilreach::daemon
--- a/packages/daemon/src/client_connection.cpp
+++ b/packages/daemon/src/client_connection.cpp
@@ -360,7 +360,7 @@
     current_ = std::move(it);
     phase_ = phase::busy;
     submitted_at_ = read_clock();
-    owner_->submit(*this, verb);
+    owner_->submit(*this, verb, traffic::transaction_opening::none);
 }
 
 void client_connection::on_query(pgwire::frontend_message& it)
@@ -582,9 +582,15 @@
     process({});
 }
 
-void client_connection::store_answer(server_answer answer)
+void client_connection::store_answer(std::unique_ptr<answer_payload> answer)
 {
-    answer_ = std::move(answer);
+    answer_ = std::move(static_cast<server_answer&>(*answer));
+}
+
+// Servers that check terms themselves do not speak this protocol.
+void client_connection::abort_transaction()
+{
+    end(traffic::refusal_reason::transaction_lost);
 }
 
 void client_connection::relay(std::optional<log_position> position)
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -7,6 +7,8 @@
 
 #include <easylogging++.h>
 
+#include <basilreach/daemon/line_placement.hpp>
+#include <basilreach/daemon/placement_client.hpp>
 #include <basilreach/daemon/view_builder.hpp>
 #include <basilreach/messages/codec.hpp>
 #include <basilreach/rules/digest.hpp>
@@ -31,7 +33,7 @@
 consensus::host_name own_name(settings::daemon_settings const& it)
 {
     for (auto const& host : it.control_hosts)
-        if (host.name == it.name)
+        if (host.name == it.name || host.address == it.control_listen)
             return make_host_name(host);
     return consensus::host_name(it.name.str() + '=' +
                                 it.control_listen.value_or(""));
@@ -112,6 +114,24 @@
     return out;
 }
 
+std::unique_ptr<placement> make_placement(event_loop& loop,
+                                          daemon_context const& context,
+                                          placement::listener answered)
+{
+    if (context.settings.protocol == settings::statement_protocol::lines)
+        return std::make_unique<line_placement>(
+            loop, context.settings, context.adapter, std::move(answered));
+    return std::make_unique<placement_client>(loop, context.settings,
+                                              context.credential,
+                                              std::move(answered));
+}
+
+call_outcome outcome_of(control::command_answer const& it)
+{
+    return std::holds_alternative<control::refused>(it) ? call_outcome::invalid
+                                                        : call_outcome::done;
+}
+
 std::string read_file(std::string const& path)
 {
     std::ifstream file(path);
@@ -164,12 +184,11 @@
                            storage::store store)
     : context_(context), outputs_(std::move(outputs)), self_(std::move(self)),
       store_(std::move(store)),
-      state_(std::make_unique<control::control_state>(make_rules_parser())),
-      placement_(loop,
-                 context.settings,
-                 context.credential,
-                 [this](control::leader_input it)
-                 { leader_inputs_.push_back(std::move(it)); })
+      state_(std::make_unique<control::control_state>(context.rules)),
+      placement_(
+          make_placement(loop, context,
+                         [this](control::leader_input it)
+                         { leader_inputs_.push_back(std::move(it)); }))
 {
     static_assert(std::size(handlers) ==
                   std::variant_size_v<messages::message>);
@@ -343,6 +362,15 @@
         return;
     auto const read = std::move(found->second);
     reads_.erase(found);
+    if (read.from.is_call)
+    {
+        bool const is_certain = it.confirmed && state_->parts().rules_version > 0;
+        return outputs_.answer_call(
+            read.from.id,
+            {is_certain ? call_outcome::done : call_outcome::unavailable,
+             is_certain ? state_->parts().rules_text : std::string(),
+             {}});
+    }
     if (!it.confirmed)
         return answer(read.from, make_error("57P03", "the leader changed"));
     auto const parsed = admin::parse_command(read.text);
@@ -365,6 +393,61 @@
     answer(read.from, make_reply(encode(rows)));
 }
 
+void control_host::call(std::uint64_t id, control_call const& it, instant now)
+{
+    now_ = now;
+    if (leader_)
+        return std::visit([this, id](auto const& body) { run_call(id, body); },
+                          it);
+    auto const address = address_of(leader_name());
+    bool const is_known = !leader_name().empty() && leader_name() != self_;
+    outputs_.answer_call(
+        id, {is_known ? call_outcome::redirect : call_outcome::unavailable,
+             {},
+             is_known ? address.substr(0, address.rfind(':')) : std::string()});
+}
+
+void control_host::run_call(std::uint64_t id, put_rules const& it)
+{
+    if (auto const parsed = context_.rules(it.text); !parsed)
+        return outputs_.answer_call(
+            id, {call_outcome::invalid, parsed.error().lines.front(), {}});
+    if (it.version <= state_->parts().rules_version)
+        return outputs_.answer_call(id, {});
+    commit_call(id, control::offer_rules{it.version, it.text});
+}
+
+void control_host::run_call(std::uint64_t id, get_rules const& /*it*/)
+{
+    auto const read = ++last_read_;
+    reads_[read] = {{0, id, true}, {}};
+    run(member_->read(consensus::read_id{read}, now_));
+}
+
+void control_host::run_call(std::uint64_t id, report_server const& it)
+{
+    commit_call(id, monitor_->receive(it.report, now_));
+}
+
+void control_host::run_call(std::uint64_t id, deregister_server const& it)
+{
+    commit_call(id, monitor_->remove(it.server));
+}
+
+void control_host::commit_call(std::uint64_t id,
+                               std::optional<control::command_body> const& it)
+{
+    if (!it)
+        return outputs_.answer_call(id, {});
+    auto step =
+        member_->propose(messages::encode_command({{}, "call", *it}), now_);
+    if (step.accepted)
+        proposals_[{step.accepted->index, step.accepted->term}] = {0, id, true};
+    else
+        outputs_.answer_call(id, {call_outcome::unavailable, {}, {}});
+    run(std::move(step));
+}
+
 bool control_host::persist(consensus::step_result const& step)
 {
     if (step.install)
@@ -428,7 +511,7 @@
         return outputs_.failed(
             {storage::storage_errc::corrupted, "snapshot", 0, 0});
     auto state =
-        control::control_state::restore(parts.value(), make_rules_parser());
+        control::control_state::restore(parts.value(), context_.rules);
     if (!state)
         return outputs_.failed(
             {storage::storage_errc::corrupted, "snapshot", 0, 0});
@@ -442,6 +525,7 @@
     applied_index_ = entry.index;
     auto const pending = proposals_.find({entry.index, entry.term});
     std::optional<messages::admin_reply> reply;
+    auto outcome = call_outcome::unavailable;
     if (entry.kind == consensus::entry_kind::command)
     {
         auto const it = messages::decode_command(entry.payload);
@@ -449,6 +533,7 @@
             return outputs_.failed(
                 {storage::storage_errc::corrupted, "log", entry.index, 0});
         auto const answered = state_->apply(entry.index, it.value());
+        outcome = outcome_of(answered);
         recent_.push_back({entry.index, it.value()});
         if (recent_.size() > recent_limit)
             recent_.pop_front();
@@ -462,7 +547,10 @@
             admin::change_outcome::accepted, entry.index, {}, {}, {}}));
     if (pending != proposals_.end())
     {
-        answer(pending->second, *reply);
+        if (pending->second.is_call)
+            outputs_.answer_call(pending->second.id, {outcome, {}, {}});
+        else
+            answer(pending->second, *reply);
         proposals_.erase(pending);
     }
     auto const role = member_->state();
@@ -483,6 +571,7 @@
     }
     leader_.reset();
     limits_.reset();
+    monitor_.reset();
     leader_inputs_.clear();
     next_promotion_check_ = never;
     refuse_pending();
@@ -492,12 +581,18 @@
 // must resend it under the same id to learn its answer.
 void control_host::refuse_pending()
 {
+    messages::not_leader const refusal{daemon_name(leader_name().str())};
+    auto const refuse = [&](origin const& to)
+    {
+        if (to.is_call)
+            outputs_.answer_call(to.id, {call_outcome::unavailable, {}, {}});
+        else
+            outputs_.to_link(to.link, refusal);
+    };
     for (auto const& [position, to] : std::exchange(proposals_, {}))
-        outputs_.to_link(
-            to.link, messages::not_leader{daemon_name(leader_name().str())});
+        refuse(to);
     for (auto const& [id, read] : std::exchange(reads_, {}))
-        outputs_.to_link(read.from.link, messages::not_leader{
-                                             daemon_name(leader_name().str())});
+        refuse(read.from);
 }
 
 void control_host::start_leading()
@@ -517,6 +612,10 @@
         },
         now_);
     limits_->configure(*state_, now_);
+    monitor_ = std::make_unique<control::server_monitor>(
+        *state_,
+        control::monitor_settings{context_.settings.durations.server_silence},
+        now_);
     next_promotion_check_ = now_ + promotion_interval;
     if (state_->parts().rules_version == 0 &&
         context_.settings.initial_rules_file)
@@ -561,7 +660,7 @@
         run(member_->tick(now));
     if (next_promotion_check_ <= now)
         promote_learners();
-    placement_.tick(now);
+    placement_->tick(now);
     if (!leader_)
         return;
     for (auto& it : std::exchange(leader_inputs_, {}))
@@ -573,6 +672,10 @@
             return;
         (this->*output_handlers[it.index()])(it);
     }
+    if (monitor_)
+        for (auto const& it : monitor_->tick(now))
+            run(member_->propose(
+                messages::encode_command({{}, "monitor", it}), now_));
     if (limits_)
         limits_->tick(member_->leader_until(), now);
 }
@@ -582,10 +685,11 @@
     if (leader_ && !leader_inputs_.empty())
         return instant::min();
     auto const own = std::min({member_->next_deadline(), next_promotion_check_,
-                               placement_.next_deadline()});
+                               placement_->next_deadline()});
     if (!leader_)
         return own;
-    return std::min({own, leader_->next_deadline(), limits_->next_deadline()});
+    return std::min({own, leader_->next_deadline(), limits_->next_deadline(),
+                     monitor_->next_deadline()});
 }
 
 void control_host::on_propose(control::leader_output const& it)
@@ -607,14 +711,14 @@
     auto const& ask = std::get<control::ask_positions>(it);
     for (auto const& server : ask.servers)
         if (auto const* entry = state_->find(server))
-            placement_.ask_position(server, entry->address, ask.round);
+            placement_->ask_position(server, *entry, ask.round);
 }
 
 void control_host::on_promote(control::leader_output const& it)
 {
     auto const& order = std::get<control::promote>(it);
     if (auto const* entry = state_->find(order.server))
-        placement_.promote(order.server, entry->address, order.term);
+        placement_->promote(order, *entry);
 }
 
 void control_host::on_in_force(control::leader_output const& it)
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -79,6 +79,8 @@
     limits_ = std::make_unique<limit_client>(
         context_, lease_->incarnation(),
         [this](messages::message const& it) { to_leader(it); }, now);
+    if (!open_calls())
+        return daemon_error::cannot_listen;
     if (!settings.roles.contains(settings::daemon_role::control))
         return daemon_error::none;
     if (!links_.listen(*settings.control_listen))
@@ -96,6 +98,10 @@
         else
             links_.send(to, it);
     };
+    outputs.answer_call = [this](std::uint64_t id, call_answer it)
+    {
+        service_->answer(id, std::move(it));
+    };
     outputs.state_changed = [this]
     {
         state_changed_ = true;
@@ -121,6 +127,37 @@
     return error_;
 }
 
+bool control_thread::serves_callers() const
+{
+    return context_.settings.roles.contains(settings::daemon_role::entry);
+}
+
+bool control_thread::is_ready() const
+{
+    return drain_ == drain_phase::none &&
+           lease_->state().parts().rules_version > 0;
+}
+
+bool control_thread::open_calls()
+{
+    auto const& settings = context_.settings;
+    auto const calls = settings.operator_listen.value_or("");
+    auto const readiness = settings.readiness_listen.value_or("");
+    if (!context_.adapter.calls || (calls.empty() && readiness.empty()))
+        return true;
+    service_ = std::make_unique<call_service>(
+        loop_, *context_.adapter.calls,
+        [this](std::uint64_t id, control_call const& it)
+        {
+            if (host_)
+                host_->call(id, it, read_clock());
+            else
+                service_->answer(id, {call_outcome::unavailable, {}, {}});
+        },
+        [this] { return is_ready(); });
+    return service_->listen(calls, readiness);
+}
+
 daemon_error control_thread::run()
 {
     loop_.reactor().owner(ACE_OS::thr_self());
@@ -135,11 +172,17 @@
         if (std::exchange(state_changed_, false))
             lease_->follow(host_->state());
         deliver_local();
-        lease_->tick(now);
-        limits_->configure(lease_->state(), now);
-        limits_->tick(now);
+        // A host that serves no callers holds no lease, tokens or connections.
+        if (serves_callers())
+        {
+            lease_->tick(now);
+            limits_->configure(lease_->state(), now);
+            limits_->tick(now);
+        }
         deliver_local();
         expire_calls(now);
+        if (service_)
+            service_->tick(now);
         follow_drain(now);
         links_.remove_closed();
         loop_.run_once(next_deadline());
@@ -151,9 +194,12 @@
 {
     if (!local_.empty() || state_changed_)
         return instant::min();
-    auto const own =
-        std::min({lease_->next_deadline(), limits_->next_deadline(),
-                  resends_.next(), drain_deadline_});
+    auto own = std::min(resends_.next(), drain_deadline_);
+    if (serves_callers())
+        own = std::min(
+            {own, lease_->next_deadline(), limits_->next_deadline()});
+    if (service_)
+        own = std::min(own, service_->next_deadline());
     return host_ ? std::min(own, host_->next_deadline()) : own;
 }
 
@@ -415,7 +461,8 @@
         return;
     LOG(INFO) << "event=drained";
     lease_->stop();
-    lease_->tick(now);
+    if (serves_callers())
+        lease_->tick(now);
     deliver_local();
     drain_ = drain_phase::done;
 }
--- /dev/null
+++ b/packages/daemon/src/http_call.cpp
@@ -0,0 +1,66 @@
+#include <basilreach/daemon/http_call.hpp>
+
+#include <utility>
+
+namespace basilreach::daemon
+{
+
+http_call::http_call(event_loop& loop, listener answered)
+    : loop_(loop), answered_(std::move(answered)), socket_(*this),
+      reader_(http_kind::response)
+{
+}
+
+http_call::~http_call() = default;
+
+void http_call::start(std::string const& address, http_request const& it)
+{
+    append_request(socket_.out(), it, address);
+    if (!socket_.connect(address))
+        return end(std::nullopt);
+    is_connecting_ = true;
+    socket_.attach(loop_);
+    loop_.reactor().schedule_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+}
+
+ACE_HANDLE http_call::get_handle() const
+{
+    return socket_.handle();
+}
+
+int http_call::handle_output(ACE_HANDLE /*handle*/)
+{
+    if (std::exchange(is_connecting_, false))
+    {
+        loop_.reactor().cancel_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+        if (!socket_.finish_connecting())
+        {
+            end(std::nullopt);
+            return 0;
+        }
+    }
+    if (!socket_.flush())
+        end(std::nullopt);
+    return 0;
+}
+
+int http_call::handle_input(ACE_HANDLE /*handle*/)
+{
+    bool const is_open = socket_.receive(in_);
+    in_.erase(0, reader_.read(in_));
+    if (!is_open && reader_.state() == http_reader::progress::incomplete)
+        reader_.read_end();
+    if (reader_.state() == http_reader::progress::complete)
+        end(reader_.take_response());
+    else if (!is_open || reader_.state() == http_reader::progress::malformed)
+        end(std::nullopt);
+    return 0;
+}
+
+void http_call::end(std::optional<http_response> it)
+{
+    socket_.close();
+    answered_(std::move(it));
+}
+
+} // namespace basilreach::daemon
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -48,7 +48,7 @@
               context.threads.size(),
               lease_settings_of(context.settings),
               now),
-      state_(make_rules_parser()), last_grant_(now)
+      state_(context.rules), last_grant_(now)
 {
     static_assert(std::size(output_handlers) ==
                   std::variant_size_v<control::holder_output>);
@@ -76,7 +76,7 @@
     if (it.snapshot && it.snapshot->revision > before)
     {
         auto restored =
-            control::control_state::restore(*it.snapshot, make_rules_parser());
+            control::control_state::restore(*it.snapshot, context_.rules);
         if (restored)
             state_ = std::move(restored.value());
     }
--- /dev/null
+++ b/packages/daemon/src/line_backend.cpp
@@ -0,0 +1,352 @@
+#include <basilreach/daemon/line_backend.hpp>
+
+#include <array>
+#include <utility>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+using traffic::answer_proof;
+using traffic::statement_frame;
+using traffic::transaction_status;
+
+// What an error proves of the statement. Indexed by statement_error.
+constexpr std::array error_proofs = {
+    answer_proof::not_run_busy,        // busy
+    answer_proof::none,                // aborted
+    answer_proof::not_run_behind,      // behind_position
+    answer_proof::not_run_not_primary, // not_primary
+    answer_proof::none,                // wrong_server
+    answer_proof::not_run_busy,        // too_many
+    answer_proof::none,                // in_doubt
+    answer_proof::none,                // timeout
+    answer_proof::none,                // failed
+    answer_proof::none,                // unknown_statement_name
+    answer_proof::none,                // unknown_database
+    answer_proof::none,                // unknown_key
+    answer_proof::none,                // malformed
+};
+
+static_assert(error_proofs.size() ==
+              static_cast<std::size_t>(statement_error::malformed) + 1);
+
+// A value that no session sets, so that the next use resets the connection.
+connection_variables unknown_variables()
+{
+    return {{{std::string(), std::string()}}, {}};
+}
+
+} // namespace
+
+// Indexed by the alternatives of backend_message.
+line_backend::message_handler const line_backend::message_handlers[] = {
+    &line_backend::on_ready, &line_backend::on_row, &line_backend::on_complete,
+    &line_backend::on_error};
+
+// Indexed by step.
+line_backend::step_handler const line_backend::step_handlers[] = {
+    &line_backend::end_start,     &line_backend::end_variable,
+    &line_backend::end_begin,     &line_backend::end_statement,
+    &line_backend::end_rollback,  &line_backend::end_position,
+    &line_backend::end_status};
+
+line_backend::line_backend(event_loop& loop,
+                           line_codec const& codec,
+                           backend_observer observer)
+    : loop_(loop), codec_(codec), observer_(std::move(observer)), socket_(*this)
+{
+}
+
+ACE_HANDLE line_backend::get_handle() const
+{
+    return socket_.handle();
+}
+
+void line_backend::open(traffic::open_connection const& target)
+{
+    if (!socket_.connect(target.address))
+        return lose();
+    is_connecting_ = true;
+    expect(step::start);
+    codec_.append_start(socket_.out(), target.group, target.workspace,
+                        target.server);
+    socket_.attach(loop_);
+    loop_.reactor().schedule_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+}
+
+void line_backend::close()
+{
+    socket_.close();
+}
+
+void line_backend::lose()
+{
+    close();
+    observer_.lost();
+}
+
+int line_backend::handle_output(ACE_HANDLE /*handle*/)
+{
+    if (is_connecting_)
+    {
+        loop_.reactor().cancel_wakeup(this, ACE_Event_Handler::WRITE_MASK);
+        if (!socket_.finish_connecting())
+        {
+            lose();
+            return 0;
+        }
+        is_connecting_ = false;
+    }
+    write();
+    return 0;
+}
+
+int line_backend::handle_input(ACE_HANDLE /*handle*/)
+{
+    if (!socket_.receive(in_))
+        lose();
+    else
+        process();
+    return 0;
+}
+
+void line_backend::process()
+{
+    std::size_t used = 0;
+    while (socket_.is_open())
+    {
+        auto read = codec_.read_backend(std::string_view(in_).substr(used));
+        // Bytes that cannot be read, or that answer nothing, end the
+        // connection.
+        if (!read || (read.value() && steps_.empty()))
+            return lose();
+        if (!read.value())
+            break;
+        used += read.value()->size;
+        auto& message = read.value()->message;
+        (this->*message_handlers[message.index()])(message);
+    }
+    in_.erase(0, used);
+}
+
+void line_backend::write()
+{
+    if (!socket_.flush())
+        lose();
+}
+
+void line_backend::expect(step it)
+{
+    steps_.push_back(it);
+}
+
+void line_backend::on_row(backend_message& it)
+{
+    reading_.rows.push_back(std::move(std::get<backend_row>(it)));
+}
+
+void line_backend::on_complete(backend_message& it)
+{
+    reading_.outcome = std::move(std::get<backend_complete>(it));
+}
+
+void line_backend::on_error(backend_message& it)
+{
+    // A connection that is refused ends without becoming ready.
+    if (steps_.front() == step::start)
+        return lose();
+    reading_.outcome = std::move(std::get<backend_error>(it));
+}
+
+void line_backend::on_ready(backend_message& it)
+{
+    reading_.ready = std::get<backend_ready>(it);
+    status_ = reading_.ready.status;
+    auto const done = steps_.front();
+    steps_.pop_front();
+    (this->*step_handlers[static_cast<std::size_t>(done)])();
+    reading_ = {};
+}
+
+void line_backend::end_start()
+{
+    observer_.opened();
+}
+
+void line_backend::send(caller_connection const& caller,
+                        statement_order const& order)
+{
+    auto const& session = static_cast<line_caller const&>(caller);
+    auto const& command = session.current();
+    pending_ = {command.id, command.text, order.after, order.frame, false};
+    // A commit proves that the server leads only if it commits writes.
+    pending_.is_write =
+        command.kind == command_kind::write ||
+        (command.kind == command_kind::commit && wrote_in_transaction_);
+    is_from_primary_ = false;
+    proof_ = answer_proof::none;
+    std::optional<prepared_shape> shape;
+    if (command.kind == command_kind::execute)
+    {
+        shape = session.variables().statements.at(command.name);
+        pending_.text = codec_.execute_text(*shape, command.value);
+        pending_.is_write = shape->writes;
+    }
+    prepare_variables(session, shape);
+    auto& out = socket_.out();
+    if (order.frame != statement_frame::none)
+    {
+        bool const read_only = order.frame == statement_frame::begin_read_only;
+        codec_.append_begin(out, read_only,
+                            read_only ? order.after : std::nullopt);
+        pending_.after.reset();
+        expect(step::begin);
+    }
+    if (steps_.empty())
+        send_statement();
+    write();
+}
+
+void line_backend::prepare_variables(line_caller const& caller,
+                                     std::optional<prepared_shape> const& shape)
+{
+    auto const changes = find_changes(held_, caller.variables().values, shape);
+    auto& out = socket_.out();
+    if (changes.reset)
+    {
+        codec_.append_reset(out);
+        expect(step::variable);
+    }
+    for (auto const& [name, value] : changes.set)
+    {
+        codec_.append_set(out, name, value);
+        expect(step::variable);
+    }
+    if (changes.prepare)
+    {
+        codec_.append_prepare(out, *changes.prepare);
+        expect(step::variable);
+    }
+    changed_in_transaction_ =
+        changed_in_transaction_ ||
+        (changes != variable_changes{} && status_ != transaction_status::idle);
+    held_ = apply(std::move(held_), changes);
+}
+
+void line_backend::send_statement()
+{
+    codec_.append_statement(socket_.out(), pending_.id, pending_.after,
+                            pending_.text);
+    expect(step::statement);
+    // Ends the proxy's own transaction around the statement.
+    if (pending_.frame == statement_frame::leader_check)
+        send_rollback();
+}
+
+void line_backend::send_rollback()
+{
+    codec_.append_rollback(socket_.out());
+    expect(step::rollback);
+}
+
+// A value that cannot be restored leaves nothing that could run for the caller.
+void line_backend::end_variable()
+{
+    if (std::holds_alternative<backend_error>(reading_.outcome))
+        return lose();
+    if (!steps_.empty())
+        return;
+    send_statement();
+    write();
+}
+
+void line_backend::end_begin()
+{
+    if (auto* error = std::get_if<backend_error>(&reading_.outcome))
+    {
+        proof_ = error_proofs[static_cast<std::size_t>(error->code)];
+        answer_ = std::make_unique<line_answer>(std::move(reading_));
+        if (status_ == transaction_status::idle)
+            return finish();
+        send_rollback();
+        return write();
+    }
+    is_from_primary_ = pending_.frame != statement_frame::begin_read_only;
+    send_statement();
+    write();
+}
+
+void line_backend::end_statement()
+{
+    answer_ = std::make_unique<line_answer>(std::move(reading_));
+    if (auto const* error = std::get_if<backend_error>(&answer_->outcome))
+    {
+        proof_ = error_proofs[static_cast<std::size_t>(error->code)];
+        is_from_primary_ = false;
+    }
+    else if (pending_.is_write)
+        is_from_primary_ = true;
+    wrote_in_transaction_ = status_ != transaction_status::idle &&
+                            (wrote_in_transaction_ || pending_.is_write);
+    if (steps_.empty())
+        finish();
+}
+
+void line_backend::end_rollback()
+{
+    if (status_ != transaction_status::idle)
+        return lose();
+    answer_->ready.status = status_;
+    finish();
+}
+
+void line_backend::finish()
+{
+    // Whether values that were set inside a transaction outlive it depends on
+    // how it ended.
+    if (status_ == transaction_status::idle &&
+        std::exchange(changed_in_transaction_, false))
+        held_ = unknown_variables();
+    backend_answer out;
+    out.summary.is_error =
+        std::holds_alternative<backend_error>(answer_->outcome);
+    out.summary.status = answer_->ready.status;
+    out.summary.position = answer_->ready.position;
+    out.summary.proof = proof_;
+    out.summary.is_from_primary = is_from_primary_;
+    out.payload = std::move(answer_);
+    observer_.answered(std::move(out));
+}
+
+// The answer to a reset tells the position and shows that the server answers.
+void line_backend::ask_position()
+{
+    held_ = {};
+    codec_.append_reset(socket_.out());
+    expect(step::position);
+    write();
+}
+
+void line_backend::end_position()
+{
+    observer_.position_read(reading_.ready.position);
+}
+
+void line_backend::ask_status(std::function<void(backend_row const&)> answered)
+{
+    status_answered_ = std::move(answered);
+    codec_.append_status_query(socket_.out());
+    expect(step::status);
+    write();
+}
+
+void line_backend::end_status()
+{
+    if (reading_.rows.size() == 1)
+        status_answered_(reading_.rows.front());
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/src/line_caller.cpp
@@ -0,0 +1,403 @@
+#include <basilreach/daemon/line_caller.hpp>
+
+#include <array>
+#include <utility>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+using traffic::refusal_reason;
+using traffic::statement_verb;
+using traffic::transaction_opening;
+using traffic::transaction_status;
+
+// Bytes kept for a caller that sends while its statement is in progress. Beyond
+// them its connection is not read.
+constexpr std::size_t input_limit = std::size_t{4} << 20U;
+
+// What a caller is told when its statement certainly had no effect. Indexed by
+// traffic::refusal_reason.
+constexpr std::array not_run_errors = {
+    statement_error::unknown_database, // unknown_route
+    statement_error::unknown_key,      // key_withdrawn
+    statement_error::unknown_key,      // workspace_not_allowed
+    statement_error::malformed,        // session_state_unsupported
+    statement_error::too_many,         // rate_exceeded
+    statement_error::busy,             // queue_full
+    statement_error::busy,             // deadline
+    statement_error::busy,             // no_lease
+    statement_error::aborted,          // connection_lost
+    statement_error::aborted,          // transaction_lost
+    statement_error::not_primary,      // superseded
+    statement_error::aborted,          // not_replicated
+    statement_error::aborted,          // draining
+};
+
+static_assert(not_run_errors.size() ==
+              static_cast<std::size_t>(refusal_reason::draining) + 1);
+
+statement_error describe(traffic::refuse const& it)
+{
+    return it.outcome == traffic::refusal_outcome::unknown
+               ? statement_error::in_doubt
+               : not_run_errors[static_cast<std::size_t>(it.reason)];
+}
+
+} // namespace
+
+// Indexed by the alternatives of caller_message.
+line_caller::message_handler const line_caller::message_handlers[] = {
+    &line_caller::on_start, &line_caller::on_command, &line_caller::on_end};
+
+// Indexed by command_kind.
+line_caller::command_handler const line_caller::command_handlers[] = {
+    &line_caller::run_begin,    &line_caller::run_begin,
+    &line_caller::run_commit,   &line_caller::run_rollback,
+    &line_caller::run_read,     &line_caller::run_write,
+    &line_caller::run_set,      &line_caller::run_prepare,
+    &line_caller::run_prepare,  &line_caller::run_execute,
+    &line_caller::run_deallocate, &line_caller::run_unknown};
+
+line_caller::line_caller(ACE_SOCK_Stream const& stream, line_codec const& codec)
+    : codec_(codec), socket_(*this)
+{
+    static_assert(std::size(message_handlers) ==
+                  std::variant_size_v<caller_message>);
+    static_assert(std::size(command_handlers) ==
+                  static_cast<std::size_t>(command_kind::unknown) + 1);
+    socket_.accept(stream);
+}
+
+ACE_HANDLE line_caller::get_handle() const
+{
+    return socket_.handle();
+}
+
+void line_caller::attach(client_owner const& owner)
+{
+    owner_ = &owner;
+    socket_.attach(*owner.loop);
+}
+
+void line_caller::detach()
+{
+    socket_.detach();
+    owner_ = nullptr;
+}
+
+void line_caller::start_session(std::uint64_t session)
+{
+    session_ = session;
+    phase_ = phase::ready;
+    append_ready(std::nullopt);
+    write();
+    process();
+}
+
+std::optional<log_position> line_caller::presented_position() const
+{
+    return std::nullopt;
+}
+
+int line_caller::handle_input(ACE_HANDLE /*handle*/)
+{
+    if (!socket_.receive(in_))
+        shut();
+    else
+        process();
+    return 0;
+}
+
+int line_caller::handle_output(ACE_HANDLE /*handle*/)
+{
+    write();
+    return 0;
+}
+
+// Handles messages until a statement is in progress; the rest waits.
+void line_caller::process()
+{
+    if (is_processing_)
+        return;
+    is_processing_ = true;
+    std::size_t used = 0;
+    while (phase_ == phase::startup || phase_ == phase::ready)
+    {
+        auto read = codec_.read_caller(std::string_view(in_).substr(used));
+        if (!read)
+        {
+            close_with(statement_error::malformed);
+            break;
+        }
+        if (!read.value())
+            break;
+        used += read.value()->size;
+        auto& message = read.value()->message;
+        (this->*message_handlers[message.index()])(message);
+    }
+    in_.erase(0, used);
+    is_processing_ = false;
+    if (phase_ != phase::closing)
+        socket_.pause_reading(in_.size() > input_limit);
+    write();
+}
+
+void line_caller::on_start(caller_message& it)
+{
+    if (phase_ != phase::startup)
+        return close_with(statement_error::malformed);
+    auto const& start = std::get<session_start>(it);
+    if (!owner_->is_known(start.database))
+        return close_with(statement_error::unknown_database);
+    auto identity = owner_->authenticate(
+        start.database, start.key.empty()
+                            ? std::nullopt
+                            : std::optional<std::string_view>(start.key));
+    if (!identity || identity->is_admin)
+        return close_with(statement_error::unknown_key);
+    identity_ = std::move(*identity);
+    phase_ = phase::handing_over;
+    owner_->ready(*this);
+}
+
+void line_caller::on_end(caller_message& /*it*/)
+{
+    shut();
+}
+
+void line_caller::on_command(caller_message& it)
+{
+    if (phase_ != phase::ready)
+        return close_with(statement_error::malformed);
+    current_ = std::move(std::get<caller_command>(it));
+    bool const ends = current_.kind == command_kind::commit ||
+                      current_.kind == command_kind::rollback;
+    if (status_ == transaction_status::failed_transaction && !ends)
+        return fail(statement_error::malformed);
+    (this->*command_handlers[static_cast<std::size_t>(current_.kind)])();
+}
+
+void line_caller::run_begin()
+{
+    if (status_ != transaction_status::idle)
+        return fail(statement_error::malformed);
+    is_read_only_transaction_ = current_.kind == command_kind::begin_read_only;
+    opening_ = is_read_only_transaction_ ? transaction_opening::read_only
+                                         : transaction_opening::read_write;
+    status_ = transaction_status::in_transaction;
+    complete();
+}
+
+void line_caller::run_commit()
+{
+    if (status_ == transaction_status::idle)
+        return fail(statement_error::malformed);
+    // A transaction that has failed and that no server holds has ended.
+    if (status_ == transaction_status::failed_transaction &&
+        !has_server_transaction_)
+    {
+        leave_transaction(transaction_status::idle);
+        return fail(statement_error::aborted);
+    }
+    submit(statement_verb::commit);
+}
+
+void line_caller::run_rollback()
+{
+    if (status_ == transaction_status::idle)
+        return fail(statement_error::malformed);
+    if (has_server_transaction_)
+        return submit(statement_verb::rollback);
+    leave_transaction(transaction_status::idle);
+    complete();
+}
+
+void line_caller::run_read()
+{
+    submit(statement_verb::read);
+}
+
+void line_caller::run_write()
+{
+    if (is_read_only_transaction_ &&
+        status_ == transaction_status::in_transaction)
+        return fail(statement_error::not_primary);
+    submit(statement_verb::write);
+}
+
+void line_caller::run_set()
+{
+    variables_.values.insert_or_assign(current_.name, current_.value);
+    complete();
+}
+
+void line_caller::run_prepare()
+{
+    variables_.statements.insert_or_assign(
+        current_.name,
+        prepared_shape{current_.kind == command_kind::prepare_write,
+                       current_.value});
+    complete();
+}
+
+void line_caller::run_execute()
+{
+    auto const found = variables_.statements.find(current_.name);
+    if (found == variables_.statements.end())
+        return fail(statement_error::unknown_statement_name);
+    if (found->second.writes)
+        run_write();
+    else
+        run_read();
+}
+
+void line_caller::run_deallocate()
+{
+    if (variables_.statements.erase(current_.name) == 0)
+        return fail(statement_error::unknown_statement_name);
+    complete();
+}
+
+void line_caller::run_unknown()
+{
+    fail(statement_error::malformed);
+}
+
+void line_caller::submit(statement_verb verb)
+{
+    phase_ = phase::busy;
+    submitted_at_ = read_clock();
+    owner_->submit(*this, verb, opening_);
+}
+
+void line_caller::store_answer(std::unique_ptr<answer_payload> answer)
+{
+    answer_.reset(static_cast<line_answer*>(answer.release()));
+}
+
+void line_caller::leave_transaction(transaction_status status)
+{
+    status_ = status;
+    opening_ = transaction_opening::none;
+    has_server_transaction_ = false;
+    if (status == transaction_status::idle)
+        is_read_only_transaction_ = false;
+}
+
+void line_caller::relay(std::optional<log_position> position)
+{
+    if (phase_ == phase::closing || !answer_)
+        return;
+    auto const answer = std::move(answer_);
+    auto& out = socket_.out();
+    for (auto const& it : answer->rows)
+        codec_.append_row(out, it);
+    auto const* error = std::get_if<backend_error>(&answer->outcome);
+    if (error != nullptr)
+        codec_.append_error(out, *error);
+    else
+        codec_.append_complete(out, std::get<backend_complete>(answer->outcome));
+    bool const was_open = status_ != transaction_status::idle;
+    bool const ends = current_.kind == command_kind::commit ||
+                      current_.kind == command_kind::rollback;
+    if (answer->ready.status != transaction_status::idle)
+    {
+        status_ = answer->ready.status;
+        opening_ = transaction_opening::none;
+        has_server_transaction_ = true;
+    }
+    else
+        // A transaction that could not begin has failed for its caller.
+        leave_transaction(error != nullptr && was_open && !ends
+                              ? transaction_status::failed_transaction
+                              : transaction_status::idle);
+    phase_ = phase::ready;
+    append_ready(position ? position : answer->ready.position);
+    write();
+    process();
+}
+
+void line_caller::refuse(traffic::refuse const& it)
+{
+    if (phase_ == phase::closing)
+        return;
+    answer_.reset();
+    if (it.close_session)
+        return close_with(describe(it));
+    if (status_ != transaction_status::idle)
+        leave_transaction(current_.kind == command_kind::commit ||
+                                  current_.kind == command_kind::rollback
+                              ? transaction_status::idle
+                              : transaction_status::failed_transaction);
+    phase_ = phase::ready;
+    codec_.append_error(socket_.out(), {describe(it), {}});
+    append_ready(std::nullopt);
+    write();
+    process();
+}
+
+void line_caller::abort_transaction()
+{
+    if (status_ != transaction_status::idle)
+        leave_transaction(transaction_status::failed_transaction);
+}
+
+// Without a statement in progress a caller expects no message, so that the
+// connection just ends.
+void line_caller::end(traffic::refusal_reason /*reason*/)
+{
+    shut();
+}
+
+void line_caller::answer_admin(messages::admin_reply const& /*reply*/)
+{
+}
+
+void line_caller::complete()
+{
+    codec_.append_complete(socket_.out(), {});
+    append_ready(std::nullopt);
+}
+
+void line_caller::fail(statement_error code)
+{
+    if (status_ == transaction_status::in_transaction)
+    {
+        status_ = transaction_status::failed_transaction;
+        opening_ = transaction_opening::none;
+    }
+    codec_.append_error(socket_.out(), {code, {}});
+    append_ready(std::nullopt);
+}
+
+void line_caller::close_with(statement_error code)
+{
+    codec_.append_error(socket_.out(), {code, {}});
+    (void)socket_.flush();
+    shut();
+}
+
+void line_caller::append_ready(std::optional<log_position> position)
+{
+    codec_.append_ready(socket_.out(), {status_, position});
+}
+
+void line_caller::write()
+{
+    if (phase_ != phase::closing && !socket_.flush())
+        shut();
+}
+
+void line_caller::shut()
+{
+    if (std::exchange(phase_, phase::closing) == phase::closing)
+        return;
+    auto const* const owner = owner_;
+    socket_.close();
+    owner->closed(*this);
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/src/line_placement.cpp
@@ -0,0 +1,114 @@
+#include <basilreach/daemon/line_placement.hpp>
+
+#include <chrono>
+#include <utility>
+
+#include <easylogging++.h>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// A server or service that does not answer within this time is asked anew.
+constexpr duration question_timeout = std::chrono::seconds(1);
+
+constexpr int http_ok = 200;
+constexpr int http_conflict = 409;
+
+} // namespace
+
+line_placement::line_placement(event_loop& loop,
+                               settings::daemon_settings const& settings,
+                               deployment_adapter const& adapter,
+                               listener answered)
+    : loop_(loop), settings_(settings), adapter_(adapter),
+      answered_(std::move(answered))
+{
+}
+
+line_placement::question& line_placement::insert()
+{
+    auto const id = ++last_id_;
+    deadlines_.set(id, read_clock() + question_timeout);
+    return rows_[id];
+}
+
+void line_placement::end(std::uint64_t id)
+{
+    ended_.push_back(id);
+}
+
+void line_placement::ask_position(server_name const& server,
+                                  control::server_entry const& entry,
+                                  std::uint64_t round)
+{
+    auto& asked = insert();
+    auto const id = last_id_;
+    backend_observer it;
+    it.opened = [this, id, server, round]
+    {
+        rows_.at(id).position->ask_status(
+            [this, id, server, round](backend_row const& status)
+            {
+                if (auto const position = adapter_.codec->read_status(status))
+                    answered_(control::position_reported{
+                        server, round, position->term, position->offset});
+                end(id);
+            });
+    };
+    it.lost = [this, id]
+    {
+        end(id);
+    };
+    asked.position = std::make_unique<line_backend>(loop_, *adapter_.codec,
+                                                  std::move(it));
+    asked.position->open({{},
+                        server,
+                        entry.address,
+                        entry.group,
+                        workspace_name(settings_.name.str()),
+                        true});
+}
+
+void line_placement::promote(control::promote const& order,
+                             control::server_entry const& /*entry*/)
+{
+    if (!settings_.promotion_service)
+        return;
+    auto& asked = insert();
+    auto const id = last_id_;
+    LOG(INFO) << "event=promotion_ordered group=" << order.group.str()
+              << " server=" << order.server.str() << " term=" << order.term;
+    asked.order = std::make_unique<http_call>(
+        loop_,
+        [this, id, order](std::optional<http_response> it)
+        {
+            LOG(INFO) << "event=promotion_answered group=" << order.group.str()
+                      << " server=" << order.server.str()
+                      << " term=" << order.term
+                      << " status=" << (it ? it->status : 0);
+            // Anything but a clear answer leaves open whether the order is
+            // carried out.
+            if (it && (it->status == http_ok || it->status == http_conflict))
+                answered_(control::promotion_answered{
+                    order.server, order.term, it->status == http_ok});
+            end(id);
+        });
+    asked.order->start(*settings_.promotion_service,
+                     adapter_.calls->write_promotion(order, settings_.name));
+}
+
+void line_placement::tick(instant now)
+{
+    while (auto const id = deadlines_.pop_due(now))
+        end(*id);
+    for (auto const id : std::exchange(ended_, {}))
+    {
+        deadlines_.erase(id);
+        rows_.erase(id);
+    }
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/src/line_protocol.cpp
@@ -0,0 +1,45 @@
+// A line protocol as a protocol of the traffic threads.
+#include <utility>
+
+#include <basilreach/daemon/line_backend.hpp>
+#include <basilreach/daemon/line_caller.hpp>
+#include <basilreach/daemon/protocol.hpp>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+class line_protocol : public protocol
+{
+public:
+    explicit line_protocol(line_codec const& codec) : codec_(codec)
+    {
+    }
+
+    [[nodiscard]] std::unique_ptr<caller_connection>
+    make_caller(ACE_SOCK_Stream const& stream) const override
+    {
+        return std::make_unique<line_caller>(stream, codec_);
+    }
+
+    [[nodiscard]] std::unique_ptr<backend_connection>
+    make_backend(event_loop& loop, backend_observer observer) const override
+    {
+        return std::make_unique<line_backend>(loop, codec_,
+                                              std::move(observer));
+    }
+
+private:
+    line_codec const& codec_;
+};
+
+} // namespace
+
+std::unique_ptr<protocol> make_line_protocol(line_codec const& codec)
+{
+    return std::make_unique<line_protocol>(codec);
+}
+
+} // namespace basilreach::daemon
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -11,6 +11,7 @@
 #include <basilreach/daemon/control_thread.hpp>
 #include <basilreach/daemon/signal_watcher.hpp>
 #include <basilreach/daemon/traffic_thread.hpp>
+#include <basilreach/platform/adapter.hpp>
 #include <basilreach/settings/parse.hpp>
 #include <basilreach/telemetry/decision_log.hpp>
 #include <basilreach/telemetry/log_output.hpp>
@@ -55,6 +56,7 @@
 {
     // A peer that closes its connection must not end the process.
     std::signal(SIGPIPE, SIG_IGN);
+    daemon::choose_protocol(context);
     daemon::control_thread control(context);
     daemon::signal_watcher const signals(
         control.loop(),
@@ -74,7 +76,8 @@
                    << context.settings.client_listen;
         return exit_failure;
     }
-    auto error = control.start(FLAGS_join);
+    auto error =
+        control.start(FLAGS_join || !context.settings.first_start);
     if (error != daemon::daemon_error::none)
     {
         LOG(ERROR) << "event=cannot_start code=" << static_cast<int>(error);
@@ -110,6 +113,8 @@
     if (!loaded)
         return exit_usage;
     context.settings = std::move(*loaded);
+    if (context.settings.protocol == settings::statement_protocol::lines)
+        context.adapter = platform::make_adapter();
     if (context.settings.backend_credential_file)
     {
         auto credential = report(settings::load_backend_credential(
--- a/packages/daemon/src/placement_client.cpp
+++ b/packages/daemon/src/placement_client.cpp
@@ -31,12 +31,12 @@
 }
 
 void placement_client::ask_position(server_name const& server,
-                                    std::string const& address,
+                                    control::server_entry const& entry,
                                     std::uint64_t round)
 {
     statement question;
     question.text = settings_.positions_query;
-    ask(address, std::move(question),
+    ask(entry.address, std::move(question),
         [this, server, round](server_answer const& it)
         {
             if (it.position)
@@ -45,16 +45,17 @@
         });
 }
 
-void placement_client::promote(server_name const& server,
-                               std::string const& address,
-                               std::uint64_t term)
+void placement_client::promote(control::promote const& order,
+                               control::server_entry const& entry)
 {
     statement question;
-    question.text = "SELECT basilreach.promote(" + std::to_string(term) + ")";
-    ask(address, std::move(question),
-        [this, server, term](server_answer const& it) {
-            answered_(
-                control::promotion_answered{server, term, is_success(it)});
+    question.text =
+        "SELECT basilreach.promote(" + std::to_string(order.term) + ")";
+    ask(entry.address, std::move(question),
+        [this, order](server_answer const& it)
+        {
+            answered_(control::promotion_answered{order.server, order.term,
+                                                  is_success(it)});
         });
 }
 
--- /dev/null
+++ b/packages/daemon/src/postgresql_protocol.cpp
@@ -0,0 +1,154 @@
+// PostgreSQL as a protocol of the traffic threads.
+#include <utility>
+
+#include <basilreach/daemon/client_connection.hpp>
+#include <basilreach/daemon/protocol.hpp>
+#include <basilreach/daemon/server_connection.hpp>
+#include <basilreach/traffic/statement.hpp>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+traffic::transaction_status to_status(PGTransactionStatusType it)
+{
+    if (it == PQTRANS_INERROR)
+        return traffic::transaction_status::failed_transaction;
+    return it == PQTRANS_INTRANS ? traffic::transaction_status::in_transaction
+                                 : traffic::transaction_status::idle;
+}
+
+// Adds the mode to a statement that begins a transaction. A line feed ends a
+// comment behind it.
+statement declare_read_only(statement it)
+{
+    it.text.erase(it.text.find_last_not_of("; \t\r\n") + 1);
+    it.text += "\nREAD ONLY";
+    return it;
+}
+
+// The answer of a read is relayed without waiting for a majority, so a wrongly
+// declared write must fail at the primary as it does at a replica.
+bool needs_read_only(client_connection const& client,
+                     statement_order const& order)
+{
+    if (order.on_read_only_connection || client.is_in_transaction() ||
+        client.current().mode != statement_mode::run)
+        return false;
+    return client.is_read_only() || order.on_read_route;
+}
+
+backend_answer to_answer(server_answer it)
+{
+    auto const status = PQresultStatus(it.result.get());
+    backend_answer out;
+    out.summary.is_error = status != PGRES_TUPLES_OK &&
+                           status != PGRES_COMMAND_OK &&
+                           status != PGRES_EMPTY_QUERY;
+    out.summary.status = to_status(it.status);
+    out.summary.position = it.position;
+    out.payload = std::make_unique<server_answer>(std::move(it));
+    return out;
+}
+
+server_observer to_server_observer(backend_observer it)
+{
+    server_observer out;
+    out.opened = std::move(it.opened);
+    out.lost = std::move(it.lost);
+    out.position_read = std::move(it.position_read);
+    out.answered = [answered = std::move(it.answered)](server_answer answer)
+    {
+        answered(to_answer(std::move(answer)));
+    };
+    return out;
+}
+
+class postgresql_backend : public backend_connection
+{
+public:
+    postgresql_backend(event_loop& loop,
+                       settings::daemon_settings const& settings,
+                       settings::backend_credential const& credential,
+                       backend_observer observer)
+        : connection_(loop,
+                      settings,
+                      credential,
+                      to_server_observer(std::move(observer)))
+    {
+    }
+
+    void open(traffic::open_connection const& target) override
+    {
+        connection_.open({target.address, target.read_only});
+    }
+
+    void send(caller_connection const& caller,
+              statement_order const& order) override
+    {
+        auto const& client = static_cast<client_connection const&>(caller);
+        auto const& statement = client.current();
+        if (!needs_read_only(client, order))
+            return connection_.send(statement, false);
+        auto const verb = traffic::classify(statement.text);
+        if (verb == traffic::statement_verb::begin_read_write)
+            connection_.send(declare_read_only(statement), false);
+        else
+            connection_.send(statement,
+                             verb == traffic::statement_verb::other);
+    }
+
+    void ask_position() override
+    {
+        connection_.ask_position();
+    }
+
+    void close() override
+    {
+        connection_.close();
+    }
+
+private:
+    server_connection connection_;
+};
+
+class postgresql_protocol : public protocol
+{
+public:
+    postgresql_protocol(settings::daemon_settings const& settings,
+                        settings::backend_credential const& credential)
+        : settings_(settings), credential_(credential)
+    {
+    }
+
+    [[nodiscard]] std::unique_ptr<caller_connection>
+    make_caller(ACE_SOCK_Stream const& stream) const override
+    {
+        return std::make_unique<client_connection>(
+            stream, settings_.limits.message_bytes);
+    }
+
+    [[nodiscard]] std::unique_ptr<backend_connection>
+    make_backend(event_loop& loop, backend_observer observer) const override
+    {
+        return std::make_unique<postgresql_backend>(
+            loop, settings_, credential_, std::move(observer));
+    }
+
+private:
+    settings::daemon_settings const& settings_;
+    settings::backend_credential const& credential_;
+};
+
+} // namespace
+
+std::unique_ptr<protocol>
+make_postgresql_protocol(settings::daemon_settings const& settings,
+                         settings::backend_credential const& credential)
+{
+    return std::make_unique<postgresql_protocol>(settings, credential);
+}
+
+} // namespace basilreach::daemon
--- a/packages/daemon/src/signal_watcher.cpp
+++ b/packages/daemon/src/signal_watcher.cpp
@@ -4,6 +4,7 @@
 #include <utility>
 
 #include <ace/OS_NS_unistd.h>
+#include <easylogging++.h>
 #include <sys/signalfd.h>
 
 namespace basilreach::daemon
@@ -18,6 +19,7 @@
     sigemptyset(&set);
     sigaddset(&set, SIGTERM);
     sigaddset(&set, SIGINT);
+    sigaddset(&set, SIGHUP);
     pthread_sigmask(SIG_BLOCK, &set, nullptr);
     return signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC);
 }
@@ -40,7 +42,13 @@
 int signal_watcher::handle_input(ACE_HANDLE /*handle*/)
 {
     signalfd_siginfo info{};
-    if (ACE_OS::read(handle_, &info, sizeof(info)) == sizeof(info))
+    if (ACE_OS::read(handle_, &info, sizeof(info)) != sizeof(info))
+        return 0;
+    if (info.ssi_signo == SIGHUP)
+        // No setting can change while the daemon runs; the signal must not end
+        // it either.
+        LOG(INFO) << "event=reload_asked outcome=unchanged";
+    else
         received_();
     return 0;
 }
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -9,6 +9,7 @@
 #include <netinet/tcp.h>
 
 #include <basilreach/daemon/limit_client.hpp>
+#include <basilreach/daemon/view_builder.hpp>
 #include <basilreach/rules/digest.hpp>
 #include <basilreach/rules/name_syntax.hpp>
 #include <basilreach/settings/endpoint.hpp>
@@ -37,6 +38,7 @@
     out.replica_wait = it.durations.replica_wait;
     out.probe_after = it.durations.probe_after;
     out.queue_limit = it.limits.queue_per_workspace;
+    out.serves_without_lease = it.serve_without_lease;
     return out;
 }
 
@@ -64,25 +66,18 @@
 static_assert(reason_names.size() ==
               static_cast<std::size_t>(traffic::decision_reason::refused) + 1);
 
-traffic::transaction_status to_status(PGTransactionStatusType it)
-{
-    if (it == PQTRANS_INERROR)
-        return traffic::transaction_status::failed_transaction;
-    return it == PQTRANS_INTRANS ? traffic::transaction_status::in_transaction
-                                 : traffic::transaction_status::idle;
-}
+} // namespace
 
-// Adds the mode to a statement that begins a transaction. A line feed ends a
-// comment behind it.
-statement declare_read_only(statement it)
+void choose_protocol(daemon_context& context)
 {
-    it.text.erase(it.text.find_last_not_of("; \t\r\n") + 1);
-    it.text += "\nREAD ONLY";
-    return it;
+    auto const& adapter = context.adapter;
+    context.rules = adapter.rules ? adapter.rules : make_rules_parser();
+    context.protocol = adapter.codec
+                           ? make_line_protocol(*adapter.codec)
+                           : make_postgresql_protocol(context.settings,
+                                                      context.credential);
 }
 
-} // namespace
-
 client_listener::client_listener(
     event_loop& loop, std::function<void(ACE_SOCK_Stream const&)> accepted)
     : loop_(loop), accepted_(std::move(accepted))
@@ -174,27 +169,28 @@
     };
     // The client is on the stack now; another thread gets it in the next tick.
     // Handing it over at once let both threads use it, which crashed.
-    owner_.ready = [this](client_connection& it)
+    owner_.ready = [this](caller_connection& it)
     {
         authenticated_.push_back(&it);
     };
-    owner_.submit = [this](client_connection& it, traffic::statement_verb verb)
+    owner_.submit = [this](caller_connection& it, traffic::statement_verb verb,
+                           traffic::transaction_opening opens)
     {
         engine_.push(traffic::statement_received{
-            traffic::session_id{it.session()}, verb});
+            traffic::session_id{it.session()}, verb, opens});
     };
     owner_.token_presented =
-        [this](client_connection& it, log_position position)
+        [this](caller_connection& it, log_position position)
     {
         engine_.push(traffic::token_presented{traffic::session_id{it.session()},
                                               position});
     };
-    owner_.admin = [this](client_connection& it, std::string text)
+    owner_.admin = [this](caller_connection& it, std::string text)
     {
         context_.control->push(
             admin_call{index_, it.session(), std::move(text)});
     };
-    owner_.closed = [this](client_connection& it)
+    owner_.closed = [this](caller_connection& it)
     {
         close_client(it);
     };
@@ -246,6 +242,7 @@
     for (auto* client : std::exchange(authenticated_, {}))
         hand_over(client);
     retired_.clear();
+    retired_servers_.clear();
     publish_metrics(now);
     if (is_draining_ && !is_drained_ && clients_.empty())
     {
@@ -299,7 +296,7 @@
     is_draining_ = true;
     listener_.close();
     engine_.push(traffic::drain_started{});
-    std::vector<client_connection*> consoles;
+    std::vector<caller_connection*> consoles;
     for (auto const& [session, client] : clients_)
         if (client->identity().is_admin)
             consoles.push_back(client.get());
@@ -315,8 +312,7 @@
 
 void traffic_thread::accept(ACE_SOCK_Stream const& stream)
 {
-    auto client = std::make_unique<client_connection>(
-        stream, context_.settings.limits.message_bytes);
+    auto client = context_.protocol->make_caller(stream);
     auto* const raw = client.get();
     strangers_.emplace(raw, std::move(client));
     raw->attach(owner_);
@@ -367,7 +363,7 @@
     return std::hash<group_name>{}(group) % context_.threads.size();
 }
 
-void traffic_thread::hand_over(client_connection* key)
+void traffic_thread::hand_over(caller_connection* key)
 {
     auto const found = strangers_.find(key);
     // The client may have gone since its authentication.
@@ -382,7 +378,7 @@
     context_.threads[target]->post(client_handed_over{std::move(owned)});
 }
 
-void traffic_thread::open_session(client_connection& client)
+void traffic_thread::open_session(caller_connection& client)
 {
     auto const& identity = client.identity();
     if (identity.is_admin)
@@ -398,7 +394,7 @@
     engine_.push(event);
 }
 
-void traffic_thread::close_client(client_connection& client)
+void traffic_thread::close_client(caller_connection& client)
 {
     auto const stranger = strangers_.find(&client);
     if (stranger != strangers_.end())
@@ -417,15 +413,15 @@
     clients_.erase(found);
 }
 
-client_connection* traffic_thread::find_client(std::uint64_t session)
+caller_connection* traffic_thread::find_client(std::uint64_t session)
 {
     auto const it = clients_.find(session);
     return it == clients_.end() ? nullptr : it->second.get();
 }
 
-server_observer traffic_thread::observe(traffic::connection_id id)
+backend_observer traffic_thread::observe(traffic::connection_id id)
 {
-    server_observer it;
+    backend_observer it;
     it.opened = [this, id]
     {
         engine_.push(traffic::connection_opened{id});
@@ -441,36 +437,29 @@
         else
             engine_.push(traffic::connection_failed{id});
     };
-    it.answered = [this, id](server_answer answer)
+    it.answered = [this, id](backend_answer answer)
     {
         auto const slot = servers_.find(id);
         if (slot == servers_.end())
             return;
-        auto const status = PQresultStatus(answer.result.get());
-        traffic::answer_received event;
-        event.connection = id;
-        event.is_error = status != PGRES_TUPLES_OK &&
-                         status != PGRES_COMMAND_OK &&
-                         status != PGRES_EMPTY_QUERY;
-        event.status = to_status(answer.status);
-        event.position = answer.position;
         if (auto* client = find_client(slot->second.session))
-            client->store_answer(std::move(answer));
+            client->store_answer(std::move(answer.payload));
         slot->second.session = 0;
-        engine_.push(event);
+        answer.summary.connection = id;
+        engine_.push(answer.summary);
     };
     return it;
 }
 
 void traffic_thread::perform(traffic::open_connection const& it)
 {
-    auto connection = std::make_unique<server_connection>(
-        loop_, context_.settings, context_.credential, observe(it.connection));
+    auto connection =
+        context_.protocol->make_backend(loop_, observe(it.connection));
     auto* const raw = connection.get();
     servers_.emplace(
         it.connection,
         server_slot{it.connection, std::move(connection), 0, it.read_only});
-    raw->open({it.address, it.read_only});
+    raw->open(it);
 }
 
 void traffic_thread::perform(traffic::close_connection const& it)
@@ -479,7 +468,7 @@
     if (found == servers_.end())
         return;
     found->second.connection->close();
-    retired_.push_back(std::move(found->second.connection));
+    retired_servers_.push_back(std::move(found->second.connection));
     servers_.erase(found);
 }
 
@@ -490,29 +479,14 @@
     if (slot == servers_.end() || client == nullptr)
         return;
     slot->second.session = client->session();
-    auto const& statement = client->current();
-    auto& connection = *slot->second.connection;
-    if (!needs_read_only(*client, slot->second))
-        return connection.send(statement, false);
-    auto const verb = traffic::classify(statement.text);
-    if (verb == traffic::statement_verb::begin_read_write)
-        connection.send(declare_read_only(statement), false);
-    else
-        connection.send(statement, verb == traffic::statement_verb::other);
-}
-
-// The answer of a read is relayed without waiting for a majority, so a wrongly
-// declared write must fail at the primary as it does at a replica.
-bool traffic_thread::needs_read_only(client_connection const& client,
-                                     server_slot const& slot) const
-{
-    if (slot.read_only || client.is_in_transaction() ||
-        client.current().mode != statement_mode::run)
-        return false;
-    auto const route = view_->routes.find(client.identity().route);
-    return client.is_read_only() ||
-           (route != view_->routes.end() &&
-            route->second.kind == rules::route_class::read);
+    auto const route = view_->routes.find(client->identity().route);
+    statement_order order;
+    order.frame = it.frame;
+    order.after = it.after;
+    order.on_read_only_connection = slot->second.read_only;
+    order.on_read_route = route != view_->routes.end() &&
+                          route->second.kind == rules::route_class::read;
+    slot->second.connection->send(*client, order);
 }
 
 void traffic_thread::perform(traffic::ask_position const& it)
@@ -564,6 +538,12 @@
     context_.control->push(view_adopted{index_, it.revision});
 }
 
+void traffic_thread::perform(traffic::abort_transaction const& it)
+{
+    if (auto* client = find_client(static_cast<std::uint64_t>(it.session)))
+        client->abort_transaction();
+}
+
 void traffic_thread::perform(traffic::log_decision const& it)
 {
     telemetry::decision_record record;
@@ -576,6 +556,7 @@
     if (auto const* client = find_client(record.session))
     {
         record.session_label = client->label();
+        record.request_label = client->request_label();
         record.workspace = client->identity().workspace;
         record.route = client->identity().route;
         record.group = client->identity().group;
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -10,14 +10,23 @@
 namespace
 {
 
-void add_servers(control::control_parts const& parts,
+// A verdict formed from reports that have stopped decides about promotions
+// only; a server that its callers still reach goes on serving reads.
+bool is_down(control::control_state const& state,
+             control::server_entry const& it)
+{
+    return it.health == control::verdict::down &&
+           !state.is_server_checked(it.group);
+}
+
+void add_servers(control::control_state const& state,
                  traffic::control_view& view)
 {
-    for (auto const& [name, it] : parts.servers)
+    for (auto const& [name, it] : state.parts().servers)
         if (!it.is_removed)
             view.servers.emplace(
                 name, traffic::server_view{it.group, it.data_centre, it.address,
-                                           it.health == control::verdict::down,
+                                           is_down(state, it),
                                            it.is_leaving});
 }
 
@@ -37,7 +46,10 @@
         auto const& limits = state.rules()->server_limits;
         auto const limit = limits.find(name);
         if (limit != limits.end())
+        {
             group.slots = limit->second.slots;
+            group.checked_by = limit->second.checked_by;
+        }
         view.groups.emplace(name, group);
     }
 }
@@ -56,7 +68,7 @@
         view->workspaces.insert(name);
     for (auto const& it : denied)
         view->keys.erase(it);
-    add_servers(state.parts(), *view);
+    add_servers(state, *view);
     add_groups(state, *view);
     return view;
 }
--- a/packages/daemon/test/deployment.cpp
+++ b/packages/daemon/test/deployment.cpp
@@ -166,6 +166,7 @@
     context_.settings = std::move(settings);
     context_.credential = {"proxy", "database-secret"};
     context_.decisions = &decisions_;
+    choose_protocol(context_);
     control_ = std::make_unique<control_thread>(context_);
     context_.control = &control_->notes();
     for (std::size_t n = 0; n != context_.settings.traffic_threads; ++n)
--- a/packages/rules/include/basilreach/rules/rule_set.hpp
+++ b/packages/rules/include/basilreach/rules/rule_set.hpp
@@ -71,7 +71,7 @@
     read_guarantee reads = read_guarantee::session;
     // Time from a statement's arrival to its answer; the daemon's setting
     // holds where it is absent.
-    std::optional<duration> timeout;
+    std::optional<duration> timeout{};
 
     friend bool operator==(route_rule const&, route_rule const&) = default;
 };
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -21,6 +21,14 @@
     control
 };
 
+// What callers and backend servers speak.
+enum class statement_protocol : std::uint8_t
+{
+    postgresql,
+    // Lines of words; its codec comes with the deployment that uses it.
+    lines
+};
+
 enum class log_level : std::uint8_t
 {
     debug,
@@ -66,6 +74,9 @@
     duration election_timeout_min = std::chrono::milliseconds{300};
     duration election_timeout_max = std::chrono::milliseconds{600};
     duration heartbeat = std::chrono::milliseconds{75};
+    // Time without a report after which a server that reports itself is taken
+    // for down.
+    duration server_silence = std::chrono::seconds{3};
 
     friend bool operator==(duration_settings const&,
                            duration_settings const&) = default;
@@ -106,6 +117,23 @@
     // on.
     std::optional<std::string> control_listen;
     std::vector<control_host> control_hosts;
+    // Addresses of some control hosts, where the list is not given. Only the
+    // IP numbers count; other daemons are reached at `peer_port`.
+    std::vector<std::string> seeds;
+    std::uint32_t peer_port = 0;
+    // Whether an empty data directory starts a new cluster of the listed
+    // control hosts; otherwise the host waits to be added.
+    bool first_start = true;
+    statement_protocol protocol = statement_protocol::postgresql;
+    // IP number and port for the readiness check of a load balancer, over HTTP.
+    std::optional<std::string> readiness_listen;
+    // IP number and port for operators and reporting servers, over HTTP.
+    std::optional<std::string> operator_listen;
+    // IP number and port of the service that carries out promotions, for
+    // groups whose servers check terms.
+    std::optional<std::string> promotion_service;
+    // Whether keyed statements run while no control lease is held.
+    bool serve_without_lease = false;
     rules::key_digest operator_key{};
     // Path of a JSON file with the user and the password at backend servers;
     // present when the entry role is on.
--- a/packages/settings/src/fields.hpp
+++ b/packages/settings/src/fields.hpp
@@ -74,6 +74,9 @@
     using member = std::variant<std::string Owner::*,
                                 std::optional<std::string> Owner::*,
                                 std::uint32_t Owner::*,
+                                bool Owner::*,
+                                statement_protocol Owner::*,
+                                std::vector<std::string> Owner::*,
                                 duration Owner::*,
                                 daemon_name Owner::*,
                                 data_centre_name Owner::*,
@@ -148,6 +151,10 @@
          {},
          range(ms{50}, ms{30000})},
         {"heartbeat_ms", &self::heartbeat, {}, range(ms{5}, ms{10000})},
+        {"server_silence_ms",
+         &self::server_silence,
+         {},
+         range(ms{100}, ms{600000})},
     });
 };
 
@@ -189,8 +196,15 @@
          presence::required,
          {&endpoint_format}},
         {"control_listen", &self::control_listen, {}, {&endpoint_format}},
-        {"control_hosts", &self::control_hosts, presence::required,
-         range(1, 19)},
+        {"control_hosts", &self::control_hosts, {}, range(1, 19)},
+        {"seeds", &self::seeds, {}, {&endpoint_format, 1, 19}},
+        {"peer_port", &self::peer_port, {}, range(1, 65535)},
+        {"first_start", &self::first_start},
+        {"protocol", &self::protocol},
+        {"readiness_listen", &self::readiness_listen, {}, {&endpoint_format}},
+        {"operator_listen", &self::operator_listen, {}, {&endpoint_format}},
+        {"promotion_service", &self::promotion_service, {}, {&endpoint_format}},
+        {"serve_without_lease", &self::serve_without_lease},
         {"operator_key_sha256",
          &self::operator_key,
          presence::required,
@@ -219,6 +233,11 @@
     std::to_array<std::pair<std::string_view, daemon_role>>(
         {{"entry", daemon_role::entry}, {"control", daemon_role::control}});
 
+inline constexpr auto protocol_words =
+    std::to_array<std::pair<std::string_view, statement_protocol>>(
+        {{"postgresql", statement_protocol::postgresql},
+         {"lines", statement_protocol::lines}});
+
 inline constexpr auto level_words =
     std::to_array<std::pair<std::string_view, log_level>>(
         {{"debug", log_level::debug},
--- a/packages/settings/src/parse.cpp
+++ b/packages/settings/src/parse.cpp
@@ -7,6 +7,7 @@
 #include <utility>
 #include <variant>
 
+#include <basilreach/settings/endpoint.hpp>
 #include <basilreach/settings/read_file.hpp>
 
 #include "document.hpp"
@@ -26,6 +27,7 @@
 using detail::level_words;
 using detail::milliseconds;
 using detail::presence;
+using detail::protocol_words;
 using detail::range;
 using detail::role_words;
 
@@ -148,6 +150,19 @@
     out = read_word(at, level_words).value_or(out);
 }
 
+void read_value(place const& at, statement_protocol& out)
+{
+    out = read_word(at, protocol_words).value_or(out);
+}
+
+void read_value(place const& at, bool& out)
+{
+    if (at.value.is_boolean())
+        out = at.value.get<bool>();
+    else
+        at.refuse(settings_reason::wrong_type, "true or false");
+}
+
 // Calls read(place) for each element of a list of accepted length.
 template <class Read>
 void read_list(place const& at, bounds const& length, Read read)
@@ -189,6 +204,17 @@
               });
 }
 
+void read_value(place const& at, std::vector<std::string>& out)
+{
+    read_list(at, range(at.accepted.low, at.accepted.high),
+              [&](place element)
+              {
+                  element.accepted.format = at.accepted.format;
+                  if (auto text = read_text(element))
+                      out.push_back(std::move(*text));
+              });
+}
+
 template <class Owner>
 requires requires
 {
@@ -253,9 +279,18 @@
      [](daemon_settings const& it)
      {
          return !it.roles.contains(daemon_role::entry) ||
+                it.protocol != statement_protocol::postgresql ||
                 it.backend_credential_file;
      },
      "a file, because the entry role is on"},
+    {"control_hosts", "seeds", settings_reason::missing_field,
+     [](daemon_settings const& it)
+     { return it.control_hosts.empty() != it.seeds.empty(); },
+     "either this field or seeds to be given"},
+    {"peer_port", "seeds", settings_reason::missing_field,
+     [](daemon_settings const& it)
+     { return it.seeds.empty() || it.peer_port != 0; },
+     "a port, because seeds are given"},
     // A daemon must be able to lose one renewal and still keep its lease.
     {"durations.lease_renewal_ms", "durations.control_lease_ms",
      settings_reason::inconsistent,
@@ -293,6 +328,21 @@
                       std::string{it.expected});
 }
 
+// The control hosts are named by their IP numbers where only seeds are known.
+void expand_seeds(daemon_settings& it)
+{
+    for (auto const& seed : it.seeds)
+    {
+        auto const ip = parse_endpoint(seed)->ip;
+        it.control_hosts.push_back(
+            {daemon_name{ip}, ip + ':' + std::to_string(it.peer_port), {}});
+    }
+}
+
+void expand_seeds(backend_credential& /*it*/)
+{
+}
+
 void check_agreements(document& /*in*/, backend_credential const& /*value*/)
 {
 }
@@ -316,6 +366,7 @@
                          { return left.line < right.line; });
         return failure(std::move(in.errors));
     }
+    expand_seeds(value);
     return success(std::move(value));
 }
 
--- a/packages/telemetry/include/basilreach/telemetry/decision_log.hpp
+++ b/packages/telemetry/include/basilreach/telemetry/decision_log.hpp
@@ -23,6 +23,8 @@
     std::uint64_t request = 0;
     std::uint64_t session = 0;
     session_name session_label;
+    // The caller's own id of the request.
+    std::string request_label;
     workspace_name workspace;
     route_name route;
     group_name group;
--- a/packages/telemetry/src/decision_log.cpp
+++ b/packages/telemetry/src/decision_log.cpp
@@ -37,7 +37,8 @@
 {
     std::string line = "decision=";
     line += it.decision;
-    append(line, "request", number(it.request));
+    append(line, "request",
+           it.request_label.empty() ? number(it.request) : it.request_label);
     append(line, "session",
            it.session_label.empty() ? number(it.session)
                                     : it.session_label.str());
--- a/tools/measure_daemon_program/control_fleet.cpp
+++ b/tools/measure_daemon_program/control_fleet.cpp
@@ -75,6 +75,7 @@
     it.links.reset();
     it.context.settings =
         hosts_.follower_settings("daemon-" + std::to_string(n));
+    daemon::choose_protocol(it.context);
     it.links = std::make_unique<daemon::link_table>(
         loop_, [this, n](daemon::link_id /*from*/, messages::message const& m)
         { receive(n, m); });
