traffic: Stop asking for tokens that no statement waits for

Cause: a traffic thread told its holder how many statements wait for a token when they came, not when they had got it. After its first wait a workspace was asked for one more token every 2 ms without end; each host gathered tokens that the others lacked, and 4,000 grants a second crossed the data centres. Change: a grant that ends the wait, and a statement that goes, set the number anew. Changes of rules, servers and verdicts get a log line at control hosts.

--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -132,6 +132,42 @@
                                                         : call_outcome::done;
 }
 
+// Changes of what the control hosts believe, one line each; renewals and the
+// like are no such changes.
+void log_applied(std::uint64_t index,
+                 control::command const& it,
+                 call_outcome outcome)
+{
+    auto const* const result =
+        outcome == call_outcome::done ? "applied" : "refused";
+    if (auto const* rules = std::get_if<control::offer_rules>(&it.body))
+        LOG(INFO) << "event=rules_offered revision=" << index
+                  << " version=" << rules->version
+                  << " bytes=" << rules->text.size() << " outcome=" << result;
+    else if (auto const* server =
+                 std::get_if<control::announce_server>(&it.body))
+        LOG(INFO) << "event=server_reported revision=" << index
+                  << " server=" << server->server.str()
+                  << " group=" << server->group.str()
+                  << " address=" << server->address
+                  << " incarnation=" << server->incarnation
+                  << " sequence=" << server->sequence
+                  << " role=" << static_cast<int>(server->role)
+                  << " leaving=" << server->is_leaving
+                  << " outcome=" << result;
+    else if (auto const* verdict =
+                 std::get_if<control::report_verdict>(&it.body))
+        LOG(INFO) << "event=verdict revision=" << index
+                  << " server=" << verdict->server.str()
+                  << " value=" << static_cast<int>(verdict->value)
+                  << " by=" << it.author << " outcome=" << result;
+    else if (auto const* removal =
+                 std::get_if<control::remove_server>(&it.body))
+        LOG(INFO) << "event=server_removed revision=" << index
+                  << " server=" << removal->server.str()
+                  << " outcome=" << result;
+}
+
 std::string read_file(std::string const& path)
 {
     std::ifstream file(path);
@@ -534,6 +570,7 @@
                 {storage::storage_errc::corrupted, "log", entry.index, 0});
         auto const answered = state_->apply(entry.index, it.value());
         outcome = outcome_of(answered);
+        log_applied(entry.index, it.value(), outcome);
         recent_.push_back({entry.index, it.value()});
         if (recent_.size() > recent_limit)
             recent_.pop_front();
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -67,11 +67,6 @@
     auto const* request = s.requests.find(id);
     if (request == nullptr || request->state != request_state::waiting_tokens)
         return;
-    auto const& workspace = s.sessions.find(request->session)->workspace;
-    auto& waiting = s.waiting_tokens[workspace];
-    std::erase(waiting, id);
-    s.tokens.set_waiting(workspace, static_cast<std::int64_t>(waiting.size()),
-                         s.now);
     refuse_request(s, id, refusal_outcome::not_run,
                    refusal_reason::rate_exceeded);
 }
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -153,6 +153,8 @@
         return;
     for (auto const id : std::exchange(found->second, {}))
         s.to_admit.push_back(id);
+    // What still lacks a token is counted again when it is admitted.
+    s.tokens.set_waiting(it.workspace, 0, s.now);
 }
 
 void on(state& s, control_changed const& it)
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -303,6 +303,24 @@
     finish_request(s, id);
 }
 
+namespace
+{
+
+// Statements that have gone must not be granted tokens, which other hosts would
+// then lack.
+void stop_waiting_for_tokens(state& s,
+                             request_row_id id,
+                             request_row const& request)
+{
+    auto const& workspace = s.sessions.find(request.session)->workspace;
+    auto& waiting = s.waiting_tokens[workspace];
+    std::erase(waiting, id);
+    s.tokens.set_waiting(workspace, static_cast<std::int64_t>(waiting.size()),
+                         s.now);
+}
+
+} // namespace
+
 void remove_request(state& s, request_row_id id)
 {
     auto const& request = *s.requests.find(id);
@@ -331,6 +349,8 @@
     }
     else if (request.state == request_state::waiting_position)
         erase_from(s.groups.find(request.group)->waiting_position);
+    else if (request.state == request_state::waiting_tokens)
+        stop_waiting_for_tokens(s, id, request);
     if (request.queue_entry)
         s.servers.find(request.server)->queue->erase(*request.queue_entry);
     s.sessions.find(request.session)->request.reset();
