--- a/packages/daemon/include/basilreach/daemon/limit_leader.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -7,6 +7,7 @@
 
 #include <basilreach/control/control_state.hpp>
 #include <basilreach/limits/rate_ledger.hpp>
+#include <basilreach/limits/rate_tolerance.hpp>
 #include <basilreach/limits/share_ledger.hpp>
 #include <basilreach/messages/message.hpp>
 #include <basilreach/settings/daemon_settings.hpp>
@@ -23,7 +24,7 @@
         std::function<void(daemon_name const&, messages::message const&)>;
 
     // `is_first` states that no leader came before in this deployment.
-    limit_leader(settings::duration_settings const& durations,
+    limit_leader(settings::daemon_settings const& settings,
                  std::uint64_t term,
                  bool is_first,
                  sender send,
@@ -45,6 +46,7 @@
     void configure_servers(control::control_state const& state, instant now);
     void configure_daemons(control::control_state const& state, instant now);
 
+    limits::rate_tolerance tolerance_;
     sender send_;
     limits::rate_ledger rates_;
     limits::share_ledger shares_;
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -639,7 +639,7 @@
     // Only registered daemons are granted anything, so without one no earlier
     // leader has granted either.
     limits_ = std::make_unique<limit_leader>(
-        context_.settings.durations, member_->state().term,
+        context_.settings, member_->state().term,
         state_->parts().daemons.empty(),
         [this](daemon_name const& to, messages::message const& it)
         {
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -16,15 +16,21 @@
     return out;
 }
 
+limits::rate_tolerance tolerance_of(settings::limit_settings const& it)
+{
+    return {it.rate_window_s, it.rate_overage, it.rate_slack};
+}
+
 } // namespace
 
-limit_leader::limit_leader(settings::duration_settings const& durations,
+limit_leader::limit_leader(settings::daemon_settings const& settings,
                            std::uint64_t term,
                            bool is_first,
                            sender send,
                            instant now)
-    : send_(std::move(send)), rates_({}, term, now),
-      shares_(share_settings_of(durations), term, now)
+    : tolerance_(tolerance_of(settings.limits)), send_(std::move(send)),
+      rates_({}, term, now),
+      shares_(share_settings_of(settings.durations), term, now)
 {
     if (!is_first)
         return;
@@ -40,7 +46,9 @@
         auto const old = std::exchange(rules_, state.rules());
         for (auto const& [name, it] : rules_->workspaces)
             rates_.configure(name, static_cast<std::int64_t>(it.rate),
-                             static_cast<std::int64_t>(it.burst), now);
+                             limits::tolerated_burst(it.rate, it.burst,
+                                                     tolerance_),
+                             now);
         // A workspace without a rule has no rate.
         if (old)
             for (auto const& [name, it] : old->workspaces)
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -36,6 +36,7 @@
     out.request_timeout = it.durations.request_timeout;
     out.read_try_timeout = it.durations.read_try_timeout;
     out.replica_wait = it.durations.replica_wait;
+    out.token_wait = it.durations.token_wait;
     out.probe_after = it.durations.probe_after;
     out.queue_limit = it.limits.queue_per_workspace;
     out.serves_without_lease = it.serve_without_lease;
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -59,6 +59,8 @@
     duration read_try_timeout = std::chrono::seconds{1};
     // How long a read waits for a replica that lacks the session's position.
     duration replica_wait = std::chrono::milliseconds{2};
+    // How long a statement waits for a token of its workspace's rate.
+    duration token_wait = std::chrono::milliseconds{1200};
     // Idle time after which a connection is probed before it is used again.
     duration probe_after = std::chrono::seconds{5};
     // After a stop request, the listener stays open for this time so that the
@@ -88,6 +90,13 @@
     std::uint32_t queue_per_workspace = 1000;
     // Bytes of the largest message of a caller.
     std::uint32_t message_bytes = 16 * 1024 * 1024;
+    // How those who check a workspace's rate count it: what runs in a window
+    // may exceed rate and burst by a share and by a number of statements. The
+    // leader hands this out as additional burst, because tokens that wait at
+    // one host are not there for another.
+    double rate_window_s = 0;
+    double rate_overage = 0;
+    double rate_slack = 0;
 
     friend bool operator==(limit_settings const&,
                            limit_settings const&) = default;
--- a/packages/settings/src/fields.hpp
+++ b/packages/settings/src/fields.hpp
@@ -75,6 +75,7 @@
                                 std::optional<std::string> Owner::*,
                                 std::uint32_t Owner::*,
                                 bool Owner::*,
+                                double Owner::*,
                                 statement_protocol Owner::*,
                                 std::vector<std::string> Owner::*,
                                 duration Owner::*,
@@ -132,6 +133,7 @@
          {},
          range(ms{1}, ms{600000})},
         {"replica_wait_ms", &self::replica_wait, {}, range(ms{0}, ms{1000})},
+        {"token_wait_ms", &self::token_wait, {}, range(ms{0}, ms{60000})},
         {"probe_after_ms", &self::probe_after, {}, range(ms{100}, ms{600000})},
         {"drain_period_ms", &self::drain_period, {}, range(ms{0}, ms{600000})},
         {"drain_deadline_ms",
@@ -168,6 +170,9 @@
          {},
          range(1, 1000000)},
         {"message_bytes", &self::message_bytes, {}, range(8192, 1ULL << 30U)},
+        {"rate_window_s", &self::rate_window_s, {}, range(0, 60)},
+        {"rate_overage", &self::rate_overage, {}, range(0, 1)},
+        {"rate_slack", &self::rate_slack, {}, range(0, 1000000)},
     });
 };
 
--- a/packages/settings/src/parse.cpp
+++ b/packages/settings/src/parse.cpp
@@ -155,6 +155,21 @@
     out = read_word(at, protocol_words).value_or(out);
 }
 
+void read_value(place const& at, double& out)
+{
+    auto const& [format, low, high] = at.accepted;
+    auto const expected =
+        "a number from " + std::to_string(low) + " to " + std::to_string(high);
+    if (!at.value.is_number())
+        return at.refuse(settings_reason::wrong_type, expected);
+    auto const number = at.value.get<double>();
+    if (number >= static_cast<double>(low) &&
+        number <= static_cast<double>(high))
+        out = number;
+    else
+        at.refuse(settings_reason::out_of_range, expected);
+}
+
 void read_value(place const& at, bool& out)
 {
     if (at.value.is_boolean())
