traffic: Prefer a server with an idle connection of the workspace

Cause: a connection serves one workspace, so that a statement often had to open one, which takes a slot for 12 to 27 ms, though another server had one idle. Change: the need to open a connection counts as one statement outstanding.

--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -176,21 +176,38 @@
 constexpr std::size_t far_penalty = 2;
 constexpr std::size_t primary_penalty = 2;
 
+// Opening a connection occupies a slot about as long as a statement does.
+constexpr std::size_t opening_penalty = 1;
+
+bool has_idle_connection(state const& s,
+                         server_row const& server,
+                         workspace_name const& workspace)
+{
+    return std::any_of(server.idle.begin(), server.idle.end(),
+                       [&](connection_id id) {
+                           return s.connections.find(id)->workspace ==
+                                  workspace;
+                       });
+}
+
 // Chooses among all servers of a group that checks positions itself.
 std::optional<server_row_id> choose_checked(state const& s,
                                             request_row const& request)
 {
     auto const& group = *s.groups.find(request.group);
+    auto const& workspace = s.sessions.find(request.session)->workspace;
     std::optional<server_row_id> best;
     auto const rank = [&](server_row_id id)
     {
         auto const& it = *s.servers.find(id);
+        bool const must_open = !has_idle_connection(s, it, workspace);
         auto const load =
             it.outstanding + it.queue->size() + it.unmatched.size() +
+            (must_open ? opening_penalty : 0) +
             (it.data_centre != s.settings.data_centre ? far_penalty : 0) +
             (group.primary == id ? primary_penalty : 0);
         return std::tuple(it.next_open > s.now && it.idle.empty(), load,
-                          it.idle.empty(), it.name);
+                          must_open, it.name);
     };
     for (auto const id : group.servers)
     {
