daemon: Send followers every command that they lack

Cause: after several entries were applied in one step, a follower was sent the last one only, and took the state made of it for whole. After a restart of all hosts entry hosts held a state without routes and refused every caller with "unknown route" until they were restarted again. A response to a connection that has ended is dropped.

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -2,7 +2,6 @@
 #define BASILREACH_DAEMON_CONTROL_HOST_HPP
 
 #include <cstdint>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -18,6 +17,7 @@
 #include <basilreach/control/server_monitor.hpp>
 #include <basilreach/daemon/control_interface.hpp>
 #include <basilreach/daemon/placement.hpp>
+#include <basilreach/daemon/update_feed.hpp>
 #include <basilreach/messages/message.hpp>
 #include <basilreach/storage/store.hpp>
 
@@ -140,7 +140,7 @@
     void follow_role(consensus::role_state const& role);
     void start_leading();
     void compact();
-    void send_update(link_id to, std::uint64_t after);
+    void send_updates();
     void propose_initial_rules();
     void promote_learners();
     void answer(origin const& to, messages::admin_reply reply);
@@ -165,12 +165,12 @@
     instant elected_at_;
     std::uint64_t compacted_at_ = 0;
     std::uint64_t applied_index_ = 0;
+    // Payloads applied since the last snapshot.
+    std::size_t applied_bytes_ = 0;
     std::uint64_t last_read_ = 0;
     instant next_promotion_check_ = never;
 
-    // Recent commands, for daemons that follow the state.
-    std::deque<messages::indexed_command> recent_;
-    std::map<link_id, std::uint64_t> subscribers_;
+    update_feed feed_;
     std::map<daemon_name, link_id> daemon_links_;
     // Proposals by position in the log.
     std::map<std::pair<std::uint64_t, std::uint64_t>, origin> proposals_;
--- a/packages/daemon/src/buffered_socket.cpp
+++ b/packages/daemon/src/buffered_socket.cpp
@@ -101,6 +101,8 @@
 
 bool buffered_socket::flush()
 {
+    if (!is_open_)
+        return false;
     std::size_t sent = 0;
     bool is_blocked = false;
     while (sent < out_.size() && !is_blocked)
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -24,8 +24,9 @@
 // Applied entries after which a snapshot replaces the log.
 constexpr std::uint64_t compaction_interval = 1000;
 
-// Commands kept for daemons that follow; one further behind gets a snapshot.
-constexpr std::size_t recent_limit = 1000;
+// Bytes of applied entries after which a snapshot replaces the log, which also
+// lies in memory.
+constexpr std::size_t compaction_bytes = std::size_t{4} << 20U;
 
 // Interval at which the leader tries to make voters of learners.
 constexpr duration promotion_interval = std::chrono::milliseconds(200);
@@ -285,10 +286,8 @@
 
 void control_host::on_subscribe(link_id from, messages::message const& it)
 {
-    auto const revision = std::get<messages::subscribe>(it).revision;
-    subscribers_[from] = state_->revision();
-    if (revision < state_->revision())
-        send_update(from, revision);
+    feed_.subscribe(from, std::get<messages::subscribe>(it).revision);
+    send_updates();
 }
 
 void control_host::on_token_request(link_id from, messages::message const& it)
@@ -319,17 +318,10 @@
     run(member_->receive(std::get<consensus::peer_message>(it), now_));
 }
 
-void control_host::send_update(link_id to, std::uint64_t after)
+void control_host::send_updates()
 {
-    messages::state_update update;
-    bool const has_gap = recent_.empty() || recent_.front().index > after + 1;
-    if (has_gap)
-        update.snapshot = state_->parts();
-    else
-        for (auto const& it : recent_)
-            if (it.index > after)
-                update.commands.push_back(it);
-    outputs_.to_link(to, update);
+    for (auto const& [link, update] : feed_.take(*state_))
+        outputs_.to_link(link, update);
 }
 
 void control_host::answer(origin const& to, messages::admin_reply reply)
@@ -533,9 +525,7 @@
         return;
     if (limits_)
         limits_->configure(*state_, now_);
-    for (auto& [link, revision] : subscribers_)
-        if (std::exchange(revision, state_->revision()) < state_->revision())
-            send_update(link, recent_.back().index - 1);
+    send_updates();
     outputs_.state_changed();
     compact();
 }
@@ -553,12 +543,13 @@
             {storage::storage_errc::corrupted, "snapshot", 0, 0});
     // The leader refers to the state, and no leader installs a snapshot.
     *state_ = std::move(state.value());
-    recent_.clear();
+    feed_.clear();
 }
 
 void control_host::apply(consensus::log_entry const& entry)
 {
     applied_index_ = entry.index;
+    applied_bytes_ += entry.payload.size();
     auto const pending = proposals_.find({entry.index, entry.term});
     std::optional<messages::admin_reply> reply;
     auto outcome = call_outcome::unavailable;
@@ -571,9 +562,7 @@
         auto const answered = state_->apply(entry.index, it.value());
         outcome = outcome_of(answered);
         log_applied(entry.index, it.value(), outcome);
-        recent_.push_back({entry.index, it.value()});
-        if (recent_.size() > recent_limit)
-            recent_.pop_front();
+        feed_.record(entry.index, it.value());
         if (leader_)
             leader_inputs_.emplace_back(
                 control::committed{entry.index, it.value(), answered});
@@ -669,8 +658,10 @@
 
 void control_host::compact()
 {
-    if (applied_index_ < compacted_at_ + compaction_interval)
+    if (applied_index_ < compacted_at_ + compaction_interval &&
+        applied_bytes_ < compaction_bytes)
         return;
+    applied_bytes_ = 0;
     consensus::snapshot base;
     base.index = applied_index_;
     base.term = member_->term_at(applied_index_);
--- /dev/null
+++ b/packages/daemon/src/update_feed.cpp
@@ -0,0 +1,77 @@
+#include <basilreach/daemon/update_feed.hpp>
+
+#include <algorithm>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// Commands kept however small they are.
+constexpr std::size_t kept_commands = 1000;
+
+std::size_t size_of(control::command const& it)
+{
+    if (auto const* rules = std::get_if<control::apply_rules>(&it.body))
+        return rules->text.size();
+    if (auto const* rules = std::get_if<control::offer_rules>(&it.body))
+        return rules->text.size();
+    return 0;
+}
+
+} // namespace
+
+void update_feed::record(std::uint64_t index, control::command const& it)
+{
+    recent_.push_back({index, it});
+    bytes_ += size_of(it);
+    while (recent_.size() > kept_commands || bytes_ > kept_bytes)
+    {
+        bytes_ -= size_of(recent_.front().entry);
+        recent_.pop_front();
+    }
+}
+
+void update_feed::clear()
+{
+    recent_.clear();
+    bytes_ = 0;
+}
+
+void update_feed::subscribe(link_id link, std::uint64_t revision)
+{
+    followers_[link] = revision;
+}
+
+std::vector<std::pair<link_id, messages::state_update>>
+update_feed::take(control::control_state const& state)
+{
+    std::vector<std::pair<link_id, messages::state_update>> out;
+    for (auto& [link, revision] : followers_)
+    {
+        if (revision >= state.revision())
+            continue;
+        out.emplace_back(link, make_update(state, revision));
+        revision = state.revision();
+    }
+    return out;
+}
+
+messages::state_update
+update_feed::make_update(control::control_state const& state,
+                         std::uint64_t after) const
+{
+    messages::state_update out;
+    out.after = after;
+    bool const has_gap = recent_.empty() || recent_.front().index > after + 1;
+    if (has_gap)
+        out.snapshot = state.parts();
+    else
+        std::copy_if(recent_.begin(), recent_.end(),
+                     std::back_inserter(out.commands),
+                     [after](auto const& it) { return it.index > after; });
+    return out;
+}
+
+} // namespace basilreach::daemon
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -41,6 +41,8 @@
 // receiver that is too far behind.
 struct state_update
 {
+    // The revision that the commands follow.
+    std::uint64_t after = 0;
     std::vector<indexed_command> commands;
     std::optional<control::control_parts> snapshot;
 
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -913,15 +913,17 @@
     v.entry = read<command>(*w.entry);
 }
 
-void map_fields(to_wire /*d*/, state_update const& v, wire::state_updateT& w)
+void map_fields(to_wire d, state_update const& v, wire::state_updateT& w)
 {
+    d(v.after, w.after);
     w.commands = make_list<wire::indexed_commandT>(v.commands);
     if (v.snapshot)
         w.snapshot = make<wire::control_partsT>(*v.snapshot);
 }
 
-void map_fields(from_wire /*d*/, state_update& v, wire::state_updateT const& w)
+void map_fields(from_wire d, state_update& v, wire::state_updateT const& w)
 {
+    d(v.after, w.after);
     v.commands = read_list<indexed_command>(w.commands);
     if (w.snapshot)
         v.snapshot = read<control_parts>(*w.snapshot);
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -48,6 +48,7 @@
     renewal.sent_at = instant(duration(-5));
     renewal.acknowledged[group_name("g")] = {1, 2};
     state_update update;
+    update.after = 2;
     update.commands.push_back(
         {3, {control::change_id("i"), "a", control::apply_rules{1, "t"}}});
     update.commands.push_back({4, {{}, "", control::withdraw_key{{9}}}});
