control, consensus: Replace control hosts that lost their disk or their place

The first attempt showed a fault of the product: a host that joined before the first compaction received entries only, which do not name the first voters. It knew itself as the only voter and elected itself after a restart. Ruled out: more patience of the operator (the host waits for ever); removal before the newcomer has the log, which bears no loss meanwhile. Change: a host keeps the name of its disk in a synced file, and an empty disk gives a new name. Hosts that hear no leader ask to join; membership_keeper adds one as a learner, gives it the vote in place of the voter at its address or of one that was silent for 2.5 s, and removes that one.

--- a/packages/consensus/include/basilreach/consensus/durable_state.hpp
+++ b/packages/consensus/include/basilreach/consensus/durable_state.hpp
@@ -23,8 +23,8 @@
     friend auto operator<=>(hard_state const&, hard_state const&) = default;
 };
 
-// The replicated state after the entry at index. A new cluster starts from a
-// snapshot with index 0 that names its first voters; a host that joins later
+// The replicated state after the entry at index. A new cluster starts from
+// first_snapshot(), which names its first voters; a host that joins later
 // starts from a default value and receives everything from the leader.
 struct snapshot
 {
@@ -36,6 +36,12 @@
     friend auto operator<=>(snapshot const&, snapshot const&) = default;
 };
 
+// Returns the snapshot from which the voters of a new cluster start. Its index
+// is that of an entry which no log holds: a host that joins is sent the
+// snapshot, because entries alone do not name the first voters.
+[[nodiscard]] snapshot first_snapshot(std::vector<host_name> voters,
+                                      std::string state);
+
 // What a host reads back from its storage when it starts.
 struct durable_state
 {
--- a/packages/consensus/src/membership.cpp
+++ b/packages/consensus/src/membership.cpp
@@ -1,3 +1,4 @@
+#include <basilreach/consensus/durable_state.hpp>
 #include <basilreach/consensus/membership.hpp>
 
 #include <algorithm>
@@ -47,4 +48,14 @@
     return before;
 }
 
+snapshot first_snapshot(std::vector<host_name> voters, std::string state)
+{
+    std::sort(voters.begin(), voters.end());
+    snapshot out;
+    out.index = 1;
+    out.members.voters = std::move(voters);
+    out.state = std::move(state);
+    return out;
+}
+
 } // namespace basilreach::consensus
--- a/packages/consensus/test/change_test.cpp
+++ b/packages/consensus/test/change_test.cpp
@@ -56,6 +56,22 @@
     }
 }
 
+// Guards against a host that joins before the first compaction and then knows
+// the later members only: it was elected by itself, as the only voter it knew.
+TEST_CASE("a host that joins a young cluster knows all of its voters")
+{
+    cluster it{7};
+    REQUIRE(it.settles());
+    add_voter(it, "d");
+    CHECK(it.change(&member::remove, "c") == std::nullopt);
+    it.stop(host_name{"c"});
+    REQUIRE(it.settles());
+    CHECK(it.hosts.at(host_name{"d"}).running->members() ==
+          it.hosts.at(it.leader()).running->members());
+    CHECK(it.hosts.at(host_name{"d"}).running->members().voters.size() == 3);
+    CHECK(it.violations.empty());
+}
+
 // Guards against two open changes, whose majorities might not overlap, and
 // against changes after which nothing could be committed.
 TEST_CASE("an unsafe membership change is refused with its reason")
--- a/packages/consensus/test/cluster.hpp
+++ b/packages/consensus/test/cluster.hpp
@@ -36,9 +36,7 @@
                      std::vector<std::string> const& names = {"a", "b", "c"})
         : random_(seed)
     {
-        snapshot first;
-        for (auto const& it : names)
-            first.members.voters.emplace_back(it);
+        auto const first = first_snapshot({names.begin(), names.end()}, "0");
         for (auto const& it : first.members.voters)
         {
             hosts[it].disk.base = first;
--- a/packages/consensus/test/faults_test.cpp
+++ b/packages/consensus/test/faults_test.cpp
@@ -136,7 +136,9 @@
     REQUIRE(it.run_until(
         [&] { return it.hosts[it.leader()].applied > applied; }, 5s));
     std::uint64_t again = 0;
-    for (std::uint64_t n = 1; n <= applied; ++n)
+    auto const first = it.committed.begin()->first;
+    CHECK(first == first_snapshot({}, {}).index + 1);
+    for (auto n = first; n <= applied; ++n)
         again = std::hash<std::string>{}(std::to_string(again) +
                                          it.committed.at(n).payload);
     CHECK(again == digest);
--- /dev/null
+++ b/packages/control/test/membership_keeper_test.cpp
@@ -0,0 +1,144 @@
+#include <basilreach/control/membership_keeper.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace std::chrono_literals;
+
+namespace basilreach::control::test
+{
+
+namespace
+{
+
+using consensus::host_name;
+
+host_name const a("a=10.0.0.1:1");
+host_name const b("b=10.0.0.2:1");
+host_name const c("c=10.0.0.3:1");
+host_name const d("d=10.0.0.4:1");
+// The host at c's address after it has lost its disk.
+host_name const c2("c.2=10.0.0.3:1");
+
+struct fixture
+{
+    fixture()
+    {
+        members.voters = {a, b, c};
+        hear({b, c});
+    }
+
+    void hear(std::initializer_list<host_name> hosts)
+    {
+        for (auto const& it : hosts)
+            keeper.hear(it, now);
+    }
+
+    // Makes the changes that are decided and returns their number.
+    int run()
+    {
+        int n = 0;
+        while (auto const it = keeper.decide(members, now))
+        {
+            constexpr std::array kinds = {
+                consensus::entry_kind::add_learner,
+                consensus::entry_kind::promote_learner,
+                consensus::entry_kind::remove_host};
+            members = consensus::apply_change(
+                members, {0, 0, kinds.at(static_cast<std::size_t>(it->step)),
+                          it->host.str()});
+            // Every decision keeps a majority among hosts that are heard.
+            ++n;
+            REQUIRE(n < 10);
+        }
+        return n;
+    }
+
+    consensus::membership members;
+    instant now{10s};
+    membership_keeper keeper{{}, a, now};
+};
+
+} // namespace
+
+TEST_CASE("nothing changes while every voter is heard")
+{
+    fixture f;
+    f.now += 2s;
+    f.hear({b, c});
+    f.now += 2s;
+    f.hear({b, c});
+    CHECK(f.run() == 0);
+}
+
+// Guards against a restart that costs a host its vote.
+TEST_CASE("a voter that is silent stays while nobody waits for its place")
+{
+    fixture f;
+    f.now += 1min;
+    f.hear({b});
+    CHECK(f.run() == 0);
+    CHECK(f.members.voters == std::vector{a, b, c});
+}
+
+// Guards against a host with an empty disk that votes under its former name.
+TEST_CASE("a host that lost its disk takes the place of its former self")
+{
+    fixture f;
+    f.now += 500ms;
+    f.keeper.receive_wish(c2, f.now);
+    REQUIRE(f.keeper.decide(f.members, f.now) ==
+            membership_change{membership_step::add_learner, c2});
+    f.members.learners = {c2};
+    f.hear({b, c2});
+    CHECK(f.run() == 2);
+    CHECK(f.members.voters == std::vector{a, b, c2});
+    CHECK(f.members.learners.empty());
+}
+
+TEST_CASE("a host at a new address takes the place of a voter that is gone")
+{
+    fixture f;
+    f.keeper.receive_wish(d, f.now);
+    CHECK(f.run() == 1);
+    CHECK(f.members.learners == std::vector{d});
+    // All voters are there, so that it stays a learner.
+    f.now += 1s;
+    f.hear({b, c, d});
+    CHECK(f.run() == 0);
+    f.now += 2400ms;
+    f.hear({b, d});
+    CHECK(f.run() == 0);
+    f.now += 100ms;
+    f.hear({b, d});
+    CHECK(f.run() == 2);
+    CHECK(f.members.voters == std::vector{a, b, d});
+}
+
+TEST_CASE("one repair is done before the next begins")
+{
+    fixture f;
+    f.members.voters = {a, b, c, d};
+    f.members.learners = {c2};
+    f.hear({b, c2, d});
+    f.now += 3s;
+    f.hear({b, c2, d});
+    // The number of voters is made odd first.
+    REQUIRE(f.keeper.decide(f.members, f.now) ==
+            membership_change{membership_step::remove, c});
+}
+
+TEST_CASE("the leader never removes itself, and learners that are gone go")
+{
+    fixture f;
+    f.members.voters = {a, b, c, d};
+    f.hear({b, c, d});
+    CHECK(f.run() == 0);
+    f.members.voters = {a, b, c};
+    f.members.learners = {d};
+    f.now += 11s;
+    f.hear({b, c});
+    CHECK(f.run() == 1);
+    CHECK(f.members.learners.empty());
+}
+
+} // namespace basilreach::control::test
--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -14,6 +14,7 @@
 #include <basilreach/control/leader.hpp>
 #include <basilreach/daemon/limit_leader.hpp>
 #include <basilreach/daemon/link_table.hpp>
+#include <basilreach/control/membership_keeper.hpp>
 #include <basilreach/control/server_monitor.hpp>
 #include <basilreach/daemon/control_interface.hpp>
 #include <basilreach/daemon/placement.hpp>
@@ -118,6 +119,7 @@
     void on_token_request(link_id from, messages::message const& it);
     void on_share_request(link_id from, messages::message const& it);
     void on_peer(link_id from, messages::message const& it);
+    void on_join(link_id from, messages::message const& it);
     void on_unexpected(link_id from, messages::message const& it);
 
     void on_propose(control::leader_output const& it);
@@ -142,7 +144,8 @@
     void compact();
     void send_updates();
     void propose_initial_rules();
-    void promote_learners();
+    void keep_membership();
+    void ask_to_join();
     void answer(origin const& to, messages::admin_reply reply);
     void answer_read(consensus::read_outcome const& it);
     void refuse_pending();
@@ -168,7 +171,11 @@
     // Payloads applied since the last snapshot.
     std::size_t applied_bytes_ = 0;
     std::uint64_t last_read_ = 0;
+    // Present while this host leads.
+    std::unique_ptr<control::membership_keeper> keeper_;
     instant next_promotion_check_ = never;
+    // When this host asks to become a member, unless it hears a leader.
+    instant next_wish_;
 
     update_feed feed_;
     std::map<daemon_name, link_id> daemon_links_;
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -1,5 +1,6 @@
 #include <basilreach/daemon/control_host.hpp>
 
+#include <array>
 #include <chrono>
 #include <fstream>
 #include <sstream>
@@ -12,6 +13,7 @@
 #include <basilreach/daemon/view_builder.hpp>
 #include <basilreach/messages/codec.hpp>
 #include <basilreach/rules/digest.hpp>
+#include <basilreach/storage/identity.hpp>
 
 #include "admin_replies.hpp"
 
@@ -28,9 +30,12 @@
 // lies in memory.
 constexpr std::size_t compaction_bytes = std::size_t{4} << 20U;
 
-// Interval at which the leader tries to make voters of learners.
+// Interval at which the leader looks after the membership.
 constexpr duration promotion_interval = std::chrono::milliseconds(200);
 
+// Interval at which a host that hears no leader asks to join.
+constexpr duration wish_interval = std::chrono::milliseconds(500);
+
 consensus::host_name own_name(settings::daemon_settings const& it)
 {
     for (auto const& host : it.control_hosts)
@@ -40,6 +45,17 @@
                                 it.control_listen.value_or(""));
 }
 
+// The name of a host whose disk is empty and that is no part of a first start.
+// It differs from the names that the host had with earlier disks.
+consensus::host_name later_name(settings::daemon_settings const& it)
+{
+    auto const started = std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now().time_since_epoch());
+    return consensus::host_name(it.name.str() + '.' +
+                                std::to_string(started.count()) + '=' +
+                                it.control_listen.value_or(""));
+}
+
 std::vector<consensus::host_name>
 to_hosts(std::vector<std::string> const& names)
 {
@@ -84,13 +100,13 @@
 }
 
 // The first voters of a new cluster are the control hosts of the settings.
-consensus::snapshot first_snapshot(settings::daemon_settings const& it)
+consensus::snapshot make_first_snapshot(settings::daemon_settings const& it)
 {
-    consensus::snapshot out;
+    std::vector<consensus::host_name> voters;
     for (auto const& host : it.control_hosts)
-        out.members.voters.push_back(make_host_name(host));
-    std::sort(out.members.voters.begin(), out.members.voters.end());
-    return out;
+        voters.push_back(make_host_name(host));
+    return consensus::first_snapshot(std::move(voters),
+                                     messages::encode_parts({}));
 }
 
 consensus::member_settings
@@ -187,7 +203,7 @@
     &control_host::on_admin,         &control_host::on_unexpected,
     &control_host::on_token_request, &control_host::on_unexpected,
     &control_host::on_share_request, &control_host::on_unexpected,
-    &control_host::on_peer};
+    &control_host::on_peer,          &control_host::on_join};
 
 // Indexed by the alternatives of control::leader_output.
 control_host::output_handler const control_host::output_handlers[] = {
@@ -207,9 +223,16 @@
     if (!store)
         return store.error();
     auto contents = store.value().take_contents();
-    std::unique_ptr<control_host> host(
-        new control_host(context, loop, std::move(outputs),
-                         own_name(context.settings), std::move(store.value())));
+    auto const identity = storage::load_identity(
+        storage::system_files(), settings.directory,
+        joins && !context.settings.seeds.empty()
+            ? later_name(context.settings).str()
+            : own_name(context.settings).str());
+    if (!identity)
+        return identity.error();
+    std::unique_ptr<control_host> host(new control_host(
+        context, loop, std::move(outputs),
+        consensus::host_name(identity.value()), std::move(store.value())));
     host->start(std::move(contents), joins, now);
     return host;
 }
@@ -236,12 +259,14 @@
 void control_host::start(storage::contents contents, bool joins, instant now)
 {
     now_ = now;
+    next_wish_ =
+        context_.settings.seeds.empty() ? never : now + wish_interval;
     auto durable = to_durable(std::move(contents));
     bool const is_new = durable.base.members.voters.empty() &&
                         durable.entries.empty() && durable.hard.term == 0;
     if (is_new && !joins)
     {
-        durable.base = first_snapshot(context_.settings);
+        durable.base = make_first_snapshot(context_.settings);
         if (auto const done = store_.install(to_stored(durable.base)); !done)
             return outputs_.failed(done.error());
     }
@@ -313,8 +338,32 @@
     LOG(WARNING) << "event=unexpected_message kind=" << it.index();
 }
 
+void control_host::on_join(link_id /*from*/, messages::message const& it)
+{
+    auto request = std::get<messages::join_request>(it);
+    if (keeper_)
+        return keeper_->receive_wish(request.host, now_);
+    if (std::exchange(request.is_forwarded, true) || leader_name().empty())
+        return;
+    outputs_.to_host(leader_name(), request);
+}
+
+// A host that hears no leader may have been replaced, or have no disk of its
+// own time any more. Members are not harmed by the question.
+void control_host::ask_to_join()
+{
+    next_wish_ = context_.settings.seeds.empty() ? never : now_ + wish_interval;
+    if (next_wish_ == never || !leader_name().empty())
+        return;
+    for (auto const& host : context_.settings.control_hosts)
+        if (auto const name = make_host_name(host); name != self_)
+            outputs_.to_host(name, messages::join_request{self_, false});
+}
+
 void control_host::on_peer(link_id /*from*/, messages::message const& it)
 {
+    if (keeper_)
+        keeper_->hear(std::get<consensus::peer_message>(it).from, now_);
     run(member_->receive(std::get<consensus::peer_message>(it), now_));
 }
 
@@ -598,6 +647,7 @@
     leader_.reset();
     limits_.reset();
     monitor_.reset();
+    keeper_.reset();
     leader_inputs_.clear();
     next_promotion_check_ = never;
     refuse_pending();
@@ -642,6 +692,9 @@
         *state_,
         control::monitor_settings{context_.settings.durations.server_silence},
         now_);
+    if (!context_.settings.seeds.empty())
+        keeper_ = std::make_unique<control::membership_keeper>(
+            control::keeper_settings{}, self_, now_);
     next_promotion_check_ = now_ + promotion_interval;
     if (state_->parts().rules_version == 0 &&
         context_.settings.initial_rules_file)
@@ -673,10 +726,25 @@
     compacted_at_ = applied_index_;
 }
 
-void control_host::promote_learners()
+void control_host::keep_membership()
 {
     next_promotion_check_ = now_ + promotion_interval;
-    // One change is open at a time; the others follow at the next check.
+    if (keeper_)
+    {
+        auto const change = keeper_->decide(member_->members(), now_);
+        if (!change)
+            return;
+        constexpr std::array steps = {&consensus::member::add_learner,
+                                      &consensus::member::promote,
+                                      &consensus::member::remove};
+        auto const step = steps.at(static_cast<std::size_t>(change->step));
+        LOG(INFO) << "event=membership_change step="
+                  << static_cast<int>(change->step)
+                  << " host=" << change->host.str()
+                  << " voters=" << member_->members().voters.size();
+        return run((member_.get()->*step)(change->host, now_));
+    }
+    // Hosts that an operator adds get their votes as soon as they can. One change is open at a time; the others follow at the next check.
     if (!member_->members().learners.empty())
         run(member_->promote(member_->members().learners.front(), now_));
 }
@@ -687,7 +755,9 @@
     if (member_->next_deadline() <= now)
         run(member_->tick(now));
     if (next_promotion_check_ <= now)
-        promote_learners();
+        keep_membership();
+    if (next_wish_ <= now)
+        ask_to_join();
     placement_->tick(now);
     if (!leader_)
         return;
@@ -713,6 +783,7 @@
     if (leader_ && !leader_inputs_.empty())
         return instant::min();
     auto const own = std::min({member_->next_deadline(), next_promotion_check_,
+                               next_wish_,
                                placement_->next_deadline()});
     if (!leader_)
         return own;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -49,7 +49,7 @@
     &control_thread::to_control_host, &control_thread::on_admin_reply,
     &control_thread::to_control_host, &control_thread::on_token_grant,
     &control_thread::to_control_host, &control_thread::on_share_grant,
-    &control_thread::to_control_host};
+    &control_thread::to_control_host, &control_thread::to_control_host};
 
 control_thread::control_thread(daemon_context& context)
     : context_(context), inbox_(loop_),
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -88,6 +88,16 @@
     friend bool operator==(admin_reply const&, admin_reply const&) = default;
 };
 
+// A control host that is no member asks the leader to add it. A host that does
+// not lead passes the message on once.
+struct join_request
+{
+    consensus::host_name host;
+    bool is_forwarded = false;
+
+    friend bool operator==(join_request const&, join_request const&) = default;
+};
+
 using message = std::variant<control::lease_renewal,
                              control::lease_returned,
                              control::grant_lease,
@@ -100,7 +110,8 @@
                              limits::token_grant,
                              limits::share_request,
                              limits::share_grant,
-                             consensus::peer_message>;
+                             consensus::peer_message,
+                             join_request>;
 
 } // namespace basilreach::messages
 
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -333,6 +333,13 @@
     d(v.fenced_at, w.fenced_at);
 }
 
+template <class D, class V>
+void map_fields(D d, V& v, wire::join_requestT& w)
+{
+    d(v.host, w.host);
+    d(v.is_forwarded, w.is_forwarded);
+}
+
 template <class D, class V>
 void map_fields(D d, V& v, wire::lease_returnedT& w)
 {
@@ -735,7 +742,8 @@
                                  wire::token_grantT,
                                  wire::share_requestT,
                                  wire::share_grantT,
-                                 wire::peer_messageT>;
+                                 wire::peer_messageT,
+                                 wire::join_requestT>;
 
 void map_fields(to_wire d, command const& v, wire::commandT& w)
 {
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -88,6 +88,7 @@
             limits::token_grant{},
             limits::share_request{},
             limits::share_grant{},
+            join_request{consensus::host_name("a=1"), true},
             peer(append),
             peer(chunk),
             peer(consensus::vote_reply{true}),
