daemon, limits: Reopen silent links, keep a token for a workspace in use

Cause 1: an entry host's connection to the leading control host can go silent while new ones work. The entry host asked the others, was told the same leader and used the same connection again, for ever; it served an old state. Hosts that answer nothing also left links in the middle of connecting. Change: a link without acknowledgement for 1.5 s, one that does not open within 1 s and one to a host that grants nothing are closed and opened anew. A daemon keeps one token for a workspace that it has used within 10 s. Refusals carry outcome and cause in the decision log. Measured: link_test and the case of rate_test fail before.

--- a/packages/control/include/basilreach/control/membership_keeper.hpp
+++ b/packages/control/include/basilreach/control/membership_keeper.hpp
@@ -7,8 +7,8 @@
 #include <optional>
 #include <string>
 
-#include <basilreach/consensus/membership.hpp>
 #include <basilreach/base/instant.hpp>
+#include <basilreach/consensus/membership.hpp>
 
 namespace basilreach::control
 {
--- a/packages/control/src/membership_keeper.cpp
+++ b/packages/control/src/membership_keeper.cpp
@@ -65,13 +65,10 @@
     std::optional<host_name> out;
     for (auto const& it : members.voters)
     {
-        bool const has_successor =
-            std::any_of(members.voters.begin(), members.voters.end(),
-                        [&](host_name const& other)
-                        {
-                            return share_address(it, other) &&
-                                   heard(it) < heard(other);
-                        });
+        bool const has_successor = std::any_of(
+            members.voters.begin(), members.voters.end(),
+            [&](host_name const& other)
+            { return share_address(it, other) && heard(it) < heard(other); });
         if (has_successor && it != self_)
             return it;
         if (is_silent(it, settings_.silence, now) &&
@@ -101,7 +98,8 @@
     if (members.voters.size() % 2 == 0)
         return true;
     return std::any_of(members.voters.begin(), members.voters.end(),
-                       [&](host_name const& it) {
+                       [&](host_name const& it)
+                       {
                            return share_address(it, learner) ||
                                   is_silent(it, settings_.silence, now);
                        });
--- a/packages/control/src/server_monitor.cpp
+++ b/packages/control/src/server_monitor.cpp
@@ -19,9 +19,9 @@
 
 command_body to_command(server_report const& it)
 {
-    return announce_server{it.server,   it.group,    it.data_centre,
-                           it.address,  it.sequence, it.incarnation,
-                           it.role,     it.is_leaving};
+    return announce_server{it.server,  it.group,     it.data_centre,
+                           it.address, it.sequence,  it.incarnation,
+                           it.role,    it.is_leaving};
 }
 
 } // namespace
--- a/packages/control/test/server_checked_test.cpp
+++ b/packages/control/test/server_checked_test.cpp
@@ -28,9 +28,14 @@
                         std::uint64_t sequence,
                         std::uint64_t incarnation = 1)
 {
-    return {server_name{server}, group_name{"g"}, data_centre_name{"a"},
-            "127.0.0.1:1",       incarnation,     sequence,
-            role,                false};
+    return {server_name{server},
+            group_name{"g"},
+            data_centre_name{"a"},
+            "127.0.0.1:1",
+            incarnation,
+            sequence,
+            role,
+            false};
 }
 
 struct fixture
@@ -68,8 +73,8 @@
     void run()
     {
         if (!leader)
-            leader = std::make_unique<control::leader>(
-                state, leader_settings{}, now);
+            leader = std::make_unique<control::leader>(state, leader_settings{},
+                                                       now);
         for (bool again = true; std::exchange(again, false);)
             for (auto const& it : leader->tick(now))
             {
@@ -141,13 +146,14 @@
 TEST_CASE("a late report changes nothing")
 {
     fixture f;
-    CHECK(f.monitor.receive(report_of("s2", server_role::replica, 1, 2), f.now));
-    f.apply(*f.monitor.receive(report_of("s2", server_role::replica, 2, 2),
-                               f.now));
-    CHECK_FALSE(f.monitor.receive(
-        report_of("s2", server_role::primary, 900, 1), f.now));
-    CHECK_FALSE(f.monitor.receive(
-        report_of("s2", server_role::primary, 1, 2), f.now));
+    CHECK(
+        f.monitor.receive(report_of("s2", server_role::replica, 1, 2), f.now));
+    f.apply(
+        *f.monitor.receive(report_of("s2", server_role::replica, 2, 2), f.now));
+    CHECK_FALSE(f.monitor.receive(report_of("s2", server_role::primary, 900, 1),
+                                  f.now));
+    CHECK_FALSE(
+        f.monitor.receive(report_of("s2", server_role::primary, 1, 2), f.now));
     // Nor at a host that has heard of the server through the log only.
     server_monitor other(f.state, {}, f.now);
     CHECK_FALSE(
--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -12,11 +12,11 @@
 #include <basilreach/consensus/member.hpp>
 #include <basilreach/control/control_state.hpp>
 #include <basilreach/control/leader.hpp>
-#include <basilreach/daemon/limit_leader.hpp>
-#include <basilreach/daemon/link_table.hpp>
 #include <basilreach/control/membership_keeper.hpp>
 #include <basilreach/control/server_monitor.hpp>
 #include <basilreach/daemon/control_interface.hpp>
+#include <basilreach/daemon/limit_leader.hpp>
+#include <basilreach/daemon/link_table.hpp>
 #include <basilreach/daemon/placement.hpp>
 #include <basilreach/daemon/update_feed.hpp>
 #include <basilreach/messages/message.hpp>
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -9,8 +9,8 @@
 #include <vector>
 
 #include <basilreach/base/deadline_queue.hpp>
-#include <basilreach/daemon/control_host.hpp>
 #include <basilreach/daemon/call_service.hpp>
+#include <basilreach/daemon/control_host.hpp>
 #include <basilreach/daemon/inbox.hpp>
 #include <basilreach/daemon/lease_client.hpp>
 #include <basilreach/daemon/limit_client.hpp>
--- a/packages/daemon/include/basilreach/daemon/event_loop.hpp
+++ b/packages/daemon/include/basilreach/daemon/event_loop.hpp
@@ -9,7 +9,8 @@
 namespace basilreach::daemon
 {
 
-// Reads the host's clock since its start, which counts suspension. Decisions get the time from the loops.
+// Reads the host's clock since its start, which counts suspension. Decisions
+// get the time from the loops.
 [[nodiscard]] instant read_clock();
 
 // Wakes a reactor at a deadline. It is a timer descriptor, since
--- a/packages/daemon/include/basilreach/daemon/line_codec.hpp
+++ b/packages/daemon/include/basilreach/daemon/line_codec.hpp
@@ -185,15 +185,15 @@
                               workspace_name const& workspace,
                               server_name const& server) const = 0;
     // A caller's statement, with the position that the server must have.
-    virtual void
-    append_statement(std::string& out,
-                     std::string const& id,
-                     std::optional<log_position> const& after,
-                     std::string const& text) const = 0;
+    virtual void append_statement(std::string& out,
+                                  std::string const& id,
+                                  std::optional<log_position> const& after,
+                                  std::string const& text) const = 0;
     // Statements of the proxy's own.
-    virtual void append_begin(std::string& out,
-                              bool read_only,
-                              std::optional<log_position> const& after) const = 0;
+    virtual void
+    append_begin(std::string& out,
+                 bool read_only,
+                 std::optional<log_position> const& after) const = 0;
     virtual void append_rollback(std::string& out) const = 0;
     virtual void append_reset(std::string& out) const = 0;
     virtual void append_set(std::string& out,
--- a/packages/daemon/include/basilreach/daemon/link_table.hpp
+++ b/packages/daemon/include/basilreach/daemon/link_table.hpp
@@ -48,6 +48,10 @@
 
     [[nodiscard]] bool is_open(link_id id) const;
 
+    // Gives up the link to a control host that does not answer; the next
+    // message opens another one.
+    void give_up(consensus::host_name const& to);
+
     // Destroys the links that have ended. Not called by a handler of a link.
     void remove_closed();
 
--- a/packages/daemon/src/call_service.cpp
+++ b/packages/daemon/src/call_service.cpp
@@ -24,9 +24,11 @@
                            runner run,
                            std::function<bool()> is_ready)
     : calls_(calls), run_(std::move(run)), is_ready_(std::move(is_ready)),
-      call_server_(loop, [this](exchange_id id, http_request it)
+      call_server_(loop,
+                   [this](exchange_id id, http_request it)
                    { arrived_.emplace_back(id, std::move(it)); }),
-      readiness_server_(loop, [this](exchange_id id, http_request const& it)
+      readiness_server_(loop,
+                        [this](exchange_id id, http_request const& it)
                         { check_readiness(id, it); })
 {
 }
@@ -71,9 +73,9 @@
     auto const row = std::move(found->second);
     pending_.erase(found);
     deadlines_.erase(id);
-    call_server_.respond(row.exchange,
-                         calls_.write_answer(row.request, row.call, it,
-                                             call_server_.address()));
+    call_server_.respond(
+        row.exchange,
+        calls_.write_answer(row.request, row.call, it, call_server_.address()));
 }
 
 void call_service::tick(instant now)
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -138,9 +138,8 @@
     if (context.settings.protocol == settings::statement_protocol::lines)
         return std::make_unique<line_placement>(
             loop, context.settings, context.adapter, std::move(answered));
-    return std::make_unique<placement_client>(loop, context.settings,
-                                              context.credential,
-                                              std::move(answered));
+    return std::make_unique<placement_client>(
+        loop, context.settings, context.credential, std::move(answered));
 }
 
 call_outcome outcome_of(control::command_answer const& it)
@@ -170,8 +169,7 @@
                   << " incarnation=" << server->incarnation
                   << " sequence=" << server->sequence
                   << " role=" << static_cast<int>(server->role)
-                  << " leaving=" << server->is_leaving
-                  << " outcome=" << result;
+                  << " leaving=" << server->is_leaving << " outcome=" << result;
     else if (auto const* verdict =
                  std::get_if<control::report_verdict>(&it.body))
         LOG(INFO) << "event=verdict revision=" << index
@@ -223,11 +221,11 @@
     if (!store)
         return store.error();
     auto contents = store.value().take_contents();
-    auto const identity = storage::load_identity(
-        storage::system_files(), settings.directory,
-        joins && !context.settings.seeds.empty()
-            ? later_name(context.settings).str()
-            : own_name(context.settings).str());
+    auto const identity =
+        storage::load_identity(storage::system_files(), settings.directory,
+                               joins && !context.settings.seeds.empty()
+                                   ? later_name(context.settings).str()
+                                   : own_name(context.settings).str());
     if (!identity)
         return identity.error();
     std::unique_ptr<control_host> host(new control_host(
@@ -245,10 +243,10 @@
     : context_(context), outputs_(std::move(outputs)), self_(std::move(self)),
       store_(std::move(store)),
       state_(std::make_unique<control::control_state>(context.rules)),
-      placement_(
-          make_placement(loop, context,
-                         [this](control::leader_input it)
-                         { leader_inputs_.push_back(std::move(it)); }))
+      placement_(make_placement(loop,
+                                context,
+                                [this](control::leader_input it)
+                                { leader_inputs_.push_back(std::move(it)); }))
 {
     static_assert(std::size(handlers) ==
                   std::variant_size_v<messages::message>);
@@ -259,8 +257,7 @@
 void control_host::start(storage::contents contents, bool joins, instant now)
 {
     now_ = now;
-    next_wish_ =
-        context_.settings.seeds.empty() ? never : now + wish_interval;
+    next_wish_ = context_.settings.seeds.empty() ? never : now + wish_interval;
     auto durable = to_durable(std::move(contents));
     bool const is_new = durable.base.members.voters.empty() &&
                         durable.entries.empty() && durable.hard.term == 0;
@@ -441,7 +438,8 @@
     reads_.erase(found);
     if (read.from.is_call)
     {
-        bool const is_certain = it.confirmed && state_->parts().rules_version > 0;
+        bool const is_certain =
+            it.confirmed && state_->parts().rules_version > 0;
         return outputs_.answer_call(
             read.from.id,
             {is_certain ? call_outcome::done : call_outcome::unavailable,
@@ -585,8 +583,7 @@
     if (!parts)
         return outputs_.failed(
             {storage::storage_errc::corrupted, "snapshot", 0, 0});
-    auto state =
-        control::control_state::restore(parts.value(), context_.rules);
+    auto state = control::control_state::restore(parts.value(), context_.rules);
     if (!state)
         return outputs_.failed(
             {storage::storage_errc::corrupted, "snapshot", 0, 0});
@@ -744,7 +741,8 @@
                   << " voters=" << member_->members().voters.size();
         return run((member_.get()->*step)(change->host, now_));
     }
-    // Hosts that an operator adds get their votes as soon as they can. One change is open at a time; the others follow at the next check.
+    // Hosts that an operator adds get their votes as soon as they can. One
+    // change is open at a time; the others follow at the next check.
     if (!member_->members().learners.empty())
         run(member_->promote(member_->members().learners.front(), now_));
 }
@@ -772,8 +770,8 @@
     }
     if (monitor_)
         for (auto const& it : monitor_->tick(now))
-            run(member_->propose(
-                messages::encode_command({{}, "monitor", it}), now_));
+            run(member_->propose(messages::encode_command({{}, "monitor", it}),
+                                 now_));
     if (limits_)
         limits_->tick(member_->leader_until(), now);
 }
@@ -783,8 +781,7 @@
     if (leader_ && !leader_inputs_.empty())
         return instant::min();
     auto const own = std::min({member_->next_deadline(), next_promotion_check_,
-                               next_wish_,
-                               placement_->next_deadline()});
+                               next_wish_, placement_->next_deadline()});
     if (!leader_)
         return own;
     return std::min({own, leader_->next_deadline(), limits_->next_deadline(),
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -196,8 +196,8 @@
         return instant::min();
     auto own = std::min(resends_.next(), drain_deadline_);
     if (serves_callers())
-        own = std::min(
-            {own, lease_->next_deadline(), limits_->next_deadline()});
+        own =
+            std::min({own, lease_->next_deadline(), limits_->next_deadline()});
     if (service_)
         own = std::min(own, service_->next_deadline());
     return host_ ? std::min(own, host_->next_deadline()) : own;
@@ -239,6 +239,8 @@
                            leader_patience)
         return;
     guessed_at_ = now;
+    // The connection may have gone silent while new ones work.
+    links_.give_up(known_hosts_[guess_]);
     guess_ = (guess_ + 1) % known_hosts_.size();
 }
 
--- a/packages/daemon/src/http_reader.cpp
+++ b/packages/daemon/src/http_reader.cpp
@@ -117,8 +117,7 @@
 http_request http_reader::take_request()
 {
     http_request out;
-    out.method =
-        http_method_str(static_cast<http_method>(parser_->method));
+    out.method = http_method_str(static_cast<http_method>(parser_->method));
     out.target = std::exchange(target_, {});
     out.headers = std::exchange(headers_, {});
     out.body = std::exchange(body_, {});
--- a/packages/daemon/src/http_server.cpp
+++ b/packages/daemon/src/http_server.cpp
@@ -108,11 +108,11 @@
 void http_server::accept(ACE_SOCK_Stream const& stream)
 {
     auto const id = ++last_id_;
-    connections_.emplace(
-        id, std::make_unique<http_connection>(
-                loop_, stream,
-                [this, id](http_request it) { received_(id, std::move(it)); },
-                [this, id] { closed_.push_back(id); }));
+    connections_.emplace(id, std::make_unique<http_connection>(
+                                 loop_, stream,
+                                 [this, id](http_request it)
+                                 { received_(id, std::move(it)); },
+                                 [this, id] { closed_.push_back(id); }));
 }
 
 void http_server::respond(exchange_id id, http_response const& it)
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -75,8 +75,7 @@
     auto const before = state_.revision();
     // Commands behind a gap would make a state that never was.
     if (!it.snapshot && it.after > before)
-        return to_leader_(
-            messages::subscribe{context_.settings.name, before});
+        return to_leader_(messages::subscribe{context_.settings.name, before});
     if (it.snapshot && it.snapshot->revision > before)
     {
         auto restored =
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -12,6 +12,13 @@
 
 constexpr char holder_prefix[] = "thread-";
 
+limits::rate_holder_settings holder_settings()
+{
+    limits::rate_holder_settings out;
+    out.least_reserve = 1;
+    return out;
+}
+
 std::size_t thread_of(daemon_name const& holder)
 {
     return std::stoul(holder.str().substr(sizeof(holder_prefix) - 1));
@@ -30,7 +37,7 @@
     std::function<void(messages::message const&)> to_leader,
     instant now)
     : context_(context), to_leader_(std::move(to_leader)),
-      rates_({}, context.settings.name, incarnation),
+      rates_(holder_settings(), context.settings.name, incarnation),
       threads_(limits::second_level_settings(), 1, now),
       shares_({}, context.settings.name, incarnation)
 {
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -45,10 +45,9 @@
     {
         auto const old = std::exchange(rules_, state.rules());
         for (auto const& [name, it] : rules_->workspaces)
-            rates_.configure(name, static_cast<std::int64_t>(it.rate),
-                             limits::tolerated_burst(it.rate, it.burst,
-                                                     tolerance_),
-                             now);
+            rates_.configure(
+                name, static_cast<std::int64_t>(it.rate),
+                limits::tolerated_burst(it.rate, it.burst, tolerance_), now);
         // A workspace without a rule has no rate.
         if (old)
             for (auto const& [name, it] : old->workspaces)
--- a/packages/daemon/src/line_backend.cpp
+++ b/packages/daemon/src/line_backend.cpp
@@ -48,9 +48,9 @@
 
 // Indexed by step.
 line_backend::step_handler const line_backend::step_handlers[] = {
-    &line_backend::end_start,     &line_backend::end_variable,
-    &line_backend::end_begin,     &line_backend::end_statement,
-    &line_backend::end_rollback,  &line_backend::end_position,
+    &line_backend::end_start,    &line_backend::end_variable,
+    &line_backend::end_begin,    &line_backend::end_statement,
+    &line_backend::end_rollback, &line_backend::end_position,
     &line_backend::end_status};
 
 line_backend::line_backend(event_loop& loop,
--- a/packages/daemon/src/line_caller.cpp
+++ b/packages/daemon/src/line_caller.cpp
@@ -54,11 +54,11 @@
 
 // Indexed by command_kind.
 line_caller::command_handler const line_caller::command_handlers[] = {
-    &line_caller::run_begin,    &line_caller::run_begin,
-    &line_caller::run_commit,   &line_caller::run_rollback,
-    &line_caller::run_read,     &line_caller::run_write,
-    &line_caller::run_set,      &line_caller::run_prepare,
-    &line_caller::run_prepare,  &line_caller::run_execute,
+    &line_caller::run_begin,      &line_caller::run_begin,
+    &line_caller::run_commit,     &line_caller::run_rollback,
+    &line_caller::run_read,       &line_caller::run_write,
+    &line_caller::run_set,        &line_caller::run_prepare,
+    &line_caller::run_prepare,    &line_caller::run_execute,
     &line_caller::run_deallocate, &line_caller::run_unknown};
 
 line_caller::line_caller(ACE_SOCK_Stream const& stream, line_codec const& codec)
@@ -299,7 +299,8 @@
     if (error != nullptr)
         codec_.append_error(out, *error);
     else
-        codec_.append_complete(out, std::get<backend_complete>(answer->outcome));
+        codec_.append_complete(out,
+                               std::get<backend_complete>(answer->outcome));
     bool const was_open = status_ != transaction_status::idle;
     bool const ends = current_.kind == command_kind::commit ||
                       current_.kind == command_kind::rollback;
--- a/packages/daemon/src/line_placement.cpp
+++ b/packages/daemon/src/line_placement.cpp
@@ -62,14 +62,14 @@
     {
         end(id);
     };
-    asked.position = std::make_unique<line_backend>(loop_, *adapter_.codec,
-                                                  std::move(it));
+    asked.position =
+        std::make_unique<line_backend>(loop_, *adapter_.codec, std::move(it));
     asked.position->open({{},
-                        server,
-                        entry.address,
-                        entry.group,
-                        workspace_name(settings_.name.str()),
-                        true});
+                          server,
+                          entry.address,
+                          entry.group,
+                          workspace_name(settings_.name.str()),
+                          true});
 }
 
 void line_placement::promote(control::promote const& order,
@@ -92,12 +92,12 @@
             // Anything but a clear answer leaves open whether the order is
             // carried out.
             if (it && (it->status == http_ok || it->status == http_conflict))
-                answered_(control::promotion_answered{
-                    order.server, order.term, it->status == http_ok});
+                answered_(control::promotion_answered{order.server, order.term,
+                                                      it->status == http_ok});
             end(id);
         });
     asked.order->start(*settings_.promotion_service,
-                     adapter_.calls->write_promotion(order, settings_.name));
+                       adapter_.calls->write_promotion(order, settings_.name));
 }
 
 void line_placement::tick(instant now)
--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/link_table.cpp
@@ -12,6 +12,10 @@
 // Pause between two attempts to reach a control host.
 constexpr duration reconnect_pause = std::chrono::milliseconds(100);
 
+// Time in which a connection opens. A host without power answers nothing, and
+// the attempt would hang for minutes.
+constexpr duration connect_limit = std::chrono::seconds(1);
+
 } // namespace
 
 consensus::host_name make_host_name(settings::control_host const& it)
@@ -62,10 +66,13 @@
                       messages::message const& it)
 {
     auto& row = outgoing_[to];
+    auto const now = read_clock();
     auto const link = links_.find(row.link);
-    if (link != links_.end())
+    if (link != links_.end() && !link->second->is_open() &&
+        row.next_attempt - reconnect_pause + connect_limit < now)
+        give_up(to);
+    else if (link != links_.end())
         return link->second->send(it);
-    auto const now = read_clock();
     if (now < row.next_attempt)
         return;
     row.next_attempt = now + reconnect_pause;
@@ -75,6 +82,19 @@
     opened->connect(address_of(to));
 }
 
+void link_table::give_up(consensus::host_name const& to)
+{
+    auto const row = outgoing_.find(to);
+    if (row == outgoing_.end())
+        return;
+    auto const link = links_.find(row->second.link);
+    if (link == links_.end())
+        return;
+    link->second->close();
+    closed_.push_back(row->second.link);
+    row->second.link = 0;
+}
+
 void link_table::send(link_id to, messages::message const& it)
 {
     auto const link = links_.find(to);
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -76,8 +76,7 @@
                    << context.settings.client_listen;
         return exit_failure;
     }
-    auto error =
-        control.start(FLAGS_join || !context.settings.first_start);
+    auto error = control.start(FLAGS_join || !context.settings.first_start);
     if (error != daemon::daemon_error::none)
     {
         LOG(ERROR) << "event=cannot_start code=" << static_cast<int>(error);
--- a/packages/daemon/src/message_link.cpp
+++ b/packages/daemon/src/message_link.cpp
@@ -22,10 +22,17 @@
 // Bytes that wait for a peer that does not read. A snapshot fits in.
 constexpr std::size_t send_limit = std::size_t{64} << 20U;
 
-void set_no_delay(ACE_SOCK_Stream& stream)
+// Time in milliseconds after which unacknowledged bytes end a link. Hosts send
+// to each other at least twice a second, so that a link which has gone silent
+// is opened anew soon.
+constexpr int unacknowledged_limit_ms = 1500;
+
+void set_options(ACE_SOCK_Stream& stream)
 {
     int on = 1;
     stream.set_option(IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    int limit = unacknowledged_limit_ms;
+    stream.set_option(IPPROTO_TCP, TCP_USER_TIMEOUT, &limit, sizeof(limit));
 }
 
 } // namespace
@@ -49,7 +56,7 @@
 {
     stream_ = stream;
     stream_.enable(ACE_NONBLOCK);
-    set_no_delay(stream_);
+    set_options(stream_);
     is_open_ = true;
     is_registered_ = true;
     loop_.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
@@ -79,7 +86,7 @@
     int n = sizeof(error);
     if (stream_.get_option(SOL_SOCKET, SO_ERROR, &error, &n) != 0 || error != 0)
         return lose();
-    set_no_delay(stream_);
+    set_options(stream_);
     is_open_ = true;
     observer_.opened();
 }
--- a/packages/daemon/src/postgresql_protocol.cpp
+++ b/packages/daemon/src/postgresql_protocol.cpp
@@ -96,8 +96,7 @@
         if (verb == traffic::statement_verb::begin_read_write)
             connection_.send(declare_read_only(statement), false);
         else
-            connection_.send(statement,
-                             verb == traffic::statement_verb::other);
+            connection_.send(statement, verb == traffic::statement_verb::other);
     }
 
     void ask_position() override
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -62,6 +62,23 @@
                                      "read_answer",
                                      "refused"};
 
+// Indexed by traffic::refusal_reason.
+constexpr std::array cause_names = {"unknown_route",
+                                    "key_withdrawn",
+                                    "workspace_not_allowed",
+                                    "session_state_unsupported",
+                                    "rate_exceeded",
+                                    "queue_full",
+                                    "deadline",
+                                    "no_lease",
+                                    "connection_lost",
+                                    "transaction_lost",
+                                    "superseded",
+                                    "not_replicated",
+                                    "draining"};
+
+static_assert(cause_names.size() ==
+              static_cast<std::size_t>(traffic::refusal_reason::draining) + 1);
 static_assert(decision_names.size() ==
               static_cast<std::size_t>(traffic::decision_kind::refuse) + 1);
 static_assert(reason_names.size() ==
@@ -73,10 +90,10 @@
 {
     auto const& adapter = context.adapter;
     context.rules = adapter.rules ? adapter.rules : make_rules_parser();
-    context.protocol = adapter.codec
-                           ? make_line_protocol(*adapter.codec)
-                           : make_postgresql_protocol(context.settings,
-                                                      context.credential);
+    context.protocol =
+        adapter.codec
+            ? make_line_protocol(*adapter.codec)
+            : make_postgresql_protocol(context.settings, context.credential);
 }
 
 client_listener::client_listener(
@@ -554,6 +571,15 @@
     record.session = static_cast<std::uint64_t>(it.session);
     if (it.server)
         record.server = *it.server;
+    if (it.refusal)
+    {
+        record.cause =
+            cause_names[static_cast<std::size_t>(it.refusal->reason)];
+        record.outcome =
+            it.refusal->outcome == traffic::refusal_outcome::unknown
+                ? "unknown"
+                : "not_run";
+    }
     if (auto const* client = find_client(record.session))
     {
         record.session_label = client->label();
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -26,8 +26,7 @@
         if (!it.is_removed)
             view.servers.emplace(
                 name, traffic::server_view{it.group, it.data_centre, it.address,
-                                           is_down(state, it),
-                                           it.is_leaving});
+                                           is_down(state, it), it.is_leaving});
 }
 
 void add_groups(control::control_state const& state,
--- /dev/null
+++ b/packages/daemon/test/link_test.cpp
@@ -0,0 +1,97 @@
+#include <basilreach/daemon/link_table.hpp>
+
+#include <doctest/doctest.h>
+
+#include <fstream>
+
+#include <ace/INET_Addr.h>
+#include <ace/SOCK_Acceptor.h>
+#include <sys/timerfd.h>
+#include <unistd.h>
+
+using namespace basilreach;
+using namespace basilreach::daemon;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+// Runs the loop until the peer has accepted a connection or the time is over.
+bool accepts(event_loop& loop, ACE_SOCK_Acceptor& peer, ACE_SOCK_Stream& stream)
+{
+    ACE_Time_Value const none(0, 0);
+    auto const end = read_clock() + 5s;
+    while (read_clock() < end)
+    {
+        ACE_Time_Value wait = none;
+        if (peer.accept(stream, nullptr, &wait) == 0)
+            return true;
+        loop.run_once(read_clock() + 10ms);
+    }
+    return false;
+}
+
+} // namespace
+
+// Guards against a connection that has gone silent and is used for ever, while
+// new ones to the same host would work.
+TEST_CASE("a link that is given up is opened anew")
+{
+    event_loop loop;
+    loop.reactor().owner(ACE_OS::thr_self());
+    link_table links(loop, [](link_id, messages::message const&) {});
+    ACE_SOCK_Acceptor peer(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
+    ACE_INET_Addr address;
+    REQUIRE(peer.get_local_addr(address) == 0);
+    consensus::host_name const host(
+        "a=127.0.0.1:" + std::to_string(address.get_port_number()));
+    links.send(host, messages::not_leader{});
+    ACE_SOCK_Stream first;
+    REQUIRE(accepts(loop, peer, first));
+    links.give_up(host);
+    links.remove_closed();
+    auto const end = read_clock() + 5s;
+    ACE_SOCK_Stream second;
+    ACE_Time_Value none(0, 0);
+    bool is_accepted = false;
+    while (!is_accepted && read_clock() < end)
+    {
+        links.send(host, messages::not_leader{});
+        loop.run_once(read_clock() + 10ms);
+        is_accepted = peer.accept(second, nullptr, &none) == 0;
+    }
+    CHECK(is_accepted);
+    first.close();
+    second.close();
+}
+
+// Guards against a host that wakes up after a suspension and believes in leases
+// that have ended: a clock that stands still meanwhile does not show it.
+TEST_CASE("the timer of an event loop counts the time of a suspension")
+{
+    event_loop loop;
+    std::string const clock =
+        "clockid: " + std::to_string(CLOCK_BOOTTIME);
+    bool has_timer = false;
+    for (int fd = 0; fd != 64; ++fd)
+    {
+        std::ifstream info("/proc/self/fdinfo/" + std::to_string(fd));
+        std::string line;
+        bool is_timer = false;
+        bool counts = false;
+        while (std::getline(info, line))
+        {
+            is_timer = is_timer || line.starts_with("clockid:");
+            counts = counts || line == clock;
+        }
+        has_timer = has_timer || is_timer;
+        CHECK(is_timer == counts);
+    }
+    CHECK(has_timer);
+    timespec time{};
+    clock_gettime(CLOCK_BOOTTIME, &time);
+    auto const now = instant(std::chrono::seconds(time.tv_sec) +
+                             std::chrono::nanoseconds(time.tv_nsec));
+    CHECK(read_clock() >= now);
+    CHECK(read_clock() < now + 10s);
+}
--- a/packages/daemon/test/update_feed_test.cpp
+++ b/packages/daemon/test/update_feed_test.cpp
@@ -80,10 +80,10 @@
     fixture f;
     constexpr std::size_t text_bytes = std::size_t{256} << 10U;
     for (std::uint64_t index = 1; index != 100; ++index)
-        f.feed.record(index, {{},
-                              "test",
-                              control::offer_rules{
-                                  index, std::string(text_bytes, 'x')}});
+        f.feed.record(
+            index, {{},
+                    "test",
+                    control::offer_rules{index, std::string(text_bytes, 'x')}});
     f.state.apply(99, {{}, "test", control::remove_daemon{daemon_name("d")}});
     f.feed.subscribe(1, 98);
     CHECK(f.feed.take(f.state)[0].second.commands.size() == 1);
--- a/packages/limits/include/basilreach/limits/rate_holder.hpp
+++ b/packages/limits/include/basilreach/limits/rate_holder.hpp
@@ -26,6 +26,11 @@
     duration idle_interval = std::chrono::milliseconds(500);
     // The reserve covers the use of this time.
     duration reserve_time = std::chrono::milliseconds(100);
+    // Tokens kept for a workspace that was used within recent_time, so that its
+    // next statement needs no round trip and none waits for the first grants
+    // of a new leader.
+    std::int64_t least_reserve = 0;
+    duration recent_time = std::chrono::seconds(10);
 
     friend auto operator<=>(rate_holder_settings const&,
                             rate_holder_settings const&) = default;
--- a/packages/limits/src/rate_holder.cpp
+++ b/packages/limits/src/rate_holder.cpp
@@ -227,7 +227,8 @@
         static_cast<double>(tokens) / demand_time;
     it.demand_at = now;
     it.used = true;
-    if (it.left / nanotokens < target(it, now) / 2)
+    // Rounded up: a reserve of one token is asked for when it is gone.
+    if (it.left / nanotokens < (target(it, now) + 1) / 2)
         it.asking = true;
     schedule(by_name_.at(it.workspace), it);
 }
@@ -236,8 +237,11 @@
 {
     auto const demand =
         it.demand * std::exp(-seconds(now - it.demand_at) / demand_time);
-    return static_cast<std::int64_t>(
+    auto const expected = static_cast<std::int64_t>(
         std::ceil(demand * seconds(settings_.reserve_time) - 0.05));
+    bool const is_recent =
+        demand > 0 && now < it.demand_at + settings_.recent_time;
+    return is_recent ? std::max(expected, settings_.least_reserve) : expected;
 }
 
 instant rate_holder::send_time(purse const& it) const
--- a/packages/limits/src/rate_tolerance.cpp
+++ b/packages/limits/src/rate_tolerance.cpp
@@ -15,8 +15,8 @@
                              std::uint64_t burst,
                              rate_tolerance const& it)
 {
-    auto const allowed = static_cast<double>(rate) * it.window +
-                         static_cast<double>(burst);
+    auto const allowed =
+        static_cast<double>(rate) * it.window + static_cast<double>(burst);
     auto const tolerated = allowed * it.overage + it.slack;
     return static_cast<std::int64_t>(burst) +
            static_cast<std::int64_t>(tolerated * used_share);
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -217,3 +217,47 @@
     now += std::chrono::seconds(3);
     CHECK(holder.available(workspace, now) > 0);
 }
+
+// Guards against statements that find no token after a change of leader,
+// although their workspace has been in use at this host.
+TEST_CASE("a workspace in use keeps its least reserve")
+{
+    basilreach::limits::rate_holder_settings settings;
+    settings.least_reserve = 1;
+    rate_holder it(settings, daemon_name("d"), 1);
+    workspace_name const w("w");
+    auto now = at_ms(1000);
+    it.add_workspace(w, now);
+    std::uint64_t granted = 0;
+    auto const grant = [&](std::int64_t tokens)
+    {
+        token_grant out;
+        out.workspace = w;
+        out.holder = daemon_name("d");
+        out.incarnation = 1;
+        out.id = {1, ++granted};
+        out.tokens = tokens;
+        out.lifetime = std::chrono::seconds(60);
+        out.echo = now;
+        it.receive(out, now);
+    };
+    (void)it.tick(now);
+    grant(1);
+    CHECK(it.spend(w, 1, now));
+    now += std::chrono::milliseconds(30);
+    auto const asked = it.tick(now);
+    REQUIRE(asked.size() == 1);
+    CHECK(asked[0].reserve >= 1);
+    grant(asked[0].reserve);
+    // Two seconds later the reserve is still there, and nothing more is asked.
+    now += std::chrono::seconds(2);
+    for (auto const& request : it.tick(now))
+    {
+        CHECK(request.reserve == 0);
+        CHECK(request.left >= 1);
+    }
+    // An unused workspace gives it back.
+    now += std::chrono::seconds(20);
+    for (auto const& request : it.tick(now))
+        CHECK(request.left == 0);
+}
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -57,9 +57,9 @@
         {6,
          {{},
           "",
-          control::announce_server{
-              server_name("s"), group_name("g"), data_centre_name("a"),
-              "127.0.0.1:1", 2, 3, control::server_role::primary, true}}});
+          control::announce_server{server_name("s"), group_name("g"),
+                                   data_centre_name("a"), "127.0.0.1:1", 2, 3,
+                                   control::server_role::primary, true}}});
     update.snapshot = example_parts();
     admin_reply reply{1, "", "", "SHOW", {"a"}, {{{"x"}}, {{"y"}}}};
     limits::token_request tokens;
--- a/packages/storage/src/identity.cpp
+++ b/packages/storage/src/identity.cpp
@@ -66,7 +66,8 @@
         return std::move(text.value());
     }
     BOOST_OUTCOME_TRY(write_and_sync(files, path(unfinished_name), fresh));
-    if (auto const it = files.rename(path(unfinished_name), path(identity_name));
+    if (auto const it =
+            files.rename(path(unfinished_name), path(identity_name));
         !it)
         return failed(it.error(), identity_name);
     if (auto const it = files.sync_directory(directory); !it)
--- a/packages/telemetry/include/basilreach/telemetry/decision_log.hpp
+++ b/packages/telemetry/include/basilreach/telemetry/decision_log.hpp
@@ -29,6 +29,9 @@
     route_name route;
     group_name group;
     server_name server;
+    // "not_run" or "unknown" for a refusal, with its cause.
+    char const* outcome = "";
+    char const* cause = "";
 
     friend bool operator==(decision_record const&,
                            decision_record const&) = default;
--- a/packages/telemetry/src/decision_log.cpp
+++ b/packages/telemetry/src/decision_log.cpp
@@ -47,6 +47,8 @@
     append(line, "group", it.group.str());
     append(line, "server", it.server.str());
     append(line, "reason", it.reason);
+    append(line, "outcome", it.outcome);
+    append(line, "cause", it.cause);
     return line;
 }
 
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -198,6 +198,8 @@
     decision_kind kind = decision_kind::route;
     decision_reason reason = decision_reason::refused;
     std::optional<server_name> server;
+    // Why and with which outcome the statement was refused.
+    std::optional<refuse> refusal{};
 
     friend bool operator==(log_decision const&, log_decision const&) = default;
 };
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -56,9 +56,8 @@
                 session_row const& session)
 {
     // Where the protocol tells where a transaction begins, it pays once.
-    bool const is_paid =
-        request.paid ||
-        (session.in_transaction && is_server_checked(s, request));
+    bool const is_paid = request.paid || (session.in_transaction &&
+                                          is_server_checked(s, request));
     if (!s.settings.limits_enabled || is_paid ||
         is_end_of_transaction(request.verb))
         return true;
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -107,8 +107,8 @@
 
 // Indexed by timer_kind.
 constexpr std::array<expiry, 8> expiries = {
-    expire_request,         expire_read_try,   expire_position_wait,
-    expire_token_wait,      expire_connection, expire_group_poll,
+    expire_request,          expire_read_try,     expire_position_wait,
+    expire_token_wait,       expire_connection,   expire_group_poll,
     expire_server_reconnect, expire_primary_retry};
 
 } // namespace
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -61,9 +61,8 @@
 }
 
 // Takes an idle connection that was opened for the workspace.
-std::optional<connection_id> take_idle(state const& s,
-                                       server_row& server,
-                                       workspace_name const& workspace)
+std::optional<connection_id>
+take_idle(state const& s, server_row& server, workspace_name const& workspace)
 {
     auto const it =
         std::find_if(server.idle.rbegin(), server.idle.rend(),
@@ -85,14 +84,14 @@
                         workspace_name const& workspace,
                         std::size_t needed)
 {
-    auto const opening = std::count_if(
-        server.connections.begin(), server.connections.end(),
-        [&](connection_id it)
-        {
-            auto const& row = *s.connections.find(it);
-            return row.state == connection_state::opening &&
-                   row.workspace == workspace;
-        });
+    auto const opening =
+        std::count_if(server.connections.begin(), server.connections.end(),
+                      [&](connection_id it)
+                      {
+                          auto const& row = *s.connections.find(it);
+                          return row.state == connection_state::opening &&
+                                 row.workspace == workspace;
+                      });
     for (auto n = static_cast<std::size_t>(opening); n < needed; ++n)
     {
         if (server.connections.size() >= server.share && !server.idle.empty())
@@ -128,8 +127,8 @@
         ++needed[workspace];
         server.unmatched.push_back(request_id);
     }
-    bool const may_open = !server.is_removed && !server.is_leaving &&
-                          s.now >= server.next_open;
+    bool const may_open =
+        !server.is_removed && !server.is_leaving && s.now >= server.next_open;
     if (may_open)
         for (auto const& [workspace, n] : needed)
             open_for_workspace(s, id, server, workspace, n);
@@ -185,9 +184,8 @@
         reroute_queued(s, id, *server);
 }
 
-statement_frame frame_of(state const& s,
-                         request_row const& request,
-                         session_row const& session)
+statement_frame
+frame_of(state const& s, request_row const& request, session_row const& session)
 {
     if (session.in_transaction || !is_server_checked(s, request))
         return statement_frame::none;
@@ -245,9 +243,9 @@
     if (is_retryable(*request, session.in_transaction.has_value()))
         s.timers.set({timer_kind::read_try, id},
                      s.now + s.settings.read_try_timeout);
-    s.actions.emplace_back(send_statement{
-        session.id, connection, frame_of(s, *request, session),
-        session.in_transaction ? std::nullopt : request->after});
+    s.actions.emplace_back(
+        send_statement{session.id, connection, frame_of(s, *request, session),
+                       session.in_transaction ? std::nullopt : request->after});
 }
 
 void ask_over(state& s, connection_id connection)
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -100,9 +100,8 @@
     row.opens = it.opens;
     row.arrived_at = s.now;
     auto const route = s.view->routes.find(session->route);
-    auto const timeout = route == s.view->routes.end()
-                             ? std::nullopt
-                             : route->second.timeout;
+    auto const timeout =
+        route == s.view->routes.end() ? std::nullopt : route->second.timeout;
     row.deadline = s.now + timeout.value_or(s.settings.request_timeout);
     auto const deadline = row.deadline;
     auto const request = s.requests.insert(std::move(row));
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -200,8 +200,8 @@
         return true;
     auto const& session = *s.sessions.find(request.session);
     // The server rolls an open transaction back with its connection.
-    bool const is_open = session.in_transaction ||
-                         request.opens != transaction_opening::none;
+    bool const is_open =
+        session.in_transaction || request.opens != transaction_opening::none;
     return !request.is_read && request.verb != statement_verb::read &&
            (!is_open || request.verb == statement_verb::commit);
 }
@@ -294,7 +294,11 @@
     auto const& request = *s.requests.find(id);
     if (request.was_sent)
         outcome = refusal_outcome::unknown;
-    note(s, id, decision_kind::refuse, decision_reason::refused);
+    auto const refused_session = s.sessions.find(request.session)->id;
+    s.actions.emplace_back(
+        log_decision{refused_session, request.number, decision_kind::refuse,
+                     decision_reason::refused, std::nullopt,
+                     refuse{refused_session, outcome, reason, close_session}});
     ++(outcome == refusal_outcome::not_run ? s.counts.refused_not_run
                                            : s.counts.outcome_unknown);
     auto* session = s.sessions.find(request.session);
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -42,10 +42,9 @@
     if (request.reads == rules::read_guarantee::latest || !request.max_age)
         return std::nullopt;
     auto const oldest = request.arrived_at - *request.max_age;
-    auto const sample =
-        std::find_if(group.samples.begin(), group.samples.end(),
-                     [oldest](primary_sample const& it)
-                     { return it.asked_at >= oldest; });
+    auto const sample = std::find_if(group.samples.begin(), group.samples.end(),
+                                     [oldest](primary_sample const& it)
+                                     { return it.asked_at >= oldest; });
     if (sample == group.samples.end())
         return std::nullopt;
     if (request.reads == rules::read_guarantee::bounded_age ||
@@ -183,11 +182,10 @@
                          server_row const& server,
                          workspace_name const& workspace)
 {
-    return std::any_of(server.idle.begin(), server.idle.end(),
-                       [&](connection_id id) {
-                           return s.connections.find(id)->workspace ==
-                                  workspace;
-                       });
+    return std::any_of(
+        server.idle.begin(), server.idle.end(),
+        [&](connection_id id)
+        { return s.connections.find(id)->workspace == workspace; });
 }
 
 // Chooses among all servers of a group that checks positions itself.
@@ -326,10 +324,10 @@
     auto const server =
         after ? choose_checked(s, request) : std::optional<server_row_id>{};
     if (!server)
-        return route_to_primary(s, id, request,
-                                after
-                                    ? decision_reason::primary_no_replica_qualifies
-                                    : decision_reason::primary_without_position);
+        return route_to_primary(
+            s, id, request,
+            after ? decision_reason::primary_no_replica_qualifies
+                  : decision_reason::primary_without_position);
     request.after = after;
     note(s, id, decision_kind::route, decision_reason::least_loaded_replica,
          server);
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -98,10 +98,9 @@
         it->push(event);
     }
 
-    send_statement
-    send(std::uint64_t id,
-         statement_verb verb,
-         transaction_opening opens = transaction_opening::none)
+    send_statement send(std::uint64_t id,
+                        statement_verb verb,
+                        transaction_opening opens = transaction_opening::none)
     {
         it->push(statement_received{session_id{id}, verb, opens});
         run();
--- a/packages/traffic/test/tokens_test.cpp
+++ b/packages/traffic/test/tokens_test.cpp
@@ -22,9 +22,8 @@
         view.keys.emplace(key_digest{1}, workspace_name("w"));
         view.workspaces.insert(workspace_name("w"));
         view.servers.emplace(server_name("s"),
-                             server_view{group_name("g"),
-                                         data_centre_name("a"), "127.0.0.1:1",
-                                         false, false});
+                             server_view{group_name("g"), data_centre_name("a"),
+                                         "127.0.0.1:1", false, false});
         view.groups.emplace(group_name("g"),
                             group_view{1, server_name("s"), 3});
         it.push(control_changed{std::make_shared<control_view>(view)});
