--- a/packages/daemon/test/deployment.hpp
+++ b/packages/daemon/test/deployment.hpp
@@ -13,10 +13,9 @@
 
 #include <libpq-fe.h>
 
-#include <basilreach/daemon/control_thread.hpp>
-#include <basilreach/daemon/traffic_thread.hpp>
+#include <daemon_process.hpp>
+
 #include <basilreach/stand_in/server_loop.hpp>
-#include <basilreach/telemetry/decision_log.hpp>
 
 namespace basilreach::daemon
 {
@@ -42,9 +41,6 @@
 std::string insert(std::string const& key);
 std::string increment(std::string const& key);
 
-// Polls a condition until it holds or ten seconds have passed.
-bool eventually(std::function<bool()> const& condition);
-
 // A simulated database group that runs in a thread.
 class group_process
 {
@@ -64,33 +60,6 @@
     client_ptr control_{nullptr, PQfinish};
 };
 
-// The threads of one daemon, put together as in main.cpp.
-class daemon_process
-{
-public:
-    explicit daemon_process(settings::daemon_settings settings);
-    ~daemon_process();
-    daemon_process(daemon_process const&) = delete;
-    daemon_process& operator=(daemon_process const&) = delete;
-
-    // Asks for a planned stop.
-    void request_stop();
-
-    // Waits for the end of a planned stop; returns what run() returned.
-    daemon_error wait();
-
-    // Ends the traffic threads without a drain, as a crash would.
-    void end_traffic();
-
-private:
-    telemetry::decision_log decisions_;
-    daemon_context context_;
-    std::unique_ptr<control_thread> control_;
-    std::vector<std::unique_ptr<traffic_thread>> threads_;
-    daemon_error error_ = daemon_error::none;
-    std::thread thread_;
-};
-
 // Three data centres with one daemon each and two database groups whose
 // servers are spread over them.
 class deployment
--- a/packages/daemon/test/line_session_test.cpp
+++ b/packages/daemon/test/line_session_test.cpp
@@ -19,8 +19,8 @@
     auto const changes =
         find_changes(held, {{"tz", "a"}}, prepared_shape{false, "q"});
     CHECK(changes.reset);
-    CHECK(changes.set == std::vector<std::pair<std::string, std::string>>{
-                             {"tz", "a"}});
+    CHECK(changes.set ==
+          std::vector<std::pair<std::string, std::string>>{{"tz", "a"}});
     CHECK(changes.prepare == prepared_shape{false, "q"});
     CHECK(apply(held, changes) ==
           connection_variables{{{"tz", "a"}}, {{false, "q"}}});
--- a/packages/daemon/test/link_test.cpp
+++ b/packages/daemon/test/link_test.cpp
@@ -43,8 +43,8 @@
     ACE_SOCK_Acceptor peer(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
     ACE_INET_Addr address;
     REQUIRE(peer.get_local_addr(address) == 0);
-    consensus::host_name const host(
-        "a=127.0.0.1:" + std::to_string(address.get_port_number()));
+    consensus::host_name const host("a=127.0.0.1:" +
+                                    std::to_string(address.get_port_number()));
     links.send(host, messages::not_leader{});
     ACE_SOCK_Stream first;
     REQUIRE(accepts(loop, peer, first));
@@ -70,8 +70,7 @@
 TEST_CASE("the timer of an event loop counts the time of a suspension")
 {
     event_loop loop;
-    std::string const clock =
-        "clockid: " + std::to_string(CLOCK_BOOTTIME);
+    std::string const clock = "clockid: " + std::to_string(CLOCK_BOOTTIME);
     bool has_timer = false;
     for (int fd = 0; fd != 64; ++fd)
     {
