traffic: Ask the primary for its position instead of sending it the reads

Cause: a read that found no recent position of its group's primary ran at the primary. While a primary was slow none of its positions was recent, all reads went to it, and it stayed overloaded after its own trouble was over. Ruled out: a lost primary (the log shows it chosen and serving), limits. Change: such a read waits for the answer to a begin and rollback of the proxy's own, which takes no slot and proves the lead; positions are asked for before the last one is too old. Reads of a stated age then run at any server.

--- a/packages/daemon/include/basilreach/daemon/backend_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/backend_connection.hpp
@@ -21,6 +21,17 @@
     std::unique_ptr<answer_payload> payload;
 };
 
+// The answer to a question for the position alone.
+struct position_answer
+{
+    // Absent when the server told none.
+    std::optional<log_position> position;
+    bool is_from_primary = false;
+
+    friend bool operator==(position_answer const&,
+                           position_answer const&) = default;
+};
+
 // What a connection reports to its owner. `lost` and `answered` may destroy the
 // connection's decision row, but not the connection itself.
 struct backend_observer
@@ -28,7 +39,7 @@
     std::function<void()> opened;
     std::function<void()> lost;
     std::function<void(backend_answer)> answered;
-    std::function<void(std::optional<log_position>)> position_read;
+    std::function<void(position_answer)> position_read;
 };
 
 // How a statement is to be sent.
@@ -59,8 +70,8 @@
     virtual void send(caller_connection const& caller,
                       statement_order const& order) = 0;
 
-    // Asks for the server's position alone.
-    virtual void ask_position() = 0;
+    // Asks for the server's position alone, and whether it leads its group.
+    virtual void ask_position(bool proves_lead) = 0;
 
     // Closes the connection; the observer hears nothing more.
     virtual void close() = 0;
--- a/packages/daemon/include/basilreach/daemon/line_backend.hpp
+++ b/packages/daemon/include/basilreach/daemon/line_backend.hpp
@@ -32,7 +32,7 @@
     void open(traffic::open_connection const& target) override;
     void send(caller_connection const& caller,
               statement_order const& order) override;
-    void ask_position() override;
+    void ask_position(bool proves_lead) override;
     void close() override;
 
     // Sends a status query alone; its row goes to the function.
@@ -51,6 +51,7 @@
         begin,
         statement,
         rollback,
+        probe,
         position,
         status
     };
@@ -80,6 +81,7 @@
     void end_begin();
     void end_statement();
     void end_rollback();
+    void end_probe();
     void end_position();
     void end_status();
 
@@ -108,6 +110,7 @@
     // The answer that is being read.
     line_answer reading_;
     bool is_from_primary_ = false;
+    std::optional<log_position> probed_position_;
     traffic::answer_proof proof_ = traffic::answer_proof::none;
     traffic::transaction_status status_ = traffic::transaction_status::idle;
     std::function<void(backend_row const&)> status_answered_;
--- a/packages/daemon/src/line_backend.cpp
+++ b/packages/daemon/src/line_backend.cpp
@@ -50,7 +50,8 @@
 line_backend::step_handler const line_backend::step_handlers[] = {
     &line_backend::end_start,    &line_backend::end_variable,
     &line_backend::end_begin,    &line_backend::end_statement,
-    &line_backend::end_rollback, &line_backend::end_position,
+    &line_backend::end_rollback, &line_backend::end_probe,
+    &line_backend::end_position,
     &line_backend::end_status};
 
 line_backend::line_backend(event_loop& loop,
@@ -322,17 +323,39 @@
 }
 
 // The answer to a reset tells the position and shows that the server answers.
-void line_backend::ask_position()
+// Only a primary begins a read-write transaction, which takes no slot.
+void line_backend::ask_position(bool proves_lead)
 {
-    held_ = {};
-    codec_.append_reset(socket_.out());
+    is_from_primary_ = false;
+    probed_position_.reset();
+    auto& out = socket_.out();
+    if (proves_lead)
+    {
+        codec_.append_begin(out, false, std::nullopt);
+        expect(step::probe);
+        codec_.append_rollback(out);
+    }
+    else
+    {
+        held_ = {};
+        codec_.append_reset(out);
+    }
     expect(step::position);
     write();
 }
 
+void line_backend::end_probe()
+{
+    is_from_primary_ =
+        !std::holds_alternative<backend_error>(reading_.outcome);
+    probed_position_ = reading_.ready.position;
+}
+
 void line_backend::end_position()
 {
-    observer_.position_read(reading_.ready.position);
+    observer_.position_read(
+        {probed_position_ ? probed_position_ : reading_.ready.position,
+         is_from_primary_ && probed_position_.has_value()});
 }
 
 void line_backend::ask_status(std::function<void(backend_row const&)> answered)
--- a/packages/daemon/src/postgresql_protocol.cpp
+++ b/packages/daemon/src/postgresql_protocol.cpp
@@ -58,7 +58,11 @@
     server_observer out;
     out.opened = std::move(it.opened);
     out.lost = std::move(it.lost);
-    out.position_read = std::move(it.position_read);
+    out.position_read = [position_read = std::move(it.position_read)](
+                            std::optional<log_position> position)
+    {
+        position_read({position, false});
+    };
     out.answered = [answered = std::move(it.answered)](server_answer answer)
     {
         answered(to_answer(std::move(answer)));
@@ -99,7 +103,7 @@
             connection_.send(statement, verb == traffic::statement_verb::other);
     }
 
-    void ask_position() override
+    void ask_position(bool /*proves_lead*/) override
     {
         connection_.ask_position();
     }
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -448,10 +448,11 @@
     {
         engine_.push(traffic::connection_failed{id});
     };
-    it.position_read = [this, id](std::optional<log_position> position)
+    it.position_read = [this, id](position_answer answer)
     {
-        if (position)
-            engine_.push(traffic::position_observed{id, *position});
+        if (answer.position)
+            engine_.push(traffic::position_observed{id, *answer.position,
+                                                    answer.is_from_primary});
         else
             engine_.push(traffic::connection_failed{id});
     };
@@ -511,7 +512,7 @@
 {
     auto const slot = servers_.find(it.connection);
     if (slot != servers_.end())
-        slot->second.connection->ask_position();
+        slot->second.connection->ask_position(it.proves_lead);
 }
 
 void traffic_thread::perform(traffic::relay_answer const& it)
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -69,6 +69,8 @@
 struct ask_position
 {
     connection_id connection;
+    // The server has to prove that it leads its group.
+    bool proves_lead = false;
 
     friend bool operator==(ask_position const&, ask_position const&) = default;
 };
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -60,6 +60,8 @@
     waiting_tokens,
     waiting_primary,
     waiting_position,
+    // For a position of the primary that is recent enough.
+    waiting_sample,
     queued,
     sent,
     held
@@ -175,6 +177,11 @@
     std::multimap<log_position, request_row_id> waiting_position;
     std::multimap<log_position, request_row_id> held;
     std::deque<primary_sample> samples;
+    // Reads that wait for a sample; rows that are gone are skipped.
+    std::deque<request_row_id> waiting_sample;
+    // The primary is to be asked for its position, or has been asked.
+    bool wants_probe = false;
+    bool is_probing = false;
     // Highest position of a write whose success was relayed.
     std::optional<log_position> acknowledged;
 };
@@ -293,7 +300,7 @@
 void send_request(state& s, request_row_id id, connection_id connection);
 
 // Sends a positions query alone over a connection that is not in use.
-void ask_over(state& s, connection_id connection);
+void ask_over(state& s, connection_id connection, bool proves_lead = false);
 
 // Whether the group's servers check positions and terms themselves.
 [[nodiscard]] bool is_server_checked(state const& s,
@@ -302,6 +309,9 @@
 // Whether a statement that was sent may have had an effect that lasts.
 [[nodiscard]] bool may_have_effect(state const& s, request_row const& request);
 
+// Routes the reads that wait for a position of the primary anew.
+void route_waiting_for_sample(state& s, group_row& group);
+
 // Adds a position of the primary that was asked for at a point in time.
 void add_primary_sample(state& s,
                         group_row& group,
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -136,6 +136,8 @@
 {
     connection_id connection;
     log_position position;
+    // The server proved that it led its group after the query was sent.
+    bool is_from_primary = false;
 
     friend bool operator==(position_observed const&,
                            position_observed const&) = default;
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -138,6 +138,8 @@
     group.term = term;
     group.primary = primary;
     group.primary_refused_until = instant{};
+    group.is_probing = false;
+    route_waiting_for_sample(s, group);
     if (primary)
         route_waiting_for_primary(s, group);
 }
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -11,11 +11,12 @@
 {
 
 // Indexed by request_state; says why a statement that was not sent is refused.
-constexpr std::array<refusal_reason, 8> reason_while = {
+constexpr std::array<refusal_reason, 9> reason_while = {
     refusal_reason::deadline,      refusal_reason::no_lease,
     refusal_reason::rate_exceeded, refusal_reason::deadline,
     refusal_reason::deadline,      refusal_reason::deadline,
-    refusal_reason::deadline,      refusal_reason::not_replicated};
+    refusal_reason::deadline,      refusal_reason::deadline,
+    refusal_reason::not_replicated};
 
 void expire_request(state& s, row_id id)
 {
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -102,9 +102,33 @@
     }
 }
 
+// Asks the primary for its position over any idle connection, before
+// statements take it. Without one the next that becomes idle is used.
+void probe_if_wanted(state& s, server_row_id id, server_row& server)
+{
+    auto& group = *s.groups.find(server.group);
+    if (!group.wants_probe || group.is_probing || group.primary != id)
+        return;
+    if (!server.idle.empty())
+    {
+        auto const connection = server.idle.back();
+        server.idle.pop_back();
+        group.wants_probe = false;
+        group.is_probing = true;
+        return ask_over(s, connection, true);
+    }
+    if (!server.connections.empty() || server.share == 0 ||
+        s.now < server.next_open || group.waiting_sample.empty())
+        return;
+    auto const* request = s.requests.find(group.waiting_sample.front());
+    if (request != nullptr)
+        open_one(s, id, server, s.sessions.find(request->session)->workspace);
+}
+
 // Matches statements with connections of their workspaces.
 void match_by_workspace(state& s, server_row_id id, server_row& server)
 {
+    probe_if_wanted(s, id, server);
     while (auto const request = server.queue->pop())
     {
         s.requests.find(*request)->queue_entry.reset();
@@ -248,14 +272,14 @@
                        session.in_transaction ? std::nullopt : request->after});
 }
 
-void ask_over(state& s, connection_id connection)
+void ask_over(state& s, connection_id connection, bool proves_lead)
 {
     auto* row = s.connections.find(connection);
     row->state = connection_state::asking;
     row->sent_at = s.now;
     s.timers.set({timer_kind::connection, connection},
                  s.now + s.settings.probe_timeout);
-    s.actions.emplace_back(ask_position{connection});
+    s.actions.emplace_back(ask_position{connection, proves_lead});
 }
 
 void make_idle(state& s, connection_id id)
@@ -282,7 +306,14 @@
     server->opening -= row->state == connection_state::opening ? 1 : 0;
     server->outstanding -= row->state == connection_state::busy ? 1 : 0;
     if (row->state == connection_state::asking)
+    {
         server->is_asked = false;
+        // Reads that wait for the answer need another one.
+        auto* group = s.groups.find(server->group);
+        if (group->primary == row->server &&
+            std::exchange(group->is_probing, false))
+            group->wants_probe = !group->waiting_sample.empty();
+    }
     remove_idle(*server, id);
     std::erase(server->connections, id);
     s.timers.erase({timer_kind::connection, id});
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -138,9 +138,19 @@
         return;
     auto const server = connection->server;
     auto const sent_at = connection->sent_at;
+    auto const group_id = s.servers.find(server)->group;
     s.servers.find(server)->is_asked = false;
     detail::make_idle(s, it.connection);
     detail::observe_position(s, server, it.position, sent_at);
+    auto* group = s.groups.find(group_id);
+    if (group->primary != server || !std::exchange(group->is_probing, false))
+        return;
+    if (it.is_from_primary)
+        return detail::add_primary_sample(s, *group, sent_at, it.position);
+    group->primary_refused_until = s.now + s.settings.primary_retry;
+    s.timers.set({detail::timer_kind::primary_retry, group_id},
+                 group->primary_refused_until);
+    detail::route_waiting_for_sample(s, *group);
 }
 
 void on(state& s, limits::token_grant const& it)
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -313,14 +313,50 @@
                          : decision_reason::primary_without_position);
 }
 
+// Asks the primary for its position, which takes none of its slots.
+void want_sample(state& s, group_row& group)
+{
+    group.wants_probe = true;
+    s.to_dispatch.push_back(*group.primary);
+}
+
+bool has_reachable_primary(state const& s, group_row const& group)
+{
+    return group.primary && takes_work(*s.servers.find(*group.primary)) &&
+           group.primary_refused_until <= s.now;
+}
+
+// Without a recent position of the primary, all reads went to the primary
+// itself. One that had been slow for a while never got out from under them.
+void wait_for_sample(state& s, request_row_id id, request_row& request)
+{
+    request.state = request_state::waiting_sample;
+    request.waited = true;
+    auto* group = s.groups.find(request.group);
+    group->waiting_sample.push_back(id);
+    want_sample(s, *group);
+    note(s, id, decision_kind::wait, decision_reason::position_not_reached);
+}
+
 // Routes a read in a group whose servers check positions themselves.
 void route_checked_read(state& s,
                         request_row_id id,
                         request_row& request,
                         session_row const& session)
 {
-    auto const& group = *s.groups.find(request.group);
+    auto& group = *s.groups.find(request.group);
     auto const after = required_position(group, request, session);
+    bool const uses_samples =
+        request.reads != rules::read_guarantee::latest && request.max_age;
+    if (uses_samples && has_reachable_primary(s, group))
+    {
+        if (!after && !request.waited)
+            return wait_for_sample(s, id, request);
+        // Replicas reach a position some milliseconds after it was observed.
+        if (group.samples.empty() ||
+            group.samples.back().asked_at + *request.max_age / 2 < s.now)
+            want_sample(s, group);
+    }
     auto const server =
         after ? choose_checked(s, request) : std::optional<server_row_id>{};
     if (!server)
@@ -424,6 +460,17 @@
     if (samples.empty() ||
         samples.back().asked_at + s.settings.poll_interval <= asked_at)
         add_sample(s, group, {asked_at, position});
+    group.wants_probe = false;
+    route_waiting_for_sample(s, group);
+}
+
+void route_waiting_for_sample(state& s, group_row& group)
+{
+    for (auto const id : std::exchange(group.waiting_sample, {}))
+        if (auto const* request = s.requests.find(id);
+            request != nullptr &&
+            request->state == request_state::waiting_sample)
+            s.to_route.push_back(id);
 }
 
 void observe_position(state& s,
