traffic, control: Bound second tries and changes of connections, renumber orders

Cause: at a group with slow servers each silent read was tried again after 400 ms on another connection, and idle connections were closed for other workspaces though each opening takes a slot; the group stayed overloaded after its trouble was over. Change: second tries take from a budget of a tenth of the answers; at a slow server a connection makes room for another workspace only every 250 ms; servers with a connection of the workspace go first. A leader orders under numbers that it has chosen itself and chooses anew for what it finds. Measured: two cases of traffic_test and one of control_test, which fail before.

--- a/packages/control/include/basilreach/control/leader.hpp
+++ b/packages/control/include/basilreach/control/leader.hpp
@@ -241,6 +241,8 @@
         std::map<server_name, log_position> positions;
         // The candidate's last answer and its term.
         std::optional<promotion_answered> answer;
+        // The term of the last choice that this leader has made.
+        std::uint64_t chosen_term = 0;
         // What was last sent, and when it is due to be sent again.
         std::optional<leader_output> sent;
         instant resend_at;
--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -172,6 +172,8 @@
         registrations_.erase(body->daemon);
     if (auto const* const body = std::get_if<remove_daemon>(&entry.entry.body))
         removals_.set(body->daemon, now);
+    if (auto const* const body = std::get_if<choose_primary>(&entry.entry.body))
+        promotions_[body->group].chosen_term = body->term;
     if (auto group = affected_group(state_, entry.entry.body))
         changed_groups_.insert(std::move(*group));
 }
@@ -450,7 +452,11 @@
     bool const has_answer = row.answer && row.answer->term == entry.term &&
                             row.answer->server == candidate;
     bool const is_refused = has_answer && !row.answer->ok;
-    if (can_serve(candidate) && !is_refused)
+    // An order under the number of another leader's could be carried out in
+    // both names. A new leader chooses anew, under a higher number.
+    bool const is_own = row.chosen_term == entry.term ||
+                        !state_.is_server_checked(group);
+    if (can_serve(candidate) && !is_refused && is_own)
     {
         // Answers to a query for the choice of this candidate must not count
         // for the choice of the next one.
--- a/packages/control/test/server_checked_test.cpp
+++ b/packages/control/test/server_checked_test.cpp
@@ -222,6 +222,25 @@
     CHECK(f.promoted[1].term > f.promoted[0].term);
 }
 
+// Guards against two hosts that order promotions under one number.
+TEST_CASE("a new leader repeats no order of the one before it")
+{
+    fixture f;
+    f.positions = {{server_name{"s2"}, 40}, {server_name{"s3"}, 41}};
+    f.apply(report_verdict{server_name{"s1"}, 1, verdict::down});
+    f.run();
+    REQUIRE(f.promoted.size() == 1);
+    f.leader.reset();
+    f.run();
+    REQUIRE(f.promoted.size() == 2);
+    CHECK(f.promoted[1].term > f.promoted[0].term);
+    // What it has ordered itself is sent again under the same number.
+    f.now += 300ms;
+    f.run();
+    REQUIRE(f.promoted.size() == 3);
+    CHECK(f.promoted[2].term == f.promoted[1].term);
+}
+
 // Guards against a group that stays without a primary after its primary left.
 TEST_CASE("a primary that leaves is replaced, also when it is gone already")
 {
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -154,6 +154,10 @@
     bool is_asked = false;
     instant next_ask;
     instant next_open;
+    // Until then no idle connection makes room for one of another workspace.
+    instant next_eviction;
+    // Moving average of the time from a statement to its answer.
+    duration answer_time{};
 };
 
 // What the primary's log position was at or after a point in time.
@@ -211,7 +215,8 @@
 struct state
 {
     explicit state(engine_settings it)
-        : settings(std::move(it)), tokens({}, settings.holder, 1)
+        : settings(std::move(it)), tokens({}, settings.holder, 1),
+          retry_budget(settings.retry_limit)
     {
     }
 
@@ -248,6 +253,8 @@
     deadline_queue<timer_key> timers;
     std::vector<action> actions;
     engine_counts counts;
+    // Second tries that are left; they grow with the answers.
+    double retry_budget = 0;
     std::uint64_t last_request_number = 0;
 
     [[nodiscard]] bool has_lease() const
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -57,6 +57,14 @@
     bool serves_without_lease = false;
     // Tries of one statement that servers have refused without running it.
     std::uint32_t max_tries = 4;
+    // Second tries of silent reads for each answer, and at most at once. Tries
+    // without a bound double the load of servers that are slow already.
+    double retry_share = 0.1;
+    double retry_limit = 10;
+    // A server that takes longer than this to answer is slow: opening another
+    // connection to it is then spaced out, as it takes a slot.
+    duration slow_answer = std::chrono::milliseconds(100);
+    duration eviction_pause = std::chrono::milliseconds(250);
     // Time after which a server that refused as "not the primary" is asked
     // again if no other primary has become known.
     duration primary_retry = std::chrono::milliseconds(100);
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -48,6 +48,10 @@
     auto const* request = s.requests.find(id);
     if (request == nullptr || request->state != request_state::sent)
         return;
+    // Without a budget the first try goes on until the statement's deadline.
+    if (is_server_checked(s, *request) && s.retry_budget < 1)
+        return;
+    s.retry_budget -= is_server_checked(s, *request) ? 1 : 0;
     ++s.counts.silent_connections;
     lose_connection(s, request->connection, refusal_reason::connection_lost);
 }
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -95,7 +95,14 @@
     for (auto n = static_cast<std::size_t>(opening); n < needed; ++n)
     {
         if (server.connections.size() >= server.share && !server.idle.empty())
+        {
+            if (s.now < server.next_eviction)
+                return s.timers.set({timer_kind::server_reconnect, id},
+                                    server.next_eviction);
+            if (server.answer_time > s.settings.slow_answer)
+                server.next_eviction = s.now + s.settings.eviction_pause;
             drop_connection(s, server.idle.front());
+        }
         if (server.connections.size() >= server.share)
             return;
         open_one(s, id, server, workspace);
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -225,6 +225,10 @@
     auto* server = s.servers.find(server_id);
     --server->outstanding;
     server->queue->record_service(1, s.now - sent_at);
+    // The weight averages over about the last 16 answers.
+    server->answer_time += (s.now - sent_at - server->answer_time) / 16;
+    s.retry_budget = std::min(s.retry_budget + s.settings.retry_share,
+                              s.settings.retry_limit);
     // From here the connection is counted by its new state.
     connection->state = connection_state::pinned;
     s.timers.erase({timer_kind::read_try, request_id});
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -175,17 +175,25 @@
 constexpr std::size_t far_penalty = 2;
 constexpr std::size_t primary_penalty = 2;
 
-// Opening a connection occupies a slot about as long as a statement does.
-constexpr std::size_t opening_penalty = 1;
+// Opening a connection occupies a slot for longer than most statements, and
+// takes one away from another workspace. A connection in use is soon free.
+constexpr std::size_t opening_penalty = 3;
+constexpr std::size_t busy_penalty = 1;
 
-bool has_idle_connection(state const& s,
-                         server_row const& server,
-                         workspace_name const& workspace)
+std::size_t connection_penalty(state const& s,
+                               server_row const& server,
+                               workspace_name const& workspace)
 {
-    return std::any_of(
-        server.idle.begin(), server.idle.end(),
-        [&](connection_id id)
-        { return s.connections.find(id)->workspace == workspace; });
+    auto const is_own = [&](connection_id id)
+    {
+        return s.connections.find(id)->workspace == workspace;
+    };
+    if (std::any_of(server.idle.begin(), server.idle.end(), is_own))
+        return 0;
+    return std::any_of(server.connections.begin(), server.connections.end(),
+                       is_own)
+               ? busy_penalty
+               : opening_penalty;
 }
 
 // Chooses among all servers of a group that checks positions itself.
@@ -198,14 +206,14 @@
     auto const rank = [&](server_row_id id)
     {
         auto const& it = *s.servers.find(id);
-        bool const must_open = !has_idle_connection(s, it, workspace);
+        auto const penalty = connection_penalty(s, it, workspace);
         auto const load =
             it.outstanding + it.queue->size() + it.unmatched.size() +
-            (must_open ? opening_penalty : 0) +
+            penalty +
             (it.data_centre != s.settings.data_centre ? far_penalty : 0) +
             (group.primary == id ? primary_penalty : 0);
         return std::tuple(it.next_open > s.now && it.idle.empty(), load,
-                          must_open, it.name);
+                          penalty, it.name);
     };
     for (auto const id : group.servers)
     {
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -248,6 +248,55 @@
     CHECK(at_primary < 5);
 }
 
+// Guards against second tries that double the load of slow servers.
+TEST_CASE("silent reads are tried again within a budget")
+{
+    fixture f(64);
+    f.open_session(1, "lookup");
+    f.open_session(2, "ledger");
+    f.write(2, {3, 10});
+    std::size_t tries = 0;
+    for (std::uint64_t id = 10; id != 40; ++id)
+    {
+        f.open_session(id, "lookup");
+        f.it->push(statement_received{session_id{id}, statement_verb::read});
+    }
+    f.run();
+    // No server answers; each timeout of 1 s would start another try.
+    for (int n = 0; n != 3; ++n)
+    {
+        f.now += 250ms;
+        f.run();
+        for (auto const& a : f.actions)
+            tries += std::holds_alternative<send_statement>(a) ? 1 : 0;
+    }
+    CHECK(tries <= 10);
+}
+
+// Guards against connections that are opened again and again at a server that
+// is slow already, where each takes a slot.
+TEST_CASE("connections change their workspace less often at a slow server")
+{
+    fixture f(1);
+    f.open_session(1, "ledger", 1);
+    f.open_session(2, "ledger", 2);
+    for (int n = 0; n != 5; ++n)
+    {
+        auto const sent = f.send(1, statement_verb::write);
+        f.now += 700ms;
+        f.answer(sent, {3, 10}, true);
+    }
+    // One change is made at once, the next one after a pause.
+    f.answer(f.send(2, statement_verb::write), {3, 11}, true);
+    f.it->push(statement_received{session_id{1}, statement_verb::write});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    CHECK_FALSE(f.find<open_connection>().has_value());
+    f.now += 250ms;
+    f.run();
+    CHECK(f.find<send_statement>().has_value());
+}
+
 TEST_CASE("reads wait for the next primary when the former one leads no more")
 {
     fixture f;
