--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -454,8 +454,8 @@
     bool const is_refused = has_answer && !row.answer->ok;
     // An order under the number of another leader's could be carried out in
     // both names. A new leader chooses anew, under a higher number.
-    bool const is_own = row.chosen_term == entry.term ||
-                        !state_.is_server_checked(group);
+    bool const is_own =
+        row.chosen_term == entry.term || !state_.is_server_checked(group);
     if (can_serve(candidate) && !is_refused && is_own)
     {
         // Answers to a query for the choice of this candidate must not count
--- a/packages/control/test/server_checked_test.cpp
+++ b/packages/control/test/server_checked_test.cpp
@@ -51,7 +51,7 @@
     command_answer apply(command_body body)
     {
         command const it{{}, "test", std::move(body)};
-        auto const answer = state.apply(++index, it);
+        auto answer = state.apply(++index, it);
         if (leader)
             leader->receive(committed{index, it, answer});
         return answer;
--- a/packages/daemon/src/http_reader.cpp
+++ b/packages/daemon/src/http_reader.cpp
@@ -18,7 +18,12 @@
                    std::string const& body)
 {
     for (auto const& [name, value] : headers)
-        out += name + ": " + value + "\r\n";
+    {
+        out += name;
+        out += ": ";
+        out += value;
+        out += "\r\n";
+    }
     out += "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n";
     out += body;
 }
--- a/packages/daemon/src/line_backend.cpp
+++ b/packages/daemon/src/line_backend.cpp
@@ -51,8 +51,7 @@
     &line_backend::end_start,    &line_backend::end_variable,
     &line_backend::end_begin,    &line_backend::end_statement,
     &line_backend::end_rollback, &line_backend::end_probe,
-    &line_backend::end_position,
-    &line_backend::end_status};
+    &line_backend::end_position, &line_backend::end_status};
 
 line_backend::line_backend(event_loop& loop,
                            line_codec const& codec,
@@ -346,8 +345,7 @@
 
 void line_backend::end_probe()
 {
-    is_from_primary_ =
-        !std::holds_alternative<backend_error>(reading_.outcome);
+    is_from_primary_ = !std::holds_alternative<backend_error>(reading_.outcome);
     probed_position_ = reading_.ready.position;
 }
 
--- a/packages/storage/src/identity.cpp
+++ b/packages/storage/src/identity.cpp
@@ -39,7 +39,7 @@
             return failed(it.error(), unfinished_name);
         return success();
     };
-    auto const done = write();
+    auto done = write();
     files.close(handle.value());
     return done;
 }
