--- a/packages/daemon/src/line_backend.cpp
+++ b/packages/daemon/src/line_backend.cpp
@@ -1,8 +1,9 @@
 #include <basilreach/daemon/line_backend.hpp>
 
-#include <array>
 #include <utility>
 
+#include <basilreach/daemon/statement_errors.hpp>
+
 namespace basilreach::daemon
 {
 
@@ -13,26 +14,6 @@
 using traffic::statement_frame;
 using traffic::transaction_status;
 
-// What an error proves of the statement. Indexed by statement_error.
-constexpr std::array error_proofs = {
-    answer_proof::not_run_busy,        // busy
-    answer_proof::none,                // aborted
-    answer_proof::not_run_behind,      // behind_position
-    answer_proof::not_run_not_primary, // not_primary
-    answer_proof::none,                // wrong_server
-    answer_proof::not_run_busy,        // too_many
-    answer_proof::none,                // in_doubt
-    answer_proof::none,                // timeout
-    answer_proof::none,                // failed
-    answer_proof::none,                // unknown_statement_name
-    answer_proof::none,                // unknown_database
-    answer_proof::none,                // unknown_key
-    answer_proof::none,                // malformed
-};
-
-static_assert(error_proofs.size() ==
-              static_cast<std::size_t>(statement_error::malformed) + 1);
-
 // A value that no session sets, so that the next use resets the connection.
 connection_variables unknown_variables()
 {
@@ -267,7 +248,7 @@
 {
     if (auto* error = std::get_if<backend_error>(&reading_.outcome))
     {
-        proof_ = error_proofs[static_cast<std::size_t>(error->code)];
+        proof_ = meaning_of(error->code).proof;
         answer_ = std::make_unique<line_answer>(std::move(reading_));
         if (status_ == transaction_status::idle)
             return finish();
@@ -284,7 +265,7 @@
     answer_ = std::make_unique<line_answer>(std::move(reading_));
     if (auto const* error = std::get_if<backend_error>(&answer_->outcome))
     {
-        proof_ = error_proofs[static_cast<std::size_t>(error->code)];
+        proof_ = meaning_of(error->code).proof;
         is_from_primary_ = false;
     }
     else if (pending_.is_write)
--- a/packages/daemon/src/line_caller.cpp
+++ b/packages/daemon/src/line_caller.cpp
@@ -1,15 +1,15 @@
 #include <basilreach/daemon/line_caller.hpp>
 
-#include <array>
 #include <utility>
 
+#include <basilreach/daemon/statement_errors.hpp>
+
 namespace basilreach::daemon
 {
 
 namespace
 {
 
-using traffic::refusal_reason;
 using traffic::statement_verb;
 using traffic::transaction_opening;
 using traffic::transaction_status;
@@ -18,34 +18,6 @@
 // them its connection is not read.
 constexpr std::size_t input_limit = std::size_t{4} << 20U;
 
-// What a caller is told when its statement certainly had no effect. Indexed by
-// traffic::refusal_reason.
-constexpr std::array not_run_errors = {
-    statement_error::unknown_database, // unknown_route
-    statement_error::unknown_key,      // key_withdrawn
-    statement_error::unknown_key,      // workspace_not_allowed
-    statement_error::malformed,        // session_state_unsupported
-    statement_error::too_many,         // rate_exceeded
-    statement_error::busy,             // queue_full
-    statement_error::busy,             // deadline
-    statement_error::busy,             // no_lease
-    statement_error::aborted,          // connection_lost
-    statement_error::aborted,          // transaction_lost
-    statement_error::not_primary,      // superseded
-    statement_error::aborted,          // not_replicated
-    statement_error::aborted,          // draining
-};
-
-static_assert(not_run_errors.size() ==
-              static_cast<std::size_t>(refusal_reason::draining) + 1);
-
-statement_error describe(traffic::refuse const& it)
-{
-    return it.outcome == traffic::refusal_outcome::unknown
-               ? statement_error::in_doubt
-               : not_run_errors[static_cast<std::size_t>(it.reason)];
-}
-
 } // namespace
 
 // Indexed by the alternatives of caller_message.
@@ -327,14 +299,14 @@
         return;
     answer_.reset();
     if (it.close_session)
-        return close_with(describe(it));
+        return close_with(error_for(it.reason, it.outcome));
     if (status_ != transaction_status::idle)
         leave_transaction(current_.kind == command_kind::commit ||
                                   current_.kind == command_kind::rollback
                               ? transaction_status::idle
                               : transaction_status::failed_transaction);
     phase_ = phase::ready;
-    codec_.append_error(socket_.out(), {describe(it), {}});
+    codec_.append_error(socket_.out(), {error_for(it.reason, it.outcome), {}});
     append_ready(std::nullopt);
     write();
     process();
--- /dev/null
+++ b/packages/daemon/src/statement_errors.cpp
@@ -0,0 +1,68 @@
+#include <basilreach/daemon/statement_errors.hpp>
+
+#include <array>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+using traffic::answer_proof;
+
+// Indexed by statement_error.
+constexpr std::array meanings = {
+    error_meaning{error_promise::not_kept, answer_proof::not_run_busy},
+    error_meaning{error_promise::not_kept, answer_proof::none},
+    error_meaning{error_promise::not_kept, answer_proof::not_run_behind},
+    error_meaning{error_promise::not_kept, answer_proof::not_run_not_primary},
+    error_meaning{error_promise::not_kept, answer_proof::none},
+    error_meaning{error_promise::not_kept, answer_proof::not_run_busy},
+    error_meaning{error_promise::unknown, answer_proof::none},
+    error_meaning{error_promise::unknown, answer_proof::none},
+    error_meaning{error_promise::ran, answer_proof::none},
+    error_meaning{error_promise::not_kept, answer_proof::none},
+    error_meaning{error_promise::not_kept, answer_proof::none},
+    error_meaning{error_promise::not_kept, answer_proof::none},
+    error_meaning{error_promise::not_kept, answer_proof::none}};
+
+static_assert(meanings.size() ==
+              static_cast<std::size_t>(statement_error::malformed) + 1);
+
+// Errors for statements that certainly had no effect. Indexed by
+// traffic::refusal_reason.
+constexpr std::array not_run_errors = {
+    statement_error::unknown_database, // unknown_route
+    statement_error::unknown_key,      // key_withdrawn
+    statement_error::unknown_key,      // workspace_not_allowed
+    statement_error::malformed,        // session_state_unsupported
+    statement_error::too_many,         // rate_exceeded
+    statement_error::busy,             // queue_full
+    statement_error::busy,             // deadline
+    statement_error::busy,             // no_lease
+    statement_error::aborted,          // connection_lost
+    statement_error::aborted,          // transaction_lost
+    statement_error::not_primary,      // superseded
+    statement_error::aborted,          // not_replicated
+    statement_error::aborted,          // draining
+};
+
+static_assert(not_run_errors.size() ==
+              static_cast<std::size_t>(traffic::refusal_reason::draining) + 1);
+
+} // namespace
+
+error_meaning meaning_of(statement_error code)
+{
+    return meanings[static_cast<std::size_t>(code)];
+}
+
+statement_error error_for(traffic::refusal_reason reason,
+                          traffic::refusal_outcome outcome)
+{
+    return outcome == traffic::refusal_outcome::unknown
+               ? statement_error::in_doubt
+               : not_run_errors[static_cast<std::size_t>(reason)];
+}
+
+} // namespace basilreach::daemon
--- /dev/null
+++ b/packages/daemon/test/statement_errors_test.cpp
@@ -0,0 +1,83 @@
+#include <basilreach/daemon/statement_errors.hpp>
+
+#include <doctest/doctest.h>
+
+#include <array>
+
+using namespace basilreach;
+using namespace basilreach::daemon;
+using traffic::answer_proof;
+using traffic::refusal_outcome;
+using traffic::refusal_reason;
+
+// Guards against an error that promises more than is known, and against a
+// statement that is tried again although it may have run.
+TEST_CASE("each error promises what the protocol says")
+{
+    struct row
+    {
+        statement_error code;
+        error_promise promise;
+        answer_proof proof;
+    };
+    constexpr auto not_kept = error_promise::not_kept;
+    constexpr auto none = answer_proof::none;
+    constexpr std::array rows = {
+        row{statement_error::busy, not_kept, answer_proof::not_run_busy},
+        row{statement_error::aborted, not_kept, none},
+        row{statement_error::behind_position, not_kept,
+            answer_proof::not_run_behind},
+        row{statement_error::not_primary, not_kept,
+            answer_proof::not_run_not_primary},
+        row{statement_error::wrong_server, not_kept, none},
+        row{statement_error::too_many, not_kept, answer_proof::not_run_busy},
+        row{statement_error::in_doubt, error_promise::unknown, none},
+        row{statement_error::timeout, error_promise::unknown, none},
+        row{statement_error::failed, error_promise::ran, none},
+        row{statement_error::unknown_statement_name, not_kept, none},
+        row{statement_error::unknown_database, not_kept, none},
+        row{statement_error::unknown_key, not_kept, none},
+        row{statement_error::malformed, not_kept, none},
+    };
+    CHECK(rows.size() ==
+          static_cast<std::size_t>(statement_error::malformed) + 1);
+    for (auto const& it : rows)
+    {
+        CAPTURE(static_cast<int>(it.code));
+        CHECK(meaning_of(it.code) == error_meaning{it.promise, it.proof});
+    }
+}
+
+TEST_CASE("each refusal becomes an error that promises no more than it does")
+{
+    struct row
+    {
+        refusal_reason reason;
+        statement_error code;
+    };
+    constexpr std::array rows = {
+        row{refusal_reason::unknown_route, statement_error::unknown_database},
+        row{refusal_reason::key_withdrawn, statement_error::unknown_key},
+        row{refusal_reason::workspace_not_allowed,
+            statement_error::unknown_key},
+        row{refusal_reason::session_state_unsupported,
+            statement_error::malformed},
+        row{refusal_reason::rate_exceeded, statement_error::too_many},
+        row{refusal_reason::queue_full, statement_error::busy},
+        row{refusal_reason::deadline, statement_error::busy},
+        row{refusal_reason::no_lease, statement_error::busy},
+        row{refusal_reason::connection_lost, statement_error::aborted},
+        row{refusal_reason::transaction_lost, statement_error::aborted},
+        row{refusal_reason::superseded, statement_error::not_primary},
+        row{refusal_reason::not_replicated, statement_error::aborted},
+        row{refusal_reason::draining, statement_error::aborted},
+    };
+    for (auto const& it : rows)
+    {
+        CAPTURE(static_cast<int>(it.reason));
+        CHECK(error_for(it.reason, refusal_outcome::not_run) == it.code);
+        CHECK(meaning_of(it.code).promise == error_promise::not_kept);
+        CHECK(error_for(it.reason, refusal_outcome::unknown) ==
+              statement_error::in_doubt);
+    }
+}
