daemon: Refuse as busy, not as an unknown route, before any rules are known

Ruled out: a control state that went back (revisions only grow in the logs). Change: until a daemon has rules, a startup of the line protocol is refused as busy, which is true and lets the caller try another host.

--- a/packages/daemon/include/basilreach/daemon/caller_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/caller_connection.hpp
@@ -51,6 +51,8 @@
     std::function<std::optional<client_identity>(
         std::string_view database, std::optional<std::string_view> key)>
         authenticate;
+    // Whether this daemon has learned any rules since it started.
+    std::function<bool()> has_rules;
     // Whether the database name is a route or the admin console.
     std::function<bool(std::string_view database)> is_known;
     // The client has been authenticated; the owner opens its session, perhaps
--- a/packages/daemon/src/line_caller.cpp
+++ b/packages/daemon/src/line_caller.cpp
@@ -122,6 +122,9 @@
     if (phase_ != phase::startup)
         return close_with(statement_error::malformed);
     auto const& start = std::get<session_start>(it);
+    // A daemon that has just started must not say that a route does not exist.
+    if (!owner_->has_rules())
+        return close_with(statement_error::busy);
     if (!owner_->is_known(start.database))
         return close_with(statement_error::unknown_database);
     auto identity = owner_->authenticate(
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -180,6 +180,10 @@
     {
         return authenticate(database, key);
     };
+    owner_.has_rules = [this]
+    {
+        return view_->has_rules;
+    };
     owner_.is_known = [this](std::string_view database)
     {
         return database == rules::admin_console_name ||
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -61,6 +61,7 @@
 {
     auto view = std::make_shared<traffic::control_view>();
     view->revision = state.revision();
+    view->has_rules = state.parts().rules_version > 0;
     view->routes = state.rules()->routes;
     view->keys = state.rules()->keys;
     for (auto const& [name, rule] : state.rules()->workspaces)
--- a/packages/traffic/include/basilreach/traffic/control_view.hpp
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -46,6 +46,8 @@
 struct control_view
 {
     std::uint64_t revision = 0;
+    // Without rules nothing is known of any route or key.
+    bool has_rules = false;
     std::map<route_name, rules::route_rule> routes;
     std::map<key_digest, workspace_name> keys;
     std::set<workspace_name> workspaces;
