limits, traffic: Bound what is outstanding at a full server and what is spent on opening connections

A trace of each connection shows that its three servers opened 111 connections a second each (27 ms a connection, three slots: all that they have), so that every statement was refused as busy, and each refusal made room for one more connection of another workspace. Refusals arrive within 2 ms and counted as fast answers, which switched off the spacing of connections at slow servers. Ruled out: retries of callers (the load before the fault was served), shares (they were the same before and after), one slow server (answers of the other groups were as fast as ever). Change: each server has a window of outstanding statements, which halves when the server is full, and a budget of connections to be opened, refilled by the time that one takes. Statements stay in the fair queue until they are sent, and the queue's estimate uses the window and the time of real answers only. A connection that was used in the last 10 s counts as wanted, so that shares cover it. The queue of statements without a connection is gone.

--- a/packages/limits/include/basilreach/limits/fair_queue.hpp
+++ b/packages/limits/include/basilreach/limits/fair_queue.hpp
@@ -46,7 +46,8 @@
 class fair_queue
 {
 public:
-    explicit fair_queue(fair_queue_settings settings) : settings_(settings)
+    explicit fair_queue(fair_queue_settings settings)
+        : settings_(settings), slots_(settings.slots)
     {
     }
 
@@ -89,6 +90,31 @@
         return take(id, entries_.find(id)->cost);
     }
 
+    // Removes and returns the next entry among the workspaces that can be
+    // served now, if any waits.
+    template <class Predicate>
+    std::optional<Entry> pop_if(Predicate can_serve)
+    {
+        auto const next = std::find_if(heads_.begin(), heads_.end(),
+                                       [&](head const& it)
+                                       { return can_serve(it.workspace); });
+        if (next == heads_.end())
+            return std::nullopt;
+        auto& it = workspaces_.at(next->workspace);
+        auto const id = it.waiting.front();
+        virtual_time_ = std::max(virtual_time_, it.start);
+        return take(id, entries_.find(id)->cost);
+    }
+
+    // Calls f(workspace, number of its entries) for each workspace with
+    // entries, in the order in which they are served.
+    template <class Function>
+    void for_each_workspace(Function f) const
+    {
+        for (auto const& it : heads_)
+            f(it.workspace, workspaces_.at(it.workspace).waiting.size());
+    }
+
     // Removes an entry that need not be served; returns it if it still waits.
     std::optional<Entry> erase(row_id id)
     {
@@ -115,6 +141,12 @@
         time_per_cost_ += (sample - time_per_cost_) / 32;
     }
 
+    // Sets the number of entries that are served at the same time.
+    void set_slots(double slots)
+    {
+        slots_ = slots;
+    }
+
     // Returns the wait expected of an entry that a workspace queues now.
     [[nodiscard]] duration estimated_wait(workspace_name const& workspace) const
     {
@@ -196,11 +228,12 @@
     {
         auto const active = heads_.size() + (it.waiting.empty() ? 1 : 0);
         auto const ahead = std::min(cost_, it.cost * active);
-        return duration(static_cast<duration::rep>(
-            static_cast<double>(ahead) * time_per_cost_ / settings_.slots));
+        return duration(static_cast<duration::rep>(static_cast<double>(ahead) *
+                                                   time_per_cost_ / slots_));
     }
 
     fair_queue_settings settings_;
+    double slots_;
     table<row> entries_;
     std::map<workspace_name, backlog> workspaces_;
     std::set<head> heads_;
--- /dev/null
+++ b/packages/limits/src/connection_pacer.cpp
@@ -0,0 +1,64 @@
+#include <basilreach/limits/connection_pacer.hpp>
+
+#include <algorithm>
+
+namespace basilreach::limits
+{
+
+namespace
+{
+
+// The average runs over about this many openings: few, as a server that fills
+// up must be noticed soon.
+constexpr int averaged_openings = 4;
+
+} // namespace
+
+connection_pacer::connection_pacer(pacer_settings settings)
+    : settings_(settings), left_(settings.burst)
+{
+}
+
+bool connection_pacer::may_open(instant now) const
+{
+    return budget(now) >= 1;
+}
+
+instant connection_pacer::next_open() const
+{
+    auto const missing = std::max(1 - left_, 0.0);
+    return updated_ +
+           std::chrono::ceil<duration>(
+               missing *
+               std::chrono::duration<double, duration::period>(interval()));
+}
+
+void connection_pacer::record_start(instant now)
+{
+    left_ = std::max(budget(now) - 1, 0.0);
+    updated_ = now;
+}
+
+void connection_pacer::record_open(duration time, instant now)
+{
+    left_ = budget(now);
+    updated_ = now;
+    open_time_ += (time - open_time_) / averaged_openings;
+}
+
+double connection_pacer::budget(instant now) const
+{
+    auto const time = interval();
+    if (time <= duration{})
+        return settings_.burst;
+    auto const refilled = static_cast<double>((now - updated_).count()) /
+                          static_cast<double>(time.count());
+    return std::min(left_ + refilled, settings_.burst);
+}
+
+duration connection_pacer::interval() const
+{
+    return open_time_ * settings_.spacing;
+}
+
+} // namespace basilreach::limits
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -13,6 +13,8 @@
 
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/base/table.hpp>
+#include <basilreach/limits/concurrency_window.hpp>
+#include <basilreach/limits/connection_pacer.hpp>
 #include <basilreach/limits/fair_queue.hpp>
 #include <basilreach/limits/rate_holder.hpp>
 #include <basilreach/traffic/action.hpp>
@@ -123,8 +125,9 @@
     std::optional<request_row_id> request;
     // The session whose transaction the connection is bound to.
     std::optional<session_row_id> pinned_by;
-    // When the last message was sent.
+    // When the last message was sent, and the last statement.
     instant sent_at;
+    instant used_at;
 };
 
 struct server_row
@@ -145,9 +148,6 @@
     // Statements that wait for a connection, served fairly among workspaces.
     // Behind a pointer, because its entries must not move with the row.
     std::unique_ptr<limits::fair_queue<request_row_id>> queue;
-    // Statements taken from the queue that wait for a connection of their
-    // workspace; rows that are gone or have moved on are skipped.
-    std::deque<request_row_id> unmatched;
     std::uint32_t opening = 0;
     // Statements sent to the server and not answered.
     std::uint32_t outstanding = 0;
@@ -156,8 +156,8 @@
     instant next_open;
     // Until then no idle connection makes room for one of another workspace.
     instant next_eviction;
-    // Moving average of the time from a statement to its answer.
-    duration answer_time{};
+    limits::concurrency_window window;
+    limits::connection_pacer pacer;
 };
 
 // What the primary's log position was at or after a point in time.
@@ -300,8 +300,21 @@
 void close_idle_session(state& s, session_row_id id, refusal_reason reason);
 
 // Takes the statements that wait for a connection to a server.
-std::vector<request_row_id>
-take_waiting(state& s, server_row_id id, server_row& server);
+std::vector<request_row_id> take_waiting(state& s, server_row& server);
+
+// Opens a connection to a server, for one workspace where the server is told
+// the workspace.
+void open_one(state& s,
+              server_row_id id,
+              server_row& server,
+              workspace_name const& workspace = {});
+
+// A statement may have waited since its admission; its key must still be
+// certain at the moment it is sent. Returns whether it waits for a lease now.
+bool lost_lease(state& s, request_row_id id);
+
+// Matches statements with connections of their workspaces.
+void match_by_workspace(state& s, server_row_id id, server_row& server);
 
 // Sends a request's statement over a connection.
 void send_request(state& s, request_row_id id, connection_id connection);
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -65,6 +65,9 @@
     // connection to it is then spaced out, as it takes a slot.
     duration slow_answer = std::chrono::milliseconds(100);
     duration eviction_pause = std::chrono::milliseconds(250);
+    // Time without a statement after which a connection of one workspace may
+    // be given up to another daemon.
+    duration keep_idle = std::chrono::seconds(10);
     // Time after which a server that refused as "not the primary" is asked
     // again if no other primary has become known.
     duration primary_retry = std::chrono::milliseconds(100);
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -61,7 +61,7 @@
 // Moves requests that wait for a server that must get no new work.
 void requeue_waiting(state& s, server_row_id server_id)
 {
-    for (auto const id : take_waiting(s, server_id, *s.servers.find(server_id)))
+    for (auto const id : take_waiting(s, *s.servers.find(server_id)))
     {
         s.requests.find(id)->state = request_state::arrived;
         s.to_route.push_back(id);
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -9,41 +9,6 @@
 namespace
 {
 
-void open_one(state& s,
-              server_row_id id,
-              server_row& server,
-              workspace_name const& workspace = {})
-{
-    auto const& group = *s.groups.find(server.group);
-    connection_row row;
-    row.server = id;
-    row.read_only = group.primary != id;
-    row.workspace = workspace;
-    row.sent_at = s.now;
-    auto const connection = s.connections.insert(row);
-    server.connections.push_back(connection);
-    ++server.opening;
-    s.timers.set({timer_kind::connection, connection},
-                 s.now + s.settings.probe_timeout);
-    s.actions.emplace_back(open_connection{connection, server.name,
-                                           server.address, group.name,
-                                           workspace, row.read_only});
-}
-
-// A statement may have waited since its admission; its key must still be
-// certain at the moment it is sent.
-bool lost_lease(state& s, request_row_id id)
-{
-    auto* request = s.requests.find(id);
-    if (!s.sessions.find(request->session)->key || s.has_lease() ||
-        s.settings.serves_without_lease)
-        return false;
-    request->state = request_state::waiting_lease;
-    s.waiting_lease.push_back(id);
-    note(s, id, decision_kind::wait, decision_reason::lease_missing);
-    return true;
-}
-
 void send_queued(state& s, server_row& server)
 {
     while (!server.idle.empty())
@@ -60,112 +25,6 @@
     }
 }
 
-// Takes an idle connection that was opened for the workspace.
-std::optional<connection_id>
-take_idle(state const& s, server_row& server, workspace_name const& workspace)
-{
-    auto const it =
-        std::find_if(server.idle.rbegin(), server.idle.rend(),
-                     [&](connection_id id) {
-                         return s.connections.find(id)->workspace == workspace;
-                     });
-    if (it == server.idle.rend())
-        return std::nullopt;
-    auto const id = *it;
-    server.idle.erase(std::next(it).base());
-    return id;
-}
-
-// Opens connections for statements of a workspace. When the server's share is
-// used up, an idle connection of another workspace makes room.
-void open_for_workspace(state& s,
-                        server_row_id id,
-                        server_row& server,
-                        workspace_name const& workspace,
-                        std::size_t needed)
-{
-    auto const opening =
-        std::count_if(server.connections.begin(), server.connections.end(),
-                      [&](connection_id it)
-                      {
-                          auto const& row = *s.connections.find(it);
-                          return row.state == connection_state::opening &&
-                                 row.workspace == workspace;
-                      });
-    for (auto n = static_cast<std::size_t>(opening); n < needed; ++n)
-    {
-        if (server.connections.size() >= server.share && !server.idle.empty())
-        {
-            if (s.now < server.next_eviction)
-                return s.timers.set({timer_kind::server_reconnect, id},
-                                    server.next_eviction);
-            if (server.answer_time > s.settings.slow_answer)
-                server.next_eviction = s.now + s.settings.eviction_pause;
-            drop_connection(s, server.idle.front());
-        }
-        if (server.connections.size() >= server.share)
-            return;
-        open_one(s, id, server, workspace);
-    }
-}
-
-// Asks the primary for its position over any idle connection, before
-// statements take it. Without one the next that becomes idle is used.
-void probe_if_wanted(state& s, server_row_id id, server_row& server)
-{
-    auto& group = *s.groups.find(server.group);
-    if (!group.wants_probe || group.is_probing || group.primary != id)
-        return;
-    if (!server.idle.empty())
-    {
-        auto const connection = server.idle.back();
-        server.idle.pop_back();
-        group.wants_probe = false;
-        group.is_probing = true;
-        return ask_over(s, connection, true);
-    }
-    if (!server.connections.empty() || server.share == 0 ||
-        s.now < server.next_open || group.waiting_sample.empty())
-        return;
-    auto const* request = s.requests.find(group.waiting_sample.front());
-    if (request != nullptr)
-        open_one(s, id, server, s.sessions.find(request->session)->workspace);
-}
-
-// Matches statements with connections of their workspaces.
-void match_by_workspace(state& s, server_row_id id, server_row& server)
-{
-    probe_if_wanted(s, id, server);
-    while (auto const request = server.queue->pop())
-    {
-        s.requests.find(*request)->queue_entry.reset();
-        server.unmatched.push_back(*request);
-    }
-    std::map<workspace_name, std::size_t> needed;
-    for (auto const request_id : std::exchange(server.unmatched, {}))
-    {
-        auto const* request = s.requests.find(request_id);
-        bool const waits_here = request != nullptr && request->server == id &&
-                                request->state == request_state::queued;
-        if (!waits_here || lost_lease(s, request_id))
-            continue;
-        auto const& workspace = s.sessions.find(request->session)->workspace;
-        if (auto const connection = take_idle(s, server, workspace))
-        {
-            send_request(s, request_id, *connection);
-            continue;
-        }
-        ++needed[workspace];
-        server.unmatched.push_back(request_id);
-    }
-    bool const may_open =
-        !server.is_removed && !server.is_leaving && s.now >= server.next_open;
-    if (may_open)
-        for (auto const& [workspace, n] : needed)
-            open_for_workspace(s, id, server, workspace, n);
-    s.to_report.push_back(id);
-}
-
 // Connections that positions queries need beyond those that are open.
 std::size_t polls_needed(state const& s, server_row const& server)
 {
@@ -175,6 +34,21 @@
     return is_polled && server.connections.empty() ? 1 : 0;
 }
 
+// Idle connections that are worth keeping: each serves one workspace only, and
+// opening one again costs the server more than most statements.
+std::size_t recently_used(state const& s, server_row const& server)
+{
+    if (s.groups.find(server.group)->checked_by !=
+        rules::position_check::server)
+        return 0;
+    auto const is_recent = [&s](connection_id id)
+    {
+        return s.now - s.connections.find(id)->used_at < s.settings.keep_idle;
+    };
+    return static_cast<std::size_t>(
+        std::count_if(server.idle.begin(), server.idle.end(), is_recent));
+}
+
 void open_needed(state& s, server_row_id id, server_row& server)
 {
     if (server.is_removed || server.is_leaving || s.now < server.next_open)
@@ -196,7 +70,7 @@
 // server. This is a retry of these statements and no verdict on the server.
 void reroute_queued(state& s, server_row_id id, server_row& server)
 {
-    for (auto const request_id : take_waiting(s, id, server))
+    for (auto const request_id : take_waiting(s, server))
     {
         auto* request = s.requests.find(request_id);
         if (request->is_read && !request->at_primary)
@@ -239,8 +113,43 @@
 
 } // namespace
 
-std::vector<request_row_id>
-take_waiting(state& s, server_row_id id, server_row& server)
+void open_one(state& s,
+              server_row_id id,
+              server_row& server,
+              workspace_name const& workspace)
+{
+    auto const& group = *s.groups.find(server.group);
+    connection_row row;
+    row.server = id;
+    row.read_only = group.primary != id;
+    row.workspace = workspace;
+    row.sent_at = s.now;
+    auto const connection = s.connections.insert(row);
+    server.connections.push_back(connection);
+    ++server.opening;
+    server.pacer.record_start(s.now);
+    s.timers.set({timer_kind::connection, connection},
+                 s.now + s.settings.probe_timeout);
+    s.actions.emplace_back(open_connection{connection, server.name,
+                                           server.address, group.name,
+                                           workspace, row.read_only});
+}
+
+// A statement may have waited since its admission; its key must still be
+// certain at the moment it is sent.
+bool lost_lease(state& s, request_row_id id)
+{
+    auto* request = s.requests.find(id);
+    if (!s.sessions.find(request->session)->key || s.has_lease() ||
+        s.settings.serves_without_lease)
+        return false;
+    request->state = request_state::waiting_lease;
+    s.waiting_lease.push_back(id);
+    note(s, id, decision_kind::wait, decision_reason::lease_missing);
+    return true;
+}
+
+std::vector<request_row_id> take_waiting(state& s, server_row& server)
 {
     std::vector<request_row_id> out;
     while (auto const request = server.queue->pop())
@@ -248,13 +157,6 @@
         s.requests.find(*request)->queue_entry.reset();
         out.push_back(*request);
     }
-    for (auto const request_id : std::exchange(server.unmatched, {}))
-    {
-        auto const* request = s.requests.find(request_id);
-        if (request != nullptr && request->server == id &&
-            request->state == request_state::queued)
-            out.push_back(request_id);
-    }
     return out;
 }
 
@@ -269,7 +171,10 @@
     request->state = request_state::sent;
     request->was_sent = true;
     request->connection = connection;
-    ++s.servers.find(row->server)->outstanding;
+    auto* server = s.servers.find(row->server);
+    ++server->outstanding;
+    server->window.record_send(s.now);
+    row->used_at = s.now;
     s.timers.erase({timer_kind::connection, connection});
     if (is_retryable(*request, session.in_transaction.has_value()))
         s.timers.set({timer_kind::read_try, id},
@@ -324,7 +229,7 @@
     remove_idle(*server, id);
     std::erase(server->connections, id);
     s.timers.erase({timer_kind::connection, id});
-    if (!server->queue->empty() || !server->unmatched.empty())
+    if (!server->queue->empty())
         s.to_dispatch.push_back(row->server);
     s.to_report.push_back(row->server);
     s.connections.erase(id);
@@ -399,8 +304,8 @@
             static_cast<std::uint32_t>(server->connections.size());
         auto const busy = open - server->idle.size() - server->opening;
         auto const wanted = static_cast<std::uint32_t>(
-            busy + std::max(server->queue->size() + server->unmatched.size(),
-                            polls_needed(s, *server)));
+            busy + recently_used(s, *server) +
+            std::max(server->queue->size(), polls_needed(s, *server)));
         if (open == server->reported_open && wanted == server->reported_wanted)
             continue;
         server->reported_open = open;
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -117,6 +117,7 @@
         return;
     auto* server = s.servers.find(connection->server);
     --server->opening;
+    server->pacer.record_open(s.now - connection->sent_at, s.now);
     ++s.counts.connections_opened;
     detail::make_idle(s, it.connection);
 }
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -181,6 +181,23 @@
     relay_request(s, id);
 }
 
+// A refusal takes the server no time: counted as an answer it would make a
+// server that is full look fast.
+void record_answer(state const& s,
+                   server_row& server,
+                   instant sent_at,
+                   answer_proof proof)
+{
+    auto const outstanding = server.outstanding--;
+    if (proof == answer_proof::not_run_busy)
+        server.window.record_refusal(sent_at, s.now);
+    if (proof != answer_proof::none)
+        return;
+    server.queue->record_service(1, s.now - sent_at);
+    server.window.record_answer(outstanding, s.now - sent_at);
+    server.queue->set_slots(server.window.size());
+}
+
 void finish_request(state& s, request_row_id id)
 {
     auto const session_id = s.requests.find(id)->session;
@@ -223,10 +240,7 @@
     auto const server_id = connection->server;
     connection->request.reset();
     auto* server = s.servers.find(server_id);
-    --server->outstanding;
-    server->queue->record_service(1, s.now - sent_at);
-    // The weight averages over about the last 16 answers.
-    server->answer_time += (s.now - sent_at - server->answer_time) / 16;
+    record_answer(s, *server, sent_at, it.proof);
     s.retry_budget = std::min(s.retry_budget + s.settings.retry_share,
                               s.settings.retry_limit);
     // From here the connection is counted by its new state.
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -208,7 +208,7 @@
         auto const& it = *s.servers.find(id);
         auto const penalty = connection_penalty(s, it, workspace);
         auto const load =
-            it.outstanding + it.queue->size() + it.unmatched.size() + penalty +
+            it.outstanding + it.queue->size() + penalty +
             (it.data_centre != s.settings.data_centre ? far_penalty : 0) +
             (group.primary == id ? primary_penalty : 0);
         return std::tuple(it.next_open > s.now && it.idle.empty(), load,
--- /dev/null
+++ b/packages/traffic/src/workspace_dispatch.cpp
@@ -0,0 +1,159 @@
+// Matches statements with connections where each connection serves one
+// workspace only, and decides which connections are opened and given up.
+#include <algorithm>
+
+#include <basilreach/traffic/detail/state.hpp>
+
+namespace basilreach::traffic::detail
+{
+
+namespace
+{
+
+auto find_idle(state const& s,
+               server_row& server,
+               workspace_name const& workspace)
+{
+    return std::find_if(
+        server.idle.rbegin(), server.idle.rend(),
+        [&](connection_id id)
+        { return s.connections.find(id)->workspace == workspace; });
+}
+
+// Asks the primary for its position over any idle connection, before
+// statements take it. Without one the next that becomes idle is used.
+void probe_if_wanted(state& s, server_row_id id, server_row& server)
+{
+    auto& group = *s.groups.find(server.group);
+    if (!group.wants_probe || group.is_probing || group.primary != id)
+        return;
+    if (!server.idle.empty())
+    {
+        auto const connection = server.idle.back();
+        server.idle.pop_back();
+        group.wants_probe = false;
+        group.is_probing = true;
+        return ask_over(s, connection, true);
+    }
+    if (!server.connections.empty() || server.share == 0 ||
+        s.now < server.next_open || group.waiting_sample.empty())
+        return;
+    auto const* request = s.requests.find(group.waiting_sample.front());
+    if (request != nullptr)
+        open_one(s, id, server, s.sessions.find(request->session)->workspace);
+}
+
+// Sends what waits, fairly among the workspaces that have an idle connection.
+void send_to_idle(state& s, server_row& server)
+{
+    auto const has_idle = [&](workspace_name const& it)
+    {
+        return find_idle(s, server, it) != server.idle.rend();
+    };
+    while (server.window.admits(server.outstanding, s.now))
+    {
+        auto const request_id = server.queue->pop_if(has_idle);
+        if (!request_id)
+            return;
+        auto& request = *s.requests.find(*request_id);
+        request.queue_entry.reset();
+        if (lost_lease(s, *request_id))
+            continue;
+        auto const it =
+            find_idle(s, server, s.sessions.find(request.session)->workspace);
+        auto const connection = *it;
+        server.idle.erase(std::next(it).base());
+        send_request(s, *request_id, connection);
+    }
+}
+
+struct connection_count
+{
+    std::size_t all = 0;
+    std::size_t opening = 0;
+    std::size_t idle = 0;
+};
+
+connection_count count_connections(state const& s,
+                                   server_row const& server,
+                                   workspace_name const& workspace)
+{
+    connection_count out;
+    for (auto const id : server.connections)
+    {
+        auto const& row = *s.connections.find(id);
+        if (row.workspace != workspace)
+            continue;
+        ++out.all;
+        out.opening += row.state == connection_state::opening ? 1 : 0;
+        out.idle += row.state == connection_state::idle ? 1 : 0;
+    }
+    return out;
+}
+
+// When the server's share is used up, the idle connection that was not used for
+// the longest time makes room. Returns until when there is none, if so.
+std::optional<instant> make_room(state& s, server_row& server)
+{
+    if (server.connections.size() < server.share)
+        return std::nullopt;
+    if (server.idle.empty())
+        return never;
+    if (s.now < server.next_eviction)
+        return server.next_eviction;
+    if (server.window.answer_time() > s.settings.slow_answer)
+        server.next_eviction = s.now + s.settings.eviction_pause;
+    drop_connection(s, server.idle.front());
+    return server.connections.size() < server.share ? std::nullopt
+                                                    : std::optional(never);
+}
+
+// Opens connections for workspaces that wait without one, and further ones
+// where the server has places for more statements. Returns when to try again.
+instant open_for_waiting(state& s, server_row_id id, server_row& server)
+{
+    std::vector<std::pair<workspace_name, std::size_t>> waiting;
+    server.queue->for_each_workspace(
+        [&waiting](workspace_name const& workspace, std::size_t n)
+        { waiting.emplace_back(workspace, n); });
+    for (auto const& [workspace, n] : waiting)
+    {
+        auto const count = count_connections(s, server, workspace);
+        auto missing = n - std::min(n, count.opening + count.idle);
+        auto const has_places = [&server]
+        {
+            return server.window.admits(server.outstanding + server.opening,
+                                        instant{});
+        };
+        for (bool has_any = count.all != 0;
+             missing > 0 && (!has_any || has_places()); --missing)
+        {
+            if (!server.pacer.may_open(s.now))
+                return server.pacer.next_open();
+            if (auto const until = make_room(s, server))
+                return *until;
+            open_one(s, id, server, workspace);
+            has_any = true;
+        }
+    }
+    return never;
+}
+
+} // namespace
+
+void match_by_workspace(state& s, server_row_id id, server_row& server)
+{
+    probe_if_wanted(s, id, server);
+    send_to_idle(s, server);
+    s.to_report.push_back(id);
+    if (server.queue->empty() || server.is_removed || server.is_leaving)
+        return;
+    auto wake = s.now < server.next_open ? server.next_open
+                                         : open_for_waiting(s, id, server);
+    if (server.window.next_send() > s.now && server.outstanding == 0)
+        wake = std::min(wake, server.window.next_send());
+    if (wake != never)
+        s.timers.set({timer_kind::server_reconnect, id}, wake);
+}
+
+} // namespace basilreach::traffic::detail
