limits: Let hosts out of contact share the whole rate where a deployment allows it

A host out of contact had a fifth of its equal part, while the limits of workspaces are 1.6 times what they use. Ruled out: a leader that is not found (the hosts that can reach it get tokens within a second), settling of the new leader (over after one second). Change: the parts of rate and burst that all floors share are two settings, 0.2 as before. Tests: the bound holds for 200 random traces with these shares, and a data centre out of contact is refused less than half as often.

--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -1,5 +1,6 @@
 #include <basilreach/daemon/limit_leader.hpp>
 
+#include <cmath>
 #include <utility>
 
 namespace basilreach::daemon
@@ -16,6 +17,14 @@
     return out;
 }
 
+limits::rate_settings rate_settings_of(settings::limit_settings const& it)
+{
+    limits::rate_settings out;
+    out.floor_rate_per_mille = std::lround(it.floor_rate * 1000);
+    out.floor_burst_per_mille = std::lround(it.floor_burst * 1000);
+    return out;
+}
+
 limits::rate_tolerance tolerance_of(settings::limit_settings const& it)
 {
     return {it.rate_window_s, it.rate_overage, it.rate_slack};
@@ -29,7 +38,7 @@
                            sender send,
                            instant now)
     : tolerance_(tolerance_of(settings.limits)), send_(std::move(send)),
-      rates_({}, term, now),
+      rates_(rate_settings_of(settings.limits), term, now),
       shares_(share_settings_of(settings.durations), term, now)
 {
     if (!is_first)
--- a/packages/limits/include/basilreach/limits/rate_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/rate_ledger.hpp
@@ -26,8 +26,11 @@
     duration contact = std::chrono::milliseconds(1500);
     // Least time between two grants to holders that wait for refill.
     duration refill_interval = std::chrono::milliseconds(1);
-    // Part of rate and burst that the floors of all holders share.
-    std::int64_t floor_per_mille = 200;
+    // Part of the rate and of the burst that the floors of all holders share.
+    // A holder out of contact does not learn of a smaller rate, so that a share
+    // of 1 keeps it above a rate that has been lowered to less.
+    std::int64_t floor_rate_per_mille = 200;
+    std::int64_t floor_burst_per_mille = 200;
 
     friend auto operator<=>(rate_settings const&,
                             rate_settings const&) = default;
--- a/packages/limits/src/rate_ledger.cpp
+++ b/packages/limits/src/rate_ledger.cpp
@@ -338,10 +338,10 @@
 
 rate_floor rate_ledger::floors(bucket const& it) const
 {
-    rate_floor const all{it.rate * settings_.floor_per_mille * microtokens /
-                             1000,
+    rate_floor const all{it.rate * settings_.floor_rate_per_mille *
+                             microtokens / 1000,
                          it.burst / nanotokens_per_microtoken / 1000 *
-                             settings_.floor_per_mille};
+                             settings_.floor_burst_per_mille};
     // With less than one whole token besides the floors nothing could be
     // granted.
     bool const room =
--- a/packages/limits/src/rate_relay.cpp
+++ b/packages/limits/src/rate_relay.cpp
@@ -8,7 +8,8 @@
 rate_settings second_level_settings()
 {
     rate_settings settings;
-    settings.floor_per_mille = 0;
+    settings.floor_rate_per_mille = 0;
+    settings.floor_burst_per_mille = 0;
     return settings;
 }
 
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -15,6 +15,7 @@
 using basilreach::workspace_name;
 using basilreach::limits::rate_holder;
 using basilreach::limits::rate_ledger;
+using basilreach::limits::rate_settings;
 using basilreach::limits::token_grant;
 using basilreach::limits::replay::configure_rule;
 using basilreach::limits::replay::count_over_rate;
@@ -76,6 +77,39 @@
     }
 }
 
+// Guards the bound where hosts out of contact share the whole rate, which a
+// deployment may ask for if no rate is lowered while a host is cut off.
+TEST_CASE("no interleaving of faults admits more where floors share the rate")
+{
+    rate_settings settings;
+    settings.floor_rate_per_mille = 1000;
+    settings.floor_burst_per_mille = 400;
+    for (std::uint64_t seed = 1; seed <= 200; ++seed)
+    {
+        CAPTURE(seed);
+        auto trace = random_trace(seed);
+        trace.limits.resize(1);
+        CHECK(replay_rate(trace, seed, settings).over_rate == 0);
+    }
+}
+
+// Guards against refusals within the rate while a data centre is cut off: its
+// hosts had a fifth of their equal part.
+TEST_CASE("a data centre out of contact keeps its part of the rate")
+{
+    std::ifstream file(std::filesystem::path(BASILREACH_SOURCE_DIR) /
+                       "traces/limits/one_data_centre_cut.rate");
+    auto const trace = read_rate_trace(file);
+    REQUIRE(trace);
+    rate_settings settings;
+    settings.floor_rate_per_mille = 1000;
+    settings.floor_burst_per_mille = 400;
+    auto const outcome = replay_rate(trace.value(), 1, settings);
+    CHECK(outcome.over_rate == 0);
+    auto const with_fifth = replay_rate(trace.value(), 1);
+    CHECK(outcome.refused_within_rate < with_fifth.refused_within_rate / 2);
+}
+
 TEST_CASE("the check finds statements over rate and burst")
 {
     std::vector<configure_rule> const limits{{instant{}, 100, 10}};
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -97,6 +97,11 @@
     double rate_window_s = 0;
     double rate_overage = 0;
     double rate_slack = 0;
+    // Part of a workspace's rate and burst that all hosts which are out of
+    // contact with the leader may use together, in equal parts. A host out of
+    // contact does not learn of a smaller rate.
+    double floor_rate = 0.2;
+    double floor_burst = 0.2;
 
     friend bool operator==(limit_settings const&,
                            limit_settings const&) = default;
--- a/packages/settings/src/fields.hpp
+++ b/packages/settings/src/fields.hpp
@@ -173,6 +173,8 @@
         {"rate_window_s", &self::rate_window_s, {}, range(0, 60)},
         {"rate_overage", &self::rate_overage, {}, range(0, 1)},
         {"rate_slack", &self::rate_slack, {}, range(0, 1000000)},
+        {"floor_rate", &self::floor_rate, {}, range(0, 1)},
+        {"floor_burst", &self::floor_burst, {}, range(0, 1)},
     });
 };
 
--- a/tools/measure_program/limits.cpp
+++ b/tools/measure_program/limits.cpp
@@ -48,6 +48,19 @@
                      static_cast<double>(outcome.messages) / span.count(),
                      "1/s", 0, seed);
     }
+    std::ifstream cut(BASILREACH_SOURCE_DIR
+                      "/traces/limits/one_data_centre_cut.rate");
+    auto const trace = limits::replay::read_rate_trace(cut);
+    limits::rate_settings whole;
+    whole.floor_rate_per_mille = 1000;
+    whole.floor_burst_per_mille = 400;
+    auto const outcome =
+        limits::replay::replay_rate(trace.value(), seed, whole);
+    over += outcome.over_rate;
+    print_figure("limits.refused_within_rate.one_data_centre_cut_whole_floors",
+                 percent(outcome.refused_within_rate, outcome.offered), "%",
+                 percent(outcome.divided_refused_within_rate, outcome.offered),
+                 seed);
     print_figure("limits.over_rate", static_cast<double>(over), "requests", 0,
                  seed);
     return over == 0 ? 0 : 1;
