limits: Keep reserves for 400 ms, report every 100 ms and notice lost contact sooner

Cause: after the leader was lost, a host had tokens for 100 ms and its floor began after 1.5 s; statements in between were refused. Ruled out: longer waits for tokens (a refusal that is held longer than a quarter of the latency objective costs more than one sent at once). Change: the demand is averaged over 0.5 s, the reserve covers 400 ms of it, use is reported every 100 ms, and a request for tokens is sent at once only when the reserve is nearly gone. Tokens live for 800 ms and floors begin 900 ms after the last contact; idle workspaces report every 350 ms. Reports after 200 ms were not tried.

--- a/packages/limits/include/basilreach/limits/rate_holder.hpp
+++ b/packages/limits/include/basilreach/limits/rate_holder.hpp
@@ -21,11 +21,11 @@
     // Time after which an unanswered request is sent again.
     duration retry_interval = std::chrono::milliseconds(20);
     // Longest time until a use of tokens is reported.
-    duration report_interval = std::chrono::milliseconds(50);
+    duration report_interval = std::chrono::milliseconds(100);
     // Time between two requests of a workspace without traffic.
-    duration idle_interval = std::chrono::milliseconds(500);
+    duration idle_interval = std::chrono::milliseconds(350);
     // The reserve covers the use of this time.
-    duration reserve_time = std::chrono::milliseconds(100);
+    duration reserve_time = std::chrono::milliseconds(400);
     // Tokens kept for a workspace that was used within recent_time, so that its
     // next statement needs no round trip and none waits for the first grants
     // of a new leader.
--- a/packages/limits/include/basilreach/limits/rate_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/rate_ledger.hpp
@@ -20,10 +20,10 @@
 struct rate_settings
 {
     // How long granted tokens can be spent.
-    duration lifetime = std::chrono::seconds(1);
+    duration lifetime = std::chrono::milliseconds(800);
     // How long the floor of a holder rests after its last contact. Longer than
     // the interval between two requests of an idle holder.
-    duration contact = std::chrono::milliseconds(1500);
+    duration contact = std::chrono::milliseconds(900);
     // Least time between two grants to holders that wait for refill.
     duration refill_interval = std::chrono::milliseconds(1);
     // Part of the rate and of the burst that the floors of all holders share.
--- a/packages/limits/src/rate_holder.cpp
+++ b/packages/limits/src/rate_holder.cpp
@@ -14,9 +14,12 @@
 constexpr std::int64_t microtokens = 1'000'000;
 constexpr std::int64_t nanotokens_per_microtoken = nanotokens / microtokens;
 
-// Time over which the demand is averaged, in seconds: several requests of the
-// busiest statement interval, and short against a move of the callers.
-constexpr double demand_time = 0.05;
+// Time over which the demand is averaged, in seconds: several statements of a
+// workspace with a few a second, and short against a move of the callers.
+constexpr double demand_time = 0.5;
+
+// A reserve below this part of the wanted one is asked for at once.
+constexpr std::int64_t urgent_divisor = 16;
 
 // Floor tokens lent to the next level are valid for this time at once, so that
 // a grant ends the floor on both levels.
@@ -227,8 +230,10 @@
         static_cast<double>(tokens) / demand_time;
     it.demand_at = now;
     it.used = true;
-    // Rounded up: a reserve of one token is asked for when it is gone.
-    if (it.left / nanotokens < (target(it, now) + 1) / 2)
+    // The next report asks for what is missing in the reserve. It is not waited
+    // for when the reserve is nearly gone; a reserve of one token is then gone.
+    if (it.left / nanotokens <
+        (target(it, now) + urgent_divisor - 1) / urgent_divisor)
         it.asking = true;
     schedule(by_name_.at(it.workspace), it);
 }
