limits: Keep and grant connection shares without waiting where servers check their limit

Ruled out: the servers (other hosts used them), tokens (the statements had theirs). Change: a server that checks positions also refuses connections over its limit. Its shares outlive the lease at a holder without contact, a new leader grants after 300 ms, and what a restarted process left behind is not counted. Servers that do not check are treated as before.

--- a/packages/daemon/include/basilreach/daemon/limit_leader.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -52,7 +52,7 @@
     limits::share_ledger shares_;
     std::shared_ptr<rules::rule_set const> rules_;
     // Limits of the servers that are configured.
-    std::map<server_name, std::uint32_t> servers_;
+    std::map<server_name, rules::server_limit_rule> servers_;
     std::set<daemon_name> daemons_;
 };
 
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -25,6 +25,14 @@
     return out;
 }
 
+// Servers that check positions refuse connections beyond their limit as well.
+limits::limit_check check_of(rules::server_limit_rule const& it)
+{
+    return it.checked_by == rules::position_check::server
+               ? limits::limit_check::server
+               : limits::limit_check::ledger;
+}
+
 limits::rate_tolerance tolerance_of(settings::limit_settings const& it)
 {
     return {it.rate_window_s, it.rate_overage, it.rate_slack};
@@ -92,15 +100,15 @@
 void limit_leader::configure_servers(control::control_state const& state,
                                      instant now)
 {
-    std::map<server_name, std::uint32_t> wanted;
+    std::map<server_name, rules::server_limit_rule> wanted;
     for (auto const& [name, it] : state.parts().servers)
     {
         if (it.is_removed)
             continue;
         auto const limit = rules_->server_limits.find(it.group);
         wanted[name] = limit == rules_->server_limits.end()
-                           ? rules::server_limit_rule{}.connections
-                           : limit->second.connections;
+                           ? rules::server_limit_rule{}
+                           : limit->second;
     }
     for (auto const& [name, limit] : servers_)
         if (!wanted.contains(name))
@@ -109,7 +117,7 @@
     {
         auto const known = servers_.find(name);
         if (known == servers_.end() || known->second != limit)
-            shares_.configure(name, limit, now);
+            shares_.configure(name, limit.connections, now, check_of(limit));
     }
     servers_ = std::move(wanted);
 }
--- a/packages/limits/include/basilreach/limits/share_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/share_ledger.hpp
@@ -17,6 +17,17 @@
 namespace basilreach::limits
 {
 
+// Who keeps a server's connections within its limit.
+enum class limit_check : std::uint8_t
+{
+    // The granting side alone: a share counts until it is certain that its
+    // connections are gone.
+    ledger,
+    // The server refuses connections beyond its limit. Holders without contact
+    // keep their shares, and a new leader grants at once.
+    server
+};
+
 struct share_settings
 {
     // How long a share beyond the base is valid without renewal.
@@ -26,6 +37,9 @@
     duration lost_host_hold = std::chrono::seconds(5);
     // Least time that a connection is left with a holder that does not use it.
     duration reclaim_after = std::chrono::milliseconds(200);
+    // Time in which holders report to a new leader where servers check the
+    // limit. Granting sooner would give away what they have.
+    duration report_time = std::chrono::milliseconds(300);
 
     friend auto operator<=>(share_settings const&,
                             share_settings const&) = default;
@@ -33,7 +47,7 @@
 
 // Granting side of the connection shares of each server. The sum over holders
 // of the largest number of connections that each may still have never exceeds
-// the server's limit.
+// the server's limit, unless the server itself checks it.
 class share_ledger
 {
 public:
@@ -47,7 +61,10 @@
 
     // Adds a server or changes its limit. Shares over a smaller limit are
     // reclaimed.
-    void configure(server_name const& server, std::uint32_t limit, instant now);
+    void configure(server_name const& server,
+                   std::uint32_t limit,
+                   instant now,
+                   limit_check check = limit_check::ledger);
     void remove_server(server_name const& server);
 
     // Adds or removes a registered holder.
@@ -72,6 +89,7 @@
     {
         server_name name;
         std::uint32_t limit = 0;
+        limit_check check = limit_check::ledger;
         // Sum of `counted` over the accounts.
         std::uint32_t counted = 0;
         // Sum of `share` over the accounts.
@@ -142,6 +160,7 @@
 
     share_settings settings_;
     std::uint64_t term_;
+    instant started_;
     instant settled_;
     bool first_ = false;
     instant authority_ = never;
--- a/packages/limits/src/share_ledger.cpp
+++ b/packages/limits/src/share_ledger.cpp
@@ -17,7 +17,7 @@
 share_ledger::share_ledger(share_settings settings,
                            std::uint64_t term,
                            instant now)
-    : settings_(settings), term_(term),
+    : settings_(settings), term_(term), started_(now),
       settled_(now + with_clock_margin(settings.lifetime) +
                settings.lost_host_hold)
 {
@@ -31,21 +31,28 @@
 
 void share_ledger::configure(server_name const& name,
                              std::uint32_t limit,
-                             instant now)
+                             instant now,
+                             limit_check check)
 {
     auto const place = by_name_.find(name);
     if (place != by_name_.end())
     {
         servers_.find(place->second)->limit = limit;
+        servers_.find(place->second)->check = check;
         changed_.insert(place->second);
         return;
     }
     server row;
     row.name = name;
     row.limit = limit;
+    row.check = check;
     auto const id = servers_.insert(std::move(row));
     by_name_.emplace(name, id);
-    settling_.set(id, std::max(settled_, now));
+    auto const settled =
+        check == limit_check::server
+            ? std::min(settled_, started_ + settings_.report_time)
+            : settled_;
+    settling_.set(id, std::max(settled, now));
     for (auto const& holder : holders_)
         add_account(id, holder);
 }
@@ -137,7 +144,9 @@
 // stay counted until its lease and the hold have passed.
 void share_ledger::restart(server& it, row_id id, account& from, instant now)
 {
-    from.abandoned = from.counted;
+    // A server that checks its limit has closed what the process left behind,
+    // or refuses a connection too many.
+    from.abandoned = it.check == limit_check::server ? 0 : from.counted;
     // A base outlives the lease, so it may have been open until just now.
     auto const until =
         std::max({from.expiry, settled_, now + settings_.lost_host_hold});
@@ -166,8 +175,9 @@
     {
         // The earlier term bounded the shares of all holders together. Once
         // this term has settled without the holder, only a base can be left.
-        auto const adopted =
-            it.settling ? request.share : std::min(request.share, 1U);
+        auto const adopted = it.settling || it.check == limit_check::server
+                                 ? request.share
+                                 : std::min(request.share, 1U);
         from.reported = true;
         from.heard = adopted;
         set_share(it, id, adopted, now);
@@ -399,14 +409,15 @@
     }
     // Before that, the answer only ends the earlier term's authority.
     auto const share = to.reported ? to.share : it.limit;
-    grants.push_back({it.name,
-                      to.holder,
-                      to.incarnation,
-                      {term_, to.number},
-                      to.echo,
-                      lifetime,
-                      share,
-                      std::min(share, base(it))});
+    grants.push_back(
+        {it.name,
+         to.holder,
+         to.incarnation,
+         {term_, to.number},
+         to.echo,
+         lifetime,
+         share,
+         it.check == limit_check::server ? share : std::min(share, base(it))});
 }
 
 } // namespace basilreach::limits
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -1,8 +1,16 @@
+#include <basilreach/limits/share_holder.hpp>
+#include <basilreach/limits/share_ledger.hpp>
+
 #include <doctest/doctest.h>
 
 #include <share_replay.hpp>
 
+using basilreach::daemon_name;
 using basilreach::instant;
+using basilreach::server_name;
+using basilreach::limits::limit_check;
+using basilreach::limits::share_holder;
+using basilreach::limits::share_ledger;
 using basilreach::limits::share_settings;
 using basilreach::limits::replay::fault_rule;
 using basilreach::limits::replay::random_source;
@@ -91,3 +99,71 @@
     // The other eight keep their base.
     CHECK(outcome.most == 17);
 }
+
+namespace
+{
+
+struct server_checked_fixture
+{
+    void register_all(share_ledger& it) const
+    {
+        for (auto const* name : {"a", "b"})
+            it.register_holder(daemon_name(name), now);
+        it.configure(server, 10, now, limit_check::server);
+    }
+
+    void exchange(share_ledger& ledger, share_holder& holder)
+    {
+        for (auto const& request : holder.tick(now))
+            ledger.receive(request, now);
+        for (auto const& grant : ledger.tick(now))
+            if (grant.holder == daemon_name("a"))
+                holder.receive(grant, now);
+    }
+
+    void run(share_ledger& ledger, share_holder& holder, unsigned steps)
+    {
+        for (unsigned n = 0; n != steps; ++n)
+        {
+            now += std::chrono::milliseconds(20);
+            exchange(ledger, holder);
+        }
+    }
+
+    server_name const server{"s"};
+    instant now = at_ms(1000);
+};
+
+} // namespace
+
+// Guards against hosts that are left with one connection for all workspaces
+// when the leader is lost, although the server checks its limit itself.
+TEST_CASE("a holder without contact keeps its share where the server checks")
+{
+    server_checked_fixture f;
+    share_ledger ledger({}, 1, f.now);
+    ledger.assume_first(f.now);
+    f.register_all(ledger);
+    share_holder holder({}, daemon_name("a"), 1);
+    holder.add_server(f.server, f.now);
+    holder.set_use(f.server, 0, 6, f.now);
+    f.run(ledger, holder, 20);
+    CHECK(holder.share(f.server, f.now) == 6);
+    f.now += std::chrono::seconds(60);
+    CHECK(holder.share(f.server, f.now) == 6);
+}
+
+// Guards against hosts that started shortly before a change of leader and had
+// no connection until the leases of all others had ended.
+TEST_CASE("a new leader grants soon where the server checks")
+{
+    server_checked_fixture f;
+    share_ledger second({}, 2, f.now);
+    f.register_all(second);
+    // The other holder cannot be reached.
+    share_holder holder({}, daemon_name("a"), 1);
+    holder.add_server(f.server, f.now);
+    holder.set_use(f.server, 0, 6, f.now);
+    f.run(second, holder, 25);
+    CHECK(holder.share(f.server, f.now) == 6);
+}
