limits, daemon: Keep connections for the leader's questions and pace openings by the last one

Ruled out: replicas too busy to state their position (the connection was closed at once, no answer said busy), missing statements of the server's position (the decision log says waiting_for_majority). Change: two connections of each server that checks its limit are kept back; the time of one opening replaces a longer average, and a budget refills after 1 s at the latest.

--- a/packages/daemon/include/basilreach/daemon/line_placement.hpp
+++ b/packages/daemon/include/basilreach/daemon/line_placement.hpp
@@ -49,6 +49,9 @@
 
     question& insert();
     void end(std::uint64_t id);
+    void end_unanswered(std::uint64_t id,
+                        server_name const& server,
+                        char const* cause);
 
     event_loop& loop_;
     settings::daemon_settings const& settings_;
--- a/packages/daemon/src/line_placement.cpp
+++ b/packages/daemon/src/line_placement.cpp
@@ -35,6 +35,15 @@
     return rows_[id];
 }
 
+void line_placement::end_unanswered(std::uint64_t id,
+                                    server_name const& server,
+                                    char const* cause)
+{
+    LOG(INFO) << "event=position_unanswered server=" << server.str()
+              << " cause=" << cause;
+    end(id);
+}
+
 void line_placement::end(std::uint64_t id)
 {
     ended_.push_back(id);
@@ -52,15 +61,17 @@
         rows_.at(id).position->ask_status(
             [this, id, server, round](backend_row const& status)
             {
-                if (auto const position = adapter_.codec->read_status(status))
-                    answered_(control::position_reported{
-                        server, round, position->term, position->offset});
+                auto const position = adapter_.codec->read_status(status);
+                if (!position)
+                    return end_unanswered(id, server, "busy");
+                answered_(control::position_reported{
+                    server, round, position->term, position->offset});
                 end(id);
             });
     };
-    it.lost = [this, id]
+    it.lost = [this, id, server]
     {
-        end(id);
+        end_unanswered(id, server, "connection_lost");
     };
     asked.position =
         std::make_unique<line_backend>(loop_, *adapter_.codec, std::move(it));
--- a/packages/limits/include/basilreach/limits/connection_pacer.hpp
+++ b/packages/limits/include/basilreach/limits/connection_pacer.hpp
@@ -14,6 +14,8 @@
     double burst = 6;
     // One more may be opened each time that this many openings would take.
     int spacing = 8;
+    // Longest time until one more may be opened.
+    duration longest = std::chrono::seconds(1);
 
     friend auto operator<=>(pacer_settings const&,
                             pacer_settings const&) = default;
--- a/packages/limits/include/basilreach/limits/share_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/share_ledger.hpp
@@ -40,6 +40,10 @@
     // Time in which holders report to a new leader where servers check the
     // limit. Granting sooner would give away what they have.
     duration report_time = std::chrono::milliseconds(300);
+    // Connections of a server that checks its limit which no holder receives.
+    // The leader needs one to ask for the position before a promotion; with
+    // all in use, a group stayed without a primary.
+    std::uint32_t reserved = 2;
 
     friend auto operator<=>(share_settings const&,
                             share_settings const&) = default;
@@ -147,6 +151,8 @@
                 account& from,
                 share_request const& request,
                 instant now);
+    [[nodiscard]] std::uint32_t grantable(std::uint32_t limit,
+                                          limit_check check) const;
     [[nodiscard]] std::uint32_t base(server const& it) const;
     void restart(server& it, row_id id, account& from, instant now);
     void expire_accounts(instant now);
--- a/packages/limits/src/connection_pacer.cpp
+++ b/packages/limits/src/connection_pacer.cpp
@@ -43,7 +43,10 @@
 {
     left_ = budget(now);
     updated_ = now;
-    open_time_ += (time - open_time_) / averaged_openings;
+    // A server that is fast again must not be held to an average that few
+    // openings can lower.
+    open_time_ =
+        std::min(time, open_time_ + (time - open_time_) / averaged_openings);
 }
 
 double connection_pacer::budget(instant now) const
@@ -58,7 +61,7 @@
 
 duration connection_pacer::interval() const
 {
-    return open_time_ * settings_.spacing;
+    return std::min(open_time_ * settings_.spacing, settings_.longest);
 }
 
 } // namespace basilreach::limits
--- a/packages/limits/src/share_ledger.cpp
+++ b/packages/limits/src/share_ledger.cpp
@@ -37,14 +37,14 @@
     auto const place = by_name_.find(name);
     if (place != by_name_.end())
     {
-        servers_.find(place->second)->limit = limit;
+        servers_.find(place->second)->limit = grantable(limit, check);
         servers_.find(place->second)->check = check;
         changed_.insert(place->second);
         return;
     }
     server row;
     row.name = name;
-    row.limit = limit;
+    row.limit = grantable(limit, check);
     row.check = check;
     auto const id = servers_.insert(std::move(row));
     by_name_.emplace(name, id);
@@ -225,6 +225,14 @@
     it.by_share.insert({0, added});
 }
 
+std::uint32_t share_ledger::grantable(std::uint32_t limit,
+                                      limit_check check) const
+{
+    return check == limit_check::server
+               ? limit - std::min(settings_.reserved, limit / 2)
+               : limit;
+}
+
 std::uint32_t share_ledger::base(server const& it) const
 {
     return it.accounts.size() <= it.limit ? 1 : 0;
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -167,3 +167,19 @@
     f.run(second, holder, 25);
     CHECK(holder.share(f.server, f.now) == 6);
 }
+
+// Guards against promotions that fail because every connection of the server
+// that must state its position is in use.
+TEST_CASE("the leader keeps connections of a server that checks its limit")
+{
+    server_checked_fixture f;
+    share_ledger ledger({}, 1, f.now);
+    ledger.assume_first(f.now);
+    f.register_all(ledger);
+    share_holder holder({}, daemon_name("a"), 1);
+    holder.add_server(f.server, f.now);
+    holder.set_use(f.server, 0, 50, f.now);
+    f.run(ledger, holder, 20);
+    CHECK(holder.share(f.server, f.now) > 5);
+    CHECK(holder.share(f.server, f.now) <= 8);
+}
