limits: Let floors run until a new leader grants, and notice lost contact of busy hosts sooner

Cause: a new leader grants nothing until it knows what the earlier one gave out, but its first answer already put the floors to rest: statements were refused for up to 800 ms. Change: each grant says how long the floor rests, which is nothing while the ledger settles and 600 ms for a holder that reports at least every 150 ms. The ledger keeps the least rest that a holder may have heard.

--- a/packages/limits/include/basilreach/limits/rate_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/rate_ledger.hpp
@@ -24,6 +24,11 @@
     // How long the floor of a holder rests after its last contact. Longer than
     // the interval between two requests of an idle holder.
     duration contact = std::chrono::milliseconds(900);
+    // The same for a holder that reports at least at busy_interval. Lost contact
+    // is noticed sooner there, and its reserve covers the time until then.
+    duration busy_lifetime = std::chrono::milliseconds(550);
+    duration busy_contact = std::chrono::milliseconds(600);
+    duration busy_interval = std::chrono::milliseconds(150);
     // Least time between two grants to holders that wait for refill.
     duration refill_interval = std::chrono::milliseconds(1);
     // Part of the rate and of the burst that the floors of all holders share.
@@ -153,6 +158,14 @@
         rate_floor told;
         // The floor rests until then; from then on it is reserved.
         instant rest_until;
+        // How long the floor rests after a grant from `rest_number` on, and the
+        // least that earlier grants said which may be the last one heard.
+        duration rest{};
+        duration earlier_rest{};
+        std::uint64_t rest_number = 0;
+        std::uint64_t heard_number = 0;
+        instant received_at;
+        bool is_busy = false;
         bool resting = false;
     };
 
@@ -183,6 +196,8 @@
     [[nodiscard]] rate_floor next_floor(bucket const& it,
                                         account const& to) const;
 
+    [[nodiscard]] static duration heard_rest(account const& it);
+    duration tell_rest(bucket const& it, account& to) const;
     void advance(instant now);
     void expire_accounts(instant now);
     void wake_floors(instant now);
--- a/packages/limits/src/rate_holder.cpp
+++ b/packages/limits/src/rate_holder.cpp
@@ -113,8 +113,14 @@
     // The first grant of a leader is sent before it knows the holder's floor.
     if (grant.lifetime > duration{})
         it->floor = grant.floor;
-    it->rest_until = std::max(now + grant.floor_rest, it->expiry);
-    it->refilled = it->rest_until;
+    // A floor that runs goes on after a grant that lets it. An earlier grant
+    // may have promised a longer rest.
+    auto const rest_until = std::max(now + grant.floor_rest, it->expiry);
+    if (it->rest_until == never || rest_until > it->rest_until)
+    {
+        it->rest_until = rest_until;
+        it->refilled = std::max(it->refilled, rest_until);
+    }
     it->answered = it->answered || grant.echo >= it->sent;
     refresh(*it, now);
     schedule(by_name_.at(grant.workspace), *it);
--- a/packages/limits/src/rate_ledger.cpp
+++ b/packages/limits/src/rate_ledger.cpp
@@ -124,6 +124,8 @@
     }
     from.sequence = request.sequence;
     from.echo = request.sent;
+    from.is_busy = now < from.received_at + settings_.busy_interval;
+    from.received_at = now;
     if (request.heard.term == term_)
         report(*it, from, request, now);
     if (from.reported)
@@ -182,7 +184,8 @@
         settling_.set(by_name_.at(it.workspace), now);
     }
 
-    auto const rest = request.heard_sent + settings_.contact;
+    from.heard_number = request.heard.number;
+    auto const rest = request.heard_sent + heard_rest(from);
     if (rest > now)
     {
         from.rest_until = std::max(from.rest_until, rest);
@@ -439,6 +442,29 @@
     return next;
 }
 
+duration rate_ledger::heard_rest(account const& it)
+{
+    return it.heard_number >= it.rest_number
+               ? it.rest
+               : std::min(it.rest, it.earlier_rest);
+}
+
+// Returns how long the floor rests after the grant that is sent next. While the
+// ledger settles it grants nothing, so that floors go on.
+duration rate_ledger::tell_rest(bucket const& it, account& to) const
+{
+    duration rest = to.is_busy ? settings_.busy_contact : settings_.contact;
+    if (it.settling)
+        rest = {};
+    if (rest != to.rest)
+    {
+        to.earlier_rest = heard_rest(to);
+        to.rest = rest;
+        to.rest_number = to.number;
+    }
+    return rest;
+}
+
 void rate_ledger::advance(instant now)
 {
     expire_accounts(now);
@@ -554,9 +580,10 @@
         to.unheard.push_back({to.number, tokens});
     // Until the holder has reported, its tokens are known to the earlier term
     // only: they must not outlive the time for which this term counts them.
+    auto const longest =
+        to.is_busy ? settings_.busy_lifetime : settings_.lifetime;
     auto const lifetime =
-        to.reported ? std::min(settings_.lifetime, it.funded_until - now)
-                    : duration{};
+        to.reported ? std::min(longest, it.funded_until - now) : duration{};
     if (to.reported)
     {
         to.expiry = std::max(to.expiry, now + with_clock_margin(lifetime));
@@ -571,7 +598,7 @@
                       lifetime,
                       tokens,
                       to.told,
-                      with_clock_margin(settings_.contact)});
+                      with_clock_margin(tell_rest(it, to))});
 }
 
 } // namespace basilreach::limits
