control, traffic: Judge a server that most entry hosts do not reach sooner

Cause: a primary whose data centre is cut off got its verdict 3 s after its last report; its callers waited out their time limits meanwhile. Ruled out: a shorter silence alone (reports come every 1.2 s and one may take a second to find another control host). Change: an entry host reports a server that has answered nothing for 600 ms although something was outstanding. Where more than half of the registered daemons say so, 1.6 s without a report suffice. Three tests failed first: the verdict, no verdict on the evidence of few or of long ago, and the report.

--- a/packages/control/include/basilreach/control/server_monitor.hpp
+++ b/packages/control/include/basilreach/control/server_monitor.hpp
@@ -9,6 +9,7 @@
 
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/control/control_state.hpp>
+#include <basilreach/control/reach_report.hpp>
 
 namespace basilreach::control
 {
@@ -35,6 +36,11 @@
     // Time without a report after which a server is taken for down. Two
     // reports may be lost on the way.
     duration silence = std::chrono::milliseconds{3000};
+    // The same where most daemons have had no answer from the server either.
+    // One report may be late.
+    duration silence_with_evidence = std::chrono::milliseconds{1600};
+    // How long a daemon's report that it reaches no server counts.
+    duration evidence_lifetime = std::chrono::milliseconds{700};
     // Interval at which a verdict that is not yet committed is proposed again.
     duration retry = std::chrono::milliseconds{300};
 
@@ -58,6 +64,10 @@
     // anything. A report that is older than an earlier one changes nothing.
     std::optional<command_body> receive(server_report const& it, instant now);
 
+    // Takes what a daemon says of its own connections to a server. A server
+    // that is only slow answers some daemons, so that it takes most of them.
+    void receive(reach_report const& it, instant now);
+
     // Returns the command that takes a server out of its group, if it is in.
     [[nodiscard]] std::optional<command_body>
     remove(server_name const& it) const;
@@ -79,10 +89,16 @@
     };
 
     [[nodiscard]] bool is_judged(server_name const& it) const;
+    [[nodiscard]] instant silent_since(server_name const& it) const;
+    [[nodiscard]] bool has_evidence(server_name const& it, instant now) const;
+    std::optional<command_body> judge(server_name const& it, instant now);
 
     control_state const& state_;
     monitor_settings settings_;
+    instant started_;
     std::map<server_name, row> rows_;
+    // When daemons last said that they have no answer from a server.
+    std::map<server_name, std::map<daemon_name, instant>> unreached_;
     deadline_queue<server_name> deadlines_;
 };
 
--- a/packages/control/src/server_monitor.cpp
+++ b/packages/control/src/server_monitor.cpp
@@ -29,7 +29,7 @@
 server_monitor::server_monitor(control_state const& state,
                                monitor_settings settings,
                                instant started)
-    : state_(state), settings_(settings)
+    : state_(state), settings_(settings), started_(started)
 {
     for (auto const& [server, entry] : state.parts().servers)
         if (!entry.is_removed)
@@ -77,17 +77,67 @@
     std::vector<command_body> out;
     while (auto const server = deadlines_.pop_due(now))
     {
-        auto const* const entry = state_.find(*server);
-        if (entry == nullptr || entry->is_removed || !is_judged(*server) ||
-            entry->health == verdict::down)
-            continue;
-        out.emplace_back(report_verdict{*server, entry->verdict_sequence + 1,
-                                        verdict::down});
-        deadlines_.set(*server, now + settings_.retry);
+        if (auto it = judge(*server, now))
+            out.push_back(std::move(*it));
     }
     return out;
 }
 
+void server_monitor::receive(reach_report const& it, instant now)
+{
+    auto& daemons = unreached_[it.server];
+    if (it.is_reachable)
+    {
+        daemons.erase(it.daemon);
+        return;
+    }
+    daemons[it.daemon] = now;
+    auto const due = silent_since(it.server) + settings_.silence_with_evidence;
+    if (has_evidence(it.server, now))
+        deadlines_.set(it.server, std::max(due, now));
+}
+
+instant server_monitor::silent_since(server_name const& it) const
+{
+    auto const known = rows_.find(it);
+    return known == rows_.end() ? started_
+                                : std::max(known->second.heard, started_);
+}
+
+bool server_monitor::has_evidence(server_name const& it, instant now) const
+{
+    auto const daemons = unreached_.find(it);
+    if (daemons == unreached_.end())
+        return false;
+    auto const& known = state_.parts().daemons;
+    auto const count =
+        std::count_if(daemons->second.begin(), daemons->second.end(),
+                      [&](auto const& silent)
+                      {
+                          return known.contains(silent.first) &&
+                                 now < silent.second + settings_.evidence_lifetime;
+                      });
+    return 2 * static_cast<std::size_t>(count) > known.size();
+}
+
+std::optional<command_body> server_monitor::judge(server_name const& it,
+                                                  instant now)
+{
+    auto const* const entry = state_.find(it);
+    if (entry == nullptr || entry->is_removed || !is_judged(it) ||
+        entry->health == verdict::down)
+        return std::nullopt;
+    auto const silence = silent_since(it) + settings_.silence;
+    // The evidence that brought the deadline forward may have gone since.
+    if (now < silence && !has_evidence(it, now))
+    {
+        deadlines_.set(it, silence);
+        return std::nullopt;
+    }
+    deadlines_.set(it, now + settings_.retry);
+    return report_verdict{it, entry->verdict_sequence + 1, verdict::down};
+}
+
 bool server_monitor::is_judged(server_name const& it) const
 {
     return state_.is_server_checked(state_.find(it)->group);
--- a/packages/control/test/server_checked_test.cpp
+++ b/packages/control/test/server_checked_test.cpp
@@ -256,4 +256,59 @@
     CHECK(f.promoted[0].server == server_name{"s3"});
 }
 
+// Guards against callers that wait three seconds for a verdict on a primary
+// that no daemon reaches any more.
+TEST_CASE("a server that most daemons do not reach is judged sooner")
+{
+    fixture f;
+    for (auto const* daemon : {"d1", "d2", "d3"})
+        f.apply(register_daemon{daemon_name{daemon}, data_centre_name{"a"}});
+    server_monitor monitor(f.state, {}, f.now);
+    auto const reports = [&](std::initializer_list<char const*> daemons)
+    {
+        for (auto const* it : daemons)
+            monitor.receive(
+                reach_report{daemon_name{it}, server_name{"s1"}, false}, f.now);
+    };
+    f.now += 1500ms;
+    reports({"d1", "d2"});
+    CHECK(monitor.tick(f.now).empty());
+    f.now += 200ms;
+    auto const verdicts = monitor.tick(f.now);
+    REQUIRE(verdicts.size() == 1);
+    auto const* it = std::get_if<report_verdict>(&verdicts.front());
+    REQUIRE(it != nullptr);
+    CHECK(it->server == server_name{"s1"});
+    CHECK(it->value == verdict::down);
+}
+
+// Guards against a verdict on a server that is slow, or cut off from a few
+// daemons only, or reached again.
+TEST_CASE("the evidence of few daemons or of long ago brings no verdict")
+{
+    fixture f;
+    for (auto const* daemon : {"d1", "d2", "d3", "d4"})
+        f.apply(register_daemon{daemon_name{daemon}, data_centre_name{"a"}});
+    server_monitor monitor(f.state, {}, f.now);
+    auto const report = [&](char const* daemon, bool is_reachable)
+    {
+        monitor.receive(
+            reach_report{daemon_name{daemon}, server_name{"s1"}, is_reachable},
+            f.now);
+    };
+    report("d1", false);
+    report("d2", false);
+    report("d3", false);
+    f.now += 1800ms;
+    CHECK(monitor.tick(f.now).empty());
+    report("d1", false);
+    report("d2", false);
+    report("d3", false);
+    report("d3", true);
+    report("unknown", false);
+    CHECK(monitor.tick(f.now).empty());
+    f.now += 1300ms;
+    CHECK_FALSE(monitor.tick(f.now).empty());
+}
+
 } // namespace basilreach::control::test
--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -120,6 +120,7 @@
     void on_share_request(link_id from, messages::message const& it);
     void on_peer(link_id from, messages::message const& it);
     void on_join(link_id from, messages::message const& it);
+    void on_reach(link_id from, messages::message const& it);
     void on_unexpected(link_id from, messages::message const& it);
 
     void on_propose(control::leader_output const& it);
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -72,6 +72,7 @@
     void on_term_ended(control_note& it);
     void on_tokens_wanted(control_note& it);
     void on_connections_used(control_note& it);
+    void on_server_reach(control_note& it);
     void on_admin_call(control_note& it);
     void on_metrics(control_note& it);
     void on_drained(control_note& it);
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -201,7 +201,8 @@
     &control_host::on_admin,         &control_host::on_unexpected,
     &control_host::on_token_request, &control_host::on_unexpected,
     &control_host::on_share_request, &control_host::on_unexpected,
-    &control_host::on_peer,          &control_host::on_join};
+    &control_host::on_peer,          &control_host::on_join,
+    &control_host::on_reach};
 
 // Indexed by the alternatives of control::leader_output.
 control_host::output_handler const control_host::output_handlers[] = {
@@ -335,6 +336,17 @@
     LOG(WARNING) << "event=unexpected_message kind=" << it.index();
 }
 
+void control_host::on_reach(link_id /*from*/, messages::message const& it)
+{
+    if (!monitor_)
+        return;
+    auto const& report = std::get<control::reach_report>(it);
+    LOG(INFO) << "event=server_reach daemon=" << report.daemon.str()
+              << " server=" << report.server.str()
+              << " reachable=" << report.is_reachable;
+    monitor_->receive(report, now_);
+}
+
 void control_host::on_join(link_id /*from*/, messages::message const& it)
 {
     auto request = std::get<messages::join_request>(it);
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -42,8 +42,9 @@
 control_thread::note_handler const control_thread::note_handlers[] = {
     &control_thread::on_adopted,       &control_thread::on_term_ended,
     &control_thread::on_tokens_wanted, &control_thread::on_connections_used,
-    &control_thread::on_admin_call,    &control_thread::on_metrics,
-    &control_thread::on_drained,       &control_thread::on_stop};
+    &control_thread::on_server_reach,  &control_thread::on_admin_call,
+    &control_thread::on_metrics,       &control_thread::on_drained,
+    &control_thread::on_stop};
 
 // Indexed by the alternatives of messages::message.
 control_thread::message_handler const control_thread::message_handlers[] = {
@@ -53,7 +54,8 @@
     &control_thread::to_control_host, &control_thread::on_admin_reply,
     &control_thread::to_control_host, &control_thread::on_token_grant,
     &control_thread::to_control_host, &control_thread::on_share_grant,
-    &control_thread::to_control_host, &control_thread::to_control_host};
+    &control_thread::to_control_host, &control_thread::to_control_host,
+    &control_thread::to_control_host};
 
 control_thread::control_thread(daemon_context& context)
     : context_(context), inbox_(loop_),
@@ -343,6 +345,13 @@
     limits_->receive(std::get<traffic::connections_used>(it), read_clock());
 }
 
+void control_thread::on_server_reach(control_note& it)
+{
+    auto const& reach = std::get<traffic::server_reach>(it);
+    to_leader(control::reach_report{context_.settings.name, reach.server,
+                                    reach.is_reachable});
+}
+
 void control_thread::on_metrics(control_note& it)
 {
     auto& published = std::get<metrics_published>(it);
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -551,6 +551,11 @@
     context_.control->push(it);
 }
 
+void traffic_thread::perform(traffic::server_reach const& it)
+{
+    context_.control->push(it);
+}
+
 void traffic_thread::perform(traffic::term_ended const& it)
 {
     context_.control->push(it);
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -12,6 +12,7 @@
 #include <basilreach/control/command.hpp>
 #include <basilreach/control/control_state.hpp>
 #include <basilreach/control/lease.hpp>
+#include <basilreach/control/reach_report.hpp>
 #include <basilreach/limits/share_messages.hpp>
 #include <basilreach/limits/token_messages.hpp>
 
@@ -111,7 +112,8 @@
                              limits::share_request,
                              limits::share_grant,
                              consensus::peer_message,
-                             join_request>;
+                             join_request,
+                             control::reach_report>;
 
 } // namespace basilreach::messages
 
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -340,6 +340,14 @@
     d(v.is_forwarded, w.is_forwarded);
 }
 
+template <class D, class V>
+void map_fields(D d, V& v, wire::reach_reportT& w)
+{
+    d(v.daemon, w.daemon);
+    d(v.server, w.server);
+    d(v.is_reachable, w.is_reachable);
+}
+
 template <class D, class V>
 void map_fields(D d, V& v, wire::lease_returnedT& w)
 {
@@ -743,7 +751,8 @@
                                  wire::share_requestT,
                                  wire::share_grantT,
                                  wire::peer_messageT,
-                                 wire::join_requestT>;
+                                 wire::join_requestT,
+                                 wire::reach_reportT>;
 
 void map_fields(to_wire d, command const& v, wire::commandT& w)
 {
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -89,6 +89,7 @@
             limits::share_request{},
             limits::share_grant{},
             join_request{consensus::host_name("a=1"), true},
+            control::reach_report{daemon_name("d"), server_name("s"), true},
             peer(append),
             peer(chunk),
             peer(consensus::vote_reply{true}),
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -133,6 +133,16 @@
     friend bool operator==(end_session const&, end_session const&) = default;
 };
 
+// A server has not answered anything for a while, or answers again. The first
+// is repeated while the server stays silent.
+struct server_reach
+{
+    server_name server;
+    bool is_reachable = false;
+
+    friend bool operator==(server_reach const&, server_reach const&) = default;
+};
+
 // Tells the control thread how many connections to a server this thread has
 // open or is opening, and how many it could use.
 struct connections_used
@@ -224,6 +234,7 @@
                             end_session,
                             limits::token_request,
                             connections_used,
+                            server_reach,
                             term_ended,
                             adopted,
                             log_decision,
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -156,6 +156,10 @@
     instant next_open;
     // Until then no idle connection makes room for one of another workspace.
     instant next_eviction;
+    // Since when nothing that was sent has been answered, and whether that has
+    // been reported.
+    std::optional<instant> silent_since;
+    bool is_reported_silent = false;
     limits::concurrency_window window;
     limits::connection_pacer pacer;
 };
@@ -199,7 +203,8 @@
     connection,
     group_poll,
     server_reconnect,
-    primary_retry
+    primary_retry,
+    server_silence
 };
 
 struct timer_key
@@ -316,6 +321,10 @@
 // Matches statements with connections of their workspaces.
 void match_by_workspace(state& s, server_row_id id, server_row& server);
 
+// Notes that something was sent to the server, or that it has answered.
+void note_sent(state& s, server_row_id id, server_row& server);
+void note_answered(state& s, server_row_id id, server_row& server);
+
 // Sends a request's statement over a connection.
 void send_request(state& s, request_row_id id, connection_id connection);
 
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -68,6 +68,10 @@
     // Time without a statement after which a connection of one workspace may
     // be given up to another daemon.
     duration keep_idle = std::chrono::seconds(10);
+    // Time without any answer after which a server counts as silent, and the
+    // interval at which this is reported again.
+    duration silence_limit = std::chrono::milliseconds(600);
+    duration silence_repeat = std::chrono::milliseconds(250);
     // Time after which a server that refused as "not the primary" is asked
     // again if no other primary has become known.
     duration primary_retry = std::chrono::milliseconds(100);
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -108,13 +108,27 @@
         s.to_route.push_back(request);
 }
 
+void expire_server_silence(state& s, row_id id)
+{
+    auto* server = s.servers.find(id);
+    if (server == nullptr || !server->silent_since)
+        return;
+    // A verdict ends the reports; the server says itself when it is back.
+    if (server->is_removed || server->is_down)
+        return server->silent_since.reset();
+    server->is_reported_silent = true;
+    s.actions.emplace_back(server_reach{server->name, false});
+    s.timers.set({timer_kind::server_silence, id},
+                 s.now + s.settings.silence_repeat);
+}
+
 using expiry = void (*)(state&, row_id);
 
 // Indexed by timer_kind.
-constexpr std::array<expiry, 8> expiries = {
-    expire_request,          expire_read_try,     expire_position_wait,
-    expire_token_wait,       expire_connection,   expire_group_poll,
-    expire_server_reconnect, expire_primary_retry};
+constexpr std::array<expiry, 9> expiries = {
+    expire_request,          expire_read_try,      expire_position_wait,
+    expire_token_wait,       expire_connection,    expire_group_poll,
+    expire_server_reconnect, expire_primary_retry, expire_server_silence};
 
 } // namespace
 
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -128,6 +128,7 @@
     server.connections.push_back(connection);
     ++server.opening;
     server.pacer.record_start(s.now);
+    note_sent(s, id, server);
     s.timers.set({timer_kind::connection, connection},
                  s.now + s.settings.probe_timeout);
     s.actions.emplace_back(open_connection{connection, server.name,
@@ -137,6 +138,26 @@
 
 // A statement may have waited since its admission; its key must still be
 // certain at the moment it is sent.
+void note_sent(state& s, server_row_id id, server_row& server)
+{
+    if (server.silent_since)
+        return;
+    server.silent_since = s.now;
+    s.timers.set({timer_kind::server_silence, id},
+                 s.now + s.settings.silence_limit);
+}
+
+void note_answered(state& s, server_row_id id, server_row& server)
+{
+    server.silent_since.reset();
+    if (std::exchange(server.is_reported_silent, false))
+        s.actions.emplace_back(server_reach{server.name, true});
+    // What is still outstanding was sent before this answer.
+    if (server.outstanding > 0 || server.opening > 0)
+        return note_sent(s, id, server);
+    s.timers.erase({timer_kind::server_silence, id});
+}
+
 bool lost_lease(state& s, request_row_id id)
 {
     auto* request = s.requests.find(id);
@@ -174,6 +195,7 @@
     auto* server = s.servers.find(row->server);
     ++server->outstanding;
     server->window.record_send(s.now);
+    note_sent(s, row->server, *server);
     row->used_at = s.now;
     s.timers.erase({timer_kind::connection, connection});
     if (is_retryable(*request, session.in_transaction.has_value()))
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -118,6 +118,7 @@
     auto* server = s.servers.find(connection->server);
     --server->opening;
     server->pacer.record_open(s.now - connection->sent_at, s.now);
+    detail::note_answered(s, connection->server, *server);
     ++s.counts.connections_opened;
     detail::make_idle(s, it.connection);
 }
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -241,6 +241,7 @@
     connection->request.reset();
     auto* server = s.servers.find(server_id);
     record_answer(s, *server, sent_at, it.proof);
+    note_answered(s, server_id, *server);
     s.retry_budget = std::min(s.retry_budget + s.settings.retry_share,
                               s.settings.retry_limit);
     // From here the connection is counted by its new state.
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -471,3 +471,24 @@
     CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
     CHECK(f.find<close_connection>()->connection == sent.connection);
 }
+
+// Guards against a verdict that waits for missing reports although no statement
+// has been answered for long.
+TEST_CASE("a server that answers nothing is reported until it does")
+{
+    fixture f;
+    f.open_session(1, "intake");
+    auto const sent = f.send(1, statement_verb::write);
+    f.now += 500ms;
+    f.run();
+    CHECK_FALSE(f.find<server_reach>().has_value());
+    f.now += 100ms;
+    f.run();
+    CHECK(f.find<server_reach>() == server_reach{server_name("s1"), false});
+    f.now += 100ms;
+    f.answer(sent, {3, 10}, true);
+    CHECK(f.find<server_reach>() == server_reach{server_name("s1"), true});
+    f.now += 5s;
+    f.run();
+    CHECK_FALSE(f.find<server_reach>().has_value());
+}
