traffic: Refuse at once what needs a primary that answers nothing

Cause: with the primary silent, statements waited out their time limit of 800 ms at each of three tries, also in a cut-off data centre where no new primary can become known. Ruled out: waiting only where control is in contact (the promotion takes longer than the time limit there as well, measured from the cut). Change: in groups whose servers check positions a statement that only the primary can run is refused as busy, not run, while the primary has been silent for 600 ms; one statement each 250 ms finds out whether it answers again, and reads prefer other servers. A verdict is proposed once in 300 ms; evidence of several hosts had it proposed three times.

--- a/packages/control/include/basilreach/control/server_monitor.hpp
+++ b/packages/control/include/basilreach/control/server_monitor.hpp
@@ -97,6 +97,8 @@
     monitor_settings settings_;
     instant started_;
     std::map<server_name, row> rows_;
+    // When a verdict that was proposed may be proposed again.
+    std::map<server_name, instant> next_proposals_;
     // When daemons last said that they have no answer from a server.
     std::map<server_name, std::map<daemon_name, instant>> unreached_;
     deadline_queue<server_name> deadlines_;
--- a/packages/control/src/server_monitor.cpp
+++ b/packages/control/src/server_monitor.cpp
@@ -94,7 +94,8 @@
     daemons[it.daemon] = now;
     auto const due = silent_since(it.server) + settings_.silence_with_evidence;
     if (has_evidence(it.server, now))
-        deadlines_.set(it.server, std::max(due, now));
+        deadlines_.set(it.server,
+                       std::max({due, now, next_proposals_[it.server]}));
 }
 
 instant server_monitor::silent_since(server_name const& it) const
@@ -110,13 +111,13 @@
     if (daemons == unreached_.end())
         return false;
     auto const& known = state_.parts().daemons;
-    auto const count =
-        std::count_if(daemons->second.begin(), daemons->second.end(),
-                      [&](auto const& silent)
-                      {
-                          return known.contains(silent.first) &&
-                                 now < silent.second + settings_.evidence_lifetime;
-                      });
+    auto const count = std::count_if(
+        daemons->second.begin(), daemons->second.end(),
+        [&](auto const& silent)
+        {
+            return known.contains(silent.first) &&
+                   now < silent.second + settings_.evidence_lifetime;
+        });
     return 2 * static_cast<std::size_t>(count) > known.size();
 }
 
@@ -134,7 +135,8 @@
         deadlines_.set(it, silence);
         return std::nullopt;
     }
-    deadlines_.set(it, now + settings_.retry);
+    next_proposals_[it] = now + settings_.retry;
+    deadlines_.set(it, next_proposals_[it]);
     return report_verdict{it, entry->verdict_sequence + 1, verdict::down};
 }
 
--- a/packages/daemon/src/refusal_text.cpp
+++ b/packages/daemon/src/refusal_text.cpp
@@ -30,10 +30,12 @@
     refusal_entry{"57P03", "the primary was superseded"},
     refusal_entry{"57P03", "the write did not reach a majority in time"},
     refusal_entry{"57P01", "the entry host is stopping"},
+    refusal_entry{"57P03", "the primary does not answer"},
 };
 
 static_assert(refusals.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::draining) + 1);
+              static_cast<std::size_t>(traffic::refusal_reason::server_silent) +
+                  1);
 
 constexpr char unknown_outcome_sqlstate[] = "08007";
 
--- a/packages/daemon/src/statement_errors.cpp
+++ b/packages/daemon/src/statement_errors.cpp
@@ -45,10 +45,12 @@
     statement_error::not_primary,      // superseded
     statement_error::aborted,          // not_replicated
     statement_error::aborted,          // draining
+    statement_error::busy,             // server_silent
 };
 
 static_assert(not_run_errors.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::draining) + 1);
+              static_cast<std::size_t>(traffic::refusal_reason::server_silent) +
+                  1);
 
 } // namespace
 
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -75,10 +75,12 @@
                                     "transaction_lost",
                                     "superseded",
                                     "not_replicated",
-                                    "draining"};
+                                    "draining",
+                                    "server_silent"};
 
 static_assert(cause_names.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::draining) + 1);
+              static_cast<std::size_t>(traffic::refusal_reason::server_silent) +
+                  1);
 static_assert(decision_names.size() ==
               static_cast<std::size_t>(traffic::decision_kind::refuse) + 1);
 static_assert(reason_names.size() ==
--- a/packages/daemon/test/statement_errors_test.cpp
+++ b/packages/daemon/test/statement_errors_test.cpp
@@ -71,6 +71,7 @@
         row{refusal_reason::superseded, statement_error::not_primary},
         row{refusal_reason::not_replicated, statement_error::aborted},
         row{refusal_reason::draining, statement_error::aborted},
+        row{refusal_reason::server_silent, statement_error::busy},
     };
     for (auto const& it : rows)
     {
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -109,7 +109,10 @@
     transaction_lost,
     superseded,
     not_replicated,
-    draining
+    draining,
+    // The only server that may run the statement has answered nothing for a
+    // while.
+    server_silent
 };
 
 // Answers the session's statement with an error.
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -160,6 +160,8 @@
     // been reported.
     std::optional<instant> silent_since;
     bool is_reported_silent = false;
+    // When the next statement may try a silent server.
+    instant next_trial;
     limits::concurrency_window window;
     limits::connection_pacer pacer;
 };
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -1,6 +1,7 @@
 // Handles what has become due: statements past their deadline, connections that
 // do not answer, and waits that have ended.
 #include <array>
+#include <utility>
 
 #include <basilreach/traffic/detail/state.hpp>
 
@@ -108,6 +109,17 @@
         s.to_route.push_back(request);
 }
 
+// What waits for a server that has gone silent is routed anew: reads to another
+// server, and the rest is refused.
+void reconsider_waiting(state& s, row_id id, server_row& server)
+{
+    for (auto const request : take_waiting(s, server))
+        s.to_route.push_back(request);
+    auto& group = *s.groups.find(server.group);
+    if (group.primary == id)
+        route_waiting_for_sample(s, group);
+}
+
 void expire_server_silence(state& s, row_id id)
 {
     auto* server = s.servers.find(id);
@@ -116,7 +128,9 @@
     // A verdict ends the reports; the server says itself when it is back.
     if (server->is_removed || server->is_down)
         return server->silent_since.reset();
-    server->is_reported_silent = true;
+    server->next_trial = s.now;
+    if (!std::exchange(server->is_reported_silent, true))
+        reconsider_waiting(s, id, *server);
     s.actions.emplace_back(server_reach{server->name, false});
     s.timers.set({timer_kind::server_silence, id},
                  s.now + s.settings.silence_repeat);
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -211,7 +211,8 @@
             it.outstanding + it.queue->size() + penalty +
             (it.data_centre != s.settings.data_centre ? far_penalty : 0) +
             (group.primary == id ? primary_penalty : 0);
-        return std::tuple(it.next_open > s.now && it.idle.empty(), load,
+        return std::tuple(it.is_reported_silent,
+                          it.next_open > s.now && it.idle.empty(), load,
                           penalty, it.name);
     };
     for (auto const id : group.servers)
@@ -269,6 +270,17 @@
     note(s, id, decision_kind::wait, decision_reason::no_primary);
 }
 
+// Lets one statement at a time find out whether a silent server answers again.
+bool takes_trial(state& s, server_row& server)
+{
+    if (!server.is_reported_silent)
+        return true;
+    if (s.now < server.next_trial)
+        return false;
+    server.next_trial = s.now + s.settings.silence_repeat;
+    return true;
+}
+
 void route_to_primary(state& s,
                       request_row_id id,
                       request_row& request,
@@ -279,6 +291,11 @@
     if (!group.primary || !takes_work(*s.servers.find(*group.primary)) ||
         group.primary_refused_until > s.now)
         return wait_for_primary(s, id, request);
+    // A new primary is some seconds away, and the statement would wait in vain.
+    if (is_server_checked(s, request) &&
+        !takes_trial(s, *s.servers.find(*group.primary)))
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::server_silent);
     note(s, id, decision_kind::route, reason, *group.primary);
     enqueue(s, id, request, *group.primary, true);
 }
@@ -330,7 +347,8 @@
 bool has_reachable_primary(state const& s, group_row const& group)
 {
     return group.primary && takes_work(*s.servers.find(*group.primary)) &&
-           group.primary_refused_until <= s.now;
+           group.primary_refused_until <= s.now &&
+           !s.servers.find(*group.primary)->is_reported_silent;
 }
 
 // Without a recent position of the primary, all reads went to the primary
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -492,3 +492,33 @@
     f.run();
     CHECK_FALSE(f.find<server_reach>().has_value());
 }
+
+// Guards against callers that wait out their time limit for a primary that is
+// known to answer nothing, and against one that is never tried again.
+TEST_CASE("a statement for a silent primary is refused at once")
+{
+    fixture f(8);
+    for (std::uint64_t id = 1; id != 6; ++id)
+        f.open_session(id, "intake");
+    auto const a = f.send(1, statement_verb::write);
+    auto const b = f.send(2, statement_verb::write);
+    f.answer(a, {3, 8}, true);
+    f.answer(b, {3, 9}, true);
+    auto const first = f.send(1, statement_verb::write);
+    f.now += 600ms;
+    f.run();
+    // One statement may find out whether the primary answers again.
+    f.it->push(statement_received{session_id{2}, statement_verb::write});
+    f.run();
+    CHECK(f.find<send_statement>().has_value());
+    f.it->push(statement_received{session_id{3}, statement_verb::write});
+    f.run();
+    auto const refused = f.find<refuse>();
+    REQUIRE(refused.has_value());
+    CHECK(refused->outcome == refusal_outcome::not_run);
+    CHECK(refused->reason == refusal_reason::server_silent);
+    f.answer(first, {3, 10}, true);
+    f.it->push(statement_received{session_id{4}, statement_verb::write});
+    f.run();
+    CHECK(f.find<send_statement>().has_value());
+}
