--- a/packages/limits/include/basilreach/limits/connection_pacer.hpp
+++ b/packages/limits/include/basilreach/limits/connection_pacer.hpp
@@ -14,6 +14,8 @@
     double burst = 6;
     // One more may be opened each time that this many openings would take.
     int spacing = 8;
+    // Time of an opening before one has been measured.
+    duration first_open_time = std::chrono::milliseconds(25);
     // Longest time until one more may be opened.
     duration longest = std::chrono::seconds(1);
 
@@ -48,7 +50,7 @@
     // Openings that were left at `updated_`.
     double left_;
     instant updated_;
-    duration open_time_{};
+    duration open_time_;
 };
 
 } // namespace basilreach::limits
--- a/packages/limits/src/connection_pacer.cpp
+++ b/packages/limits/src/connection_pacer.cpp
@@ -15,7 +15,8 @@
 } // namespace
 
 connection_pacer::connection_pacer(pacer_settings settings)
-    : settings_(settings), left_(settings.burst)
+    : settings_(settings), left_(settings.burst),
+      open_time_(settings.first_open_time)
 {
 }
 
--- a/packages/limits/test/fair_queue_test.cpp
+++ b/packages/limits/test/fair_queue_test.cpp
@@ -100,3 +100,31 @@
         ;
     CHECK(queue.push(a, 1, far, 0, start).error() == queue_refusal::queue_full);
 }
+
+// Guards against a workspace without a connection that blocks the others.
+TEST_CASE("an entry that cannot be served now lets others pass in fair order")
+{
+    fair_queue<int> queue({});
+    for (int n = 0; n != 3; ++n)
+    {
+        REQUIRE(queue.push(a, 1, far, n, start));
+        REQUIRE(queue.push(b, 1, far, 10 + n, start));
+    }
+    auto const only_b = [](workspace_name const& it)
+    {
+        return it == b;
+    };
+    auto const any = [](workspace_name const& /*it*/)
+    {
+        return true;
+    };
+    CHECK(queue.pop_if(only_b) == 10);
+    CHECK(queue.pop_if(only_b) == 11);
+    // What was passed over keeps its turn.
+    CHECK(queue.pop_if(any) == 0);
+    CHECK(queue.pop_if(any) == 1);
+    // Both have been served twice by now, and b waits for longer.
+    CHECK(queue.pop_if(any) == 12);
+    CHECK(queue.pop_if(any) == 2);
+    CHECK_FALSE(queue.pop_if(any));
+}
