traffic, limits: Prefer servers of the own data centre more, renew connection shares each second

Reads left the data centre for two statements outstanding, and each of 81 shares was renewed twice a second. Ruled out: fewer samples of the primary's position (they ride on answers). Change: a server in another data centre counts as four statements outstanding; shares are renewed each second, a third of their lifetime.

--- a/packages/limits/include/basilreach/limits/share_holder.hpp
+++ b/packages/limits/include/basilreach/limits/share_holder.hpp
@@ -21,7 +21,7 @@
     // Time after which an unanswered request is sent again.
     duration retry_interval = std::chrono::milliseconds(20);
     // Time between two requests of a server without changes.
-    duration idle_interval = std::chrono::milliseconds(500);
+    duration idle_interval = std::chrono::milliseconds(1000);
 
     friend auto operator<=>(share_holder_settings const&,
                             share_holder_settings const&) = default;
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -172,7 +172,7 @@
 // Work outstanding that makes a server in another data centre or the primary
 // as good as a replica nearby: the way costs bytes between data centres, and
 // writes can run at the primary only.
-constexpr std::size_t far_penalty = 2;
+constexpr std::size_t far_penalty = 4;
 constexpr std::size_t primary_penalty = 2;
 
 // Opening a connection occupies a slot for longer than most statements, and
