limits, messages: Send the reports of several workspaces in one message

Tests: 500 statements of three workspaces in a second need at most 11 messages; the random traces hold with reports that go together.

--- a/packages/daemon/include/basilreach/daemon/limit_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -49,6 +49,7 @@
     void post_shares(instant now);
 
     daemon_context const& context_;
+    std::uint64_t incarnation_;
     std::function<void(messages::message const&)> to_leader_;
     limits::rate_holder rates_;
     limits::rate_ledger threads_;
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -315,11 +315,17 @@
 
 void control_host::on_token_request(link_id from, messages::message const& it)
 {
-    auto const& request = std::get<limits::token_request>(it);
+    auto const& batch = std::get<messages::token_requests>(it);
     if (!limits_)
         return;
-    daemon_links_[request.holder] = from;
-    limits_->receive(request, now_);
+    daemon_links_[batch.holder] = from;
+    for (auto request : batch.requests)
+    {
+        request.holder = batch.holder;
+        request.incarnation = batch.incarnation;
+        request.sent = batch.sent;
+        limits_->receive(request, now_);
+    }
 }
 
 void control_host::on_share_request(link_id from, messages::message const& it)
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -316,7 +316,14 @@
 void control_thread::on_token_grant(link_id /*from*/, messages::message& it)
 {
     note_answer();
-    limits_->receive(std::get<limits::token_grant>(it), read_clock());
+    auto& batch = std::get<messages::token_grants>(it);
+    for (auto& grant : batch.grants)
+    {
+        grant.holder = batch.holder;
+        grant.incarnation = batch.incarnation;
+        grant.sent = batch.sent;
+        limits_->receive(grant, read_clock());
+    }
 }
 
 void control_thread::on_share_grant(link_id /*from*/, messages::message& it)
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -16,6 +16,7 @@
 {
     limits::rate_holder_settings out;
     out.least_reserve = 1;
+    out.reports_together = true;
     return out;
 }
 
@@ -36,7 +37,8 @@
     std::uint64_t incarnation,
     std::function<void(messages::message const&)> to_leader,
     instant now)
-    : context_(context), to_leader_(std::move(to_leader)),
+    : context_(context), incarnation_(incarnation),
+      to_leader_(std::move(to_leader)),
       rates_(holder_settings(), context.settings.name, incarnation),
       threads_(limits::second_level_settings(), 1, now),
       shares_({}, context.settings.name, incarnation)
@@ -113,8 +115,9 @@
         limits::relay_tokens(rates_, threads_, it, now);
     for (auto const& it : threads_.tick(now))
         context_.threads[thread_of(it.holder)]->post(traffic::event(it));
-    for (auto const& it : rates_.tick(now))
-        to_leader_(it);
+    if (auto requests = rates_.tick(now); !requests.empty())
+        to_leader_(messages::token_requests{
+            context_.settings.name, incarnation_, now, std::move(requests)});
     for (auto const& it : shares_.tick(now))
         to_leader_(it);
     post_shares(now);
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -1,6 +1,7 @@
 #include <basilreach/daemon/limit_leader.hpp>
 
 #include <cmath>
+#include <map>
 #include <utility>
 
 namespace basilreach::daemon
@@ -136,8 +137,17 @@
 {
     rates_.set_authority(authority);
     shares_.set_authority(authority);
-    for (auto const& it : rates_.tick(now))
-        send_(it.holder, it);
+    std::map<daemon_name, messages::token_grants> batches;
+    for (auto& it : rates_.tick(now))
+    {
+        auto& batch = batches[it.holder];
+        batch.holder = it.holder;
+        batch.incarnation = it.incarnation;
+        batch.sent = it.sent;
+        batch.grants.push_back(std::move(it));
+    }
+    for (auto const& [holder, batch] : batches)
+        send_(holder, batch);
     for (auto const& it : shares_.tick(now))
         send_(it.holder, it);
 }
--- a/packages/limits/include/basilreach/limits/rate_holder.hpp
+++ b/packages/limits/include/basilreach/limits/rate_holder.hpp
@@ -31,6 +31,9 @@
     // of a new leader.
     std::int64_t least_reserve = 0;
     duration recent_time = std::chrono::seconds(10);
+    // Whether reports that are due soon go with one that is due, so that one
+    // message carries many.
+    bool reports_together = false;
 
     friend auto operator<=>(rate_holder_settings const&,
                             rate_holder_settings const&) = default;
@@ -119,6 +122,8 @@
     void use(purse& it, std::int64_t tokens, instant now);
     [[nodiscard]] std::int64_t target(purse const& it, instant now) const;
     [[nodiscard]] instant send_time(purse const& it) const;
+    [[nodiscard]] static bool is_urgent(purse const& it);
+    [[nodiscard]] bool is_due_soon(purse const& it, instant now) const;
     void schedule(row_id id, purse const& it);
     token_request make_request(purse& it, instant now) const;
 
@@ -128,6 +133,8 @@
     table<purse> purses_;
     std::map<workspace_name, row_id> by_name_;
     deadline_queue<row_id> due_;
+    // When requests were last sent.
+    instant sent_;
 };
 
 } // namespace basilreach::limits
--- a/packages/limits/src/rate_holder.cpp
+++ b/packages/limits/src/rate_holder.cpp
@@ -91,7 +91,9 @@
     if (it == nullptr || it->waiting == tokens)
         return;
     refresh(*it, now);
-    it->asking = it->asking || tokens > it->waiting;
+    // The granting side keeps a place for a holder that waits already.
+    it->asking = it->asking || (it->waiting == 0 && tokens > 0);
+    it->used = it->used || tokens > it->waiting;
     it->waiting = tokens;
     schedule(by_name_.at(workspace), *it);
 }
@@ -175,13 +177,33 @@
 std::vector<token_request> rate_holder::tick(instant now)
 {
     std::vector<token_request> requests;
+    auto const next_report =
+        settings_.reports_together ? sent_ + settings_.report_interval : now;
     while (auto const id = due_.pop_due(now))
     {
         auto& it = *purses_.find(*id);
         refresh(it, now);
-        if (send_time(it) <= now)
+        if (send_time(it) > now)
+            schedule(*id, it);
+        else if (!is_urgent(it) && now < next_report)
+            due_.set(*id, next_report);
+        else
+        {
             requests.push_back(make_request(it, now));
-        schedule(*id, it);
+            schedule(*id, it);
+        }
+    }
+    if (requests.empty() || !settings_.reports_together)
+        return requests;
+    sent_ = now;
+    for (auto const& [workspace, id] : by_name_)
+    {
+        auto& it = *purses_.find(id);
+        if (!is_due_soon(it, now))
+            continue;
+        refresh(it, now);
+        requests.push_back(make_request(it, now));
+        schedule(id, it);
     }
     return requests;
 }
@@ -264,10 +286,21 @@
     if (it.used)
         return it.sent + settings_.report_interval;
     if (it.waiting > 0)
-        return it.sent + settings_.retry_interval;
+        return it.sent + settings_.report_interval;
     return it.sent + settings_.idle_interval;
 }
 
+// Whether statements wait for the answer, or soon will.
+bool rate_holder::is_urgent(purse const& it)
+{
+    return !it.answered || it.asking;
+}
+
+bool rate_holder::is_due_soon(purse const& it, instant now) const
+{
+    return it.answered && it.sent + (send_time(it) - it.sent) / 2 <= now;
+}
+
 void rate_holder::schedule(row_id id, purse const& it)
 {
     due_.set(id, send_time(it));
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -14,6 +14,7 @@
 using basilreach::instant;
 using basilreach::workspace_name;
 using basilreach::limits::rate_holder;
+using basilreach::limits::rate_holder_settings;
 using basilreach::limits::rate_ledger;
 using basilreach::limits::rate_settings;
 using basilreach::limits::token_grant;
@@ -84,12 +85,15 @@
     rate_settings settings;
     settings.floor_rate_per_mille = 1000;
     settings.floor_burst_per_mille = 400;
+    rate_holder_settings together;
+    together.reports_together = true;
     for (std::uint64_t seed = 1; seed <= 200; ++seed)
     {
         CAPTURE(seed);
         auto trace = random_trace(seed);
         trace.limits.resize(1);
         CHECK(replay_rate(trace, seed, settings).over_rate == 0);
+        CHECK(replay_rate(trace, seed, settings, together).over_rate == 0);
     }
 }
 
@@ -252,6 +256,50 @@
     CHECK(holder.available(workspace, now) > 0);
 }
 
+// Guards against a message for each statement, which with many hosts and
+// workspaces was most of what hosts sent to each other.
+TEST_CASE("reports of several workspaces go together")
+{
+    rate_holder_settings settings;
+    settings.reports_together = true;
+    rate_holder it(settings, daemon_name("d"), 1);
+    workspace_name const names[] = {workspace_name("a"), workspace_name("b"),
+                                    workspace_name("c")};
+    auto now = at_ms(1000);
+    std::uint64_t number = 0;
+    auto const grant = [&](workspace_name const& to)
+    {
+        token_grant out;
+        out.workspace = to;
+        out.holder = daemon_name("d");
+        out.incarnation = 1;
+        out.id = {1, ++number};
+        out.tokens = 100;
+        out.lifetime = std::chrono::seconds(60);
+        out.echo = now;
+        it.receive(out, now);
+    };
+    for (auto const& name : names)
+        it.add_workspace(name, now);
+    (void)it.tick(now);
+    for (auto const& name : names)
+        grant(name);
+    std::size_t messages = 0;
+    std::size_t reports = 0;
+    for (int n = 0; n != 500; ++n)
+    {
+        now += std::chrono::milliseconds(2);
+        CHECK(it.spend(names[n % 3], 1, now));
+        auto const requests = it.tick(now);
+        messages += requests.empty() ? 0 : 1;
+        reports += requests.size();
+        for (auto const& request : requests)
+            grant(request.workspace);
+    }
+    CHECK(messages <= 11);
+    CHECK(reports >= 24);
+}
+
 // Guards against statements that find no token after a change of leader,
 // although their workspace has been in use at this host.
 TEST_CASE("a workspace in use keeps its least reserve")
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -89,6 +89,32 @@
     friend bool operator==(admin_reply const&, admin_reply const&) = default;
 };
 
+// Requests of one daemon for several workspaces. What they share is sent once;
+// holder, incarnation and time of the single requests are not sent.
+struct token_requests
+{
+    daemon_name holder;
+    std::uint64_t incarnation = 0;
+    // When all of them were sent, by the sender's clock.
+    instant sent;
+    std::vector<limits::token_request> requests;
+
+    friend bool operator==(token_requests const&,
+                           token_requests const&) = default;
+};
+
+// The grants to one daemon for several workspaces, in the same way.
+struct token_grants
+{
+    daemon_name holder;
+    std::uint64_t incarnation = 0;
+    // When all of them were sent, by the sender's clock.
+    instant sent;
+    std::vector<limits::token_grant> grants;
+
+    friend bool operator==(token_grants const&, token_grants const&) = default;
+};
+
 // A control host that is no member asks the leader to add it. A host that does
 // not lead passes the message on once.
 struct join_request
@@ -107,8 +133,8 @@
                              not_leader,
                              admin_request,
                              admin_reply,
-                             limits::token_request,
-                             limits::token_grant,
+                             token_requests,
+                             token_grants,
                              limits::share_request,
                              limits::share_grant,
                              consensus::peer_message,
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -389,10 +389,7 @@
 void map_fields(D d, V& v, wire::token_requestT& w)
 {
     d(v.workspace, w.workspace);
-    d(v.holder, w.holder);
-    d(v.incarnation, w.incarnation);
     d(v.sequence, w.sequence);
-    d(v.sent, w.sent);
     d(v.heard, w.heard);
     d(v.heard_sent, w.heard_sent);
     d(v.left, w.left);
@@ -406,10 +403,7 @@
 void map_fields(D d, V& v, wire::token_grantT& w)
 {
     d(v.workspace, w.workspace);
-    d(v.holder, w.holder);
-    d(v.incarnation, w.incarnation);
     d(v.id, w.id);
-    d(v.sent, w.sent);
     d(v.echo, w.echo);
     d(v.lifetime, w.lifetime);
     d(v.tokens, w.tokens);
@@ -590,6 +584,38 @@
     v.values = w.values;
 }
 
+void map_fields(to_wire d, token_requests const& v, wire::token_requestsT& w)
+{
+    d(v.holder, w.holder);
+    d(v.incarnation, w.incarnation);
+    d(v.sent, w.sent);
+    w.requests = make_list<wire::token_requestT>(v.requests);
+}
+
+void map_fields(from_wire d, token_requests& v, wire::token_requestsT const& w)
+{
+    d(v.holder, w.holder);
+    d(v.incarnation, w.incarnation);
+    d(v.sent, w.sent);
+    v.requests = read_list<limits::token_request>(w.requests);
+}
+
+void map_fields(to_wire d, token_grants const& v, wire::token_grantsT& w)
+{
+    d(v.holder, w.holder);
+    d(v.incarnation, w.incarnation);
+    d(v.sent, w.sent);
+    w.grants = make_list<wire::token_grantT>(v.grants);
+}
+
+void map_fields(from_wire d, token_grants& v, wire::token_grantsT const& w)
+{
+    d(v.holder, w.holder);
+    d(v.incarnation, w.incarnation);
+    d(v.sent, w.sent);
+    v.grants = read_list<limits::token_grant>(w.grants);
+}
+
 void map_fields(to_wire d, admin_reply const& v, wire::admin_replyT& w)
 {
     d(v.id, w.id);
@@ -746,8 +772,8 @@
                                  wire::not_leaderT,
                                  wire::admin_requestT,
                                  wire::admin_replyT,
-                                 wire::token_requestT,
-                                 wire::token_grantT,
+                                 wire::token_requestsT,
+                                 wire::token_grantsT,
                                  wire::share_requestT,
                                  wire::share_grantT,
                                  wire::peer_messageT,
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -76,24 +76,26 @@
         return consensus::peer_message{consensus::host_name("a"),
                                        consensus::host_name("b"), 7, body};
     };
-    return {renewal,
-            control::lease_returned{daemon_name("d"), 2},
-            control::grant_lease{},
-            subscribe{daemon_name("d"), 3},
-            update,
-            not_leader{daemon_name("l")},
-            admin_request{1, "SHOW STATUS"},
-            reply,
-            tokens,
-            limits::token_grant{},
-            limits::share_request{},
-            limits::share_grant{},
-            join_request{consensus::host_name("a=1"), true},
-            control::reach_report{daemon_name("d"), server_name("s"), true},
-            peer(append),
-            peer(chunk),
-            peer(consensus::vote_reply{true}),
-            peer(consensus::snapshot_reply{1, 2, true, 3})};
+    return {
+        renewal,
+        control::lease_returned{daemon_name("d"), 2},
+        control::grant_lease{},
+        subscribe{daemon_name("d"), 3},
+        update,
+        not_leader{daemon_name("l")},
+        admin_request{1, "SHOW STATUS"},
+        reply,
+        token_requests{daemon_name("d"), 3, instant(duration(5)), {tokens, {}}},
+        token_grants{
+            daemon_name("d"), 3, instant(duration(5)), {limits::token_grant{}}},
+        limits::share_request{},
+        limits::share_grant{},
+        join_request{consensus::host_name("a=1"), true},
+        control::reach_report{daemon_name("d"), server_name("s"), true},
+        peer(append),
+        peer(chunk),
+        peer(consensus::vote_reply{true}),
+        peer(consensus::snapshot_reply{1, 2, true, 3})};
 }
 
 } // namespace
