--- a/packages/limits/src/rate_holder.cpp
+++ b/packages/limits/src/rate_holder.cpp
@@ -83,6 +83,12 @@
     return true;
 }
 
+void rate_holder::unspend(workspace_name const& workspace, std::int64_t tokens)
+{
+    if (auto* const it = find(workspace))
+        it->left += tokens * nanotokens;
+}
+
 void rate_holder::set_waiting(workspace_name const& workspace,
                               std::int64_t tokens,
                               instant now)
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -78,6 +78,8 @@
     request_state state = request_state::arrived;
     bool is_read = false;
     bool paid = false;
+    // When a token was spent for it.
+    instant paid_at;
     // A server may have run it, even if it waits for another one by now.
     bool was_sent = false;
     // Set once the wait for a replica's position has ended without success.
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -64,6 +64,7 @@
     if (s.tokens.spend(session.workspace, 1, s.now))
     {
         request.paid = true;
+        request.paid_at = s.now;
         return true;
     }
     auto& waiting = s.waiting_tokens[session.workspace];
--- a/packages/traffic/test/tokens_test.cpp
+++ b/packages/traffic/test/tokens_test.cpp
@@ -110,3 +110,52 @@
     }
     CHECK(f.last->waiting == 0);
 }
+
+// Guards against statements for a silent primary that use up the rate of those
+// that could run.
+TEST_CASE("a statement that is refused at once costs no token")
+{
+    fixture f;
+    control_view view;
+    view.revision = 2;
+    rules::route_rule route;
+    route.group = group_name("g");
+    route.timeout = 800ms;
+    view.routes.emplace(route_name("r"), route);
+    view.keys.emplace(key_digest{1}, workspace_name("w"));
+    view.workspaces.insert(workspace_name("w"));
+    view.servers.emplace(server_name("s"),
+                         server_view{group_name("g"), data_centre_name("a"),
+                                     "127.0.0.1:1", false, false});
+    group_view group{1, server_name("s"), 3};
+    group.checked_by = rules::position_check::server;
+    view.groups.emplace(group_name("g"), group);
+    f.it.push(control_changed{std::make_shared<control_view>(view)});
+    for (std::uint64_t id = 2; id != 6; ++id)
+    {
+        session_opened event;
+        event.session = session_id{id};
+        event.route = route_name("r");
+        event.workspace = workspace_name("w");
+        event.key = key_digest{1};
+        f.it.push(event);
+    }
+    f.run();
+    f.grant(3);
+    std::size_t silent = 0;
+    auto const send = [&](std::uint64_t id)
+    {
+        f.it.push(statement_received{session_id{id}, statement_verb::write});
+        for (auto const& a : f.it.tick(f.now))
+            if (auto const* it = std::get_if<refuse>(&a))
+                silent += it->reason == refusal_reason::server_silent ? 1 : 0;
+    };
+    // The connection that this opens never becomes ready.
+    send(1);
+    f.now += 600ms;
+    f.run();
+    // The statement that waits tries the primary again; others are refused.
+    for (int n = 0; n != 5; ++n)
+        send(2);
+    CHECK(silent == 5);
+}
