daemon: Serve counters and latency histograms on a metrics address

Cause: on-call engineers had the totals of one daemon on the admin console only, which the users' deployment does not open. Ruled out: a library for the text format (none is in Debian for C++ without a server of its own; the format is lines of text).

--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -11,10 +11,12 @@
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/daemon/call_service.hpp>
 #include <basilreach/daemon/control_host.hpp>
+#include <basilreach/daemon/http_server.hpp>
 #include <basilreach/daemon/inbox.hpp>
 #include <basilreach/daemon/lease_client.hpp>
 #include <basilreach/daemon/limit_client.hpp>
 #include <basilreach/daemon/link_table.hpp>
+#include <basilreach/daemon/metrics_page.hpp>
 #include <basilreach/daemon/thread_messages.hpp>
 #include <basilreach/daemon/traffic_thread.hpp>
 
@@ -87,6 +89,9 @@
     void on_share_grant(link_id from, messages::message& it);
 
     [[nodiscard]] bool open_calls();
+    [[nodiscard]] bool open_metrics();
+    [[nodiscard]] traffic_metrics sum_metrics() const;
+    [[nodiscard]] metrics_sample sample_metrics() const;
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] bool serves_callers() const;
     void receive(link_id from, messages::message& it);
@@ -112,6 +117,7 @@
     std::unique_ptr<control_host> host_;
     // Absent where no address for it is set.
     std::unique_ptr<call_service> service_;
+    std::unique_ptr<http_server> metrics_server_;
     std::unique_ptr<lease_client> lease_;
     std::unique_ptr<limit_client> limits_;
     // Messages of this daemon to itself.
--- /dev/null
+++ b/packages/daemon/include/basilreach/daemon/metrics_page.hpp
@@ -0,0 +1,35 @@
+#ifndef BASILREACH_DAEMON_METRICS_PAGE_HPP
+#define BASILREACH_DAEMON_METRICS_PAGE_HPP
+
+#include <cstdint>
+#include <string>
+
+#include <basilreach/daemon/thread_messages.hpp>
+
+namespace basilreach::daemon
+{
+
+// What a daemon counts, at one moment.
+struct metrics_sample
+{
+    // Sum over the traffic threads.
+    traffic_metrics traffic;
+    std::uint64_t decisions_dropped = 0;
+    // Revision of the control state that is in use.
+    std::uint64_t revision = 0;
+    bool is_ready = false;
+    bool is_leader = false;
+    // Whether a control host answers.
+    bool is_in_contact = false;
+
+    friend bool operator==(metrics_sample const&,
+                           metrics_sample const&) = default;
+};
+
+// Writes the page of the metrics address, in the text format of Prometheus.
+// docs/OPERATIONS.md lists the names and their units.
+[[nodiscard]] std::string write_metrics(metrics_sample const& it);
+
+} // namespace basilreach::daemon
+
+#endif
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -8,6 +8,8 @@
 
 #include <basilreach/daemon/view_builder.hpp>
 
+#include <basilreach/daemon/metrics_page.hpp>
+
 #include "admin_replies.hpp"
 
 namespace basilreach::daemon
@@ -85,7 +87,7 @@
     limits_ = std::make_unique<limit_client>(
         context_, lease_->incarnation(),
         [this](messages::message const& it) { to_leader(it); }, now);
-    if (!open_calls())
+    if (!open_calls() || !open_metrics())
         return daemon_error::cannot_listen;
     if (!settings.roles.contains(settings::daemon_role::control))
         return daemon_error::none;
@@ -164,6 +166,35 @@
     return service_->listen(calls, readiness);
 }
 
+bool control_thread::open_metrics()
+{
+    auto const& address = context_.settings.metrics_listen;
+    if (!address)
+        return true;
+    metrics_server_ = std::make_unique<http_server>(
+        loop_,
+        [this](exchange_id id, http_request const& it)
+        {
+            bool const is_known = it.method == "GET" && it.target == "/metrics";
+            metrics_server_->respond(
+                id, is_known ? http_response{200,
+                                             {{"Content-Type", "text/plain"}},
+                                             write_metrics(sample_metrics())}
+                             : http_response{404, {}, {}});
+        });
+    return metrics_server_->listen(*address);
+}
+
+metrics_sample control_thread::sample_metrics() const
+{
+    return {sum_metrics(),
+            context_.decisions->dropped(),
+            lease_->state().revision(),
+            is_ready(),
+            host_ && host_->leader_name() == host_->self(),
+            host_ ? !host_->leader_name().empty() : is_in_contact_};
+}
+
 daemon_error control_thread::run()
 {
     loop_.reactor().owner(ACE_OS::thr_self());
@@ -191,6 +222,8 @@
             service_->tick(now);
         follow_drain(now);
         links_.remove_closed();
+        if (metrics_server_)
+            metrics_server_->remove_closed();
         loop_.run_once(next_deadline());
     }
     return error_;
@@ -421,15 +454,15 @@
     calls_.erase(found);
 }
 
-messages::admin_reply control_thread::show_metrics() const
+traffic_metrics control_thread::sum_metrics() const
 {
-    std::vector<admin::metric_row> rows;
     traffic_metrics sum;
     for (auto const& it : metrics_)
     {
         auto const& c = it.counts;
         sum.clients += it.clients;
         sum.counts.sessions += c.sessions;
+        sum.counts.requests += c.requests;
         sum.counts.connections += c.connections;
         sum.counts.reads_at_replicas += c.reads_at_replicas;
         sum.counts.reads_at_primaries += c.reads_at_primaries;
@@ -441,6 +474,13 @@
         sum.reads += it.reads;
         sum.writes += it.writes;
     }
+    return sum;
+}
+
+messages::admin_reply control_thread::show_metrics() const
+{
+    std::vector<admin::metric_row> rows;
+    auto const sum = sum_metrics();
     auto const add = [&rows](char const* name, std::string labels, auto value)
     {
         rows.push_back({name, std::move(labels), std::to_string(value)});
--- /dev/null
+++ b/packages/daemon/src/metrics_page.cpp
@@ -0,0 +1,126 @@
+#include <basilreach/daemon/metrics_page.hpp>
+
+#include <array>
+#include <chrono>
+#include <sstream>
+
+namespace basilreach::daemon
+{
+
+namespace
+{
+
+// Upper bounds of the buckets of latency histograms. They cover the latency
+// objectives that routes state and the time limits of statements.
+constexpr std::array buckets = {
+    std::chrono::microseconds(1000),    std::chrono::microseconds(2500),
+    std::chrono::microseconds(5000),    std::chrono::microseconds(10000),
+    std::chrono::microseconds(25000),   std::chrono::microseconds(50000),
+    std::chrono::microseconds(100000),  std::chrono::microseconds(250000),
+    std::chrono::microseconds(500000),  std::chrono::microseconds(1000000),
+    std::chrono::microseconds(2500000), std::chrono::microseconds(5000000)};
+
+class page_writer
+{
+public:
+    void family(char const* name, char const* kind, char const* help)
+    {
+        out_ << "# HELP basilreach_" << name << ' ' << help << '\n'
+             << "# TYPE basilreach_" << name << ' ' << kind << '\n';
+    }
+
+    template <class Value>
+    void sample(char const* name, char const* labels, Value value)
+    {
+        out_ << "basilreach_" << name << labels << ' ' << value << '\n';
+    }
+
+    void histogram(char const* name,
+                   char const* label,
+                   telemetry::latency_histogram const& it)
+    {
+        for (auto const bound : buckets)
+            out_ << "basilreach_" << name << "_bucket{" << label << ",le=\""
+                 << std::chrono::duration<double>(bound).count() << "\"} "
+                 << it.count_up_to(bound) << '\n';
+        out_ << "basilreach_" << name << "_bucket{" << label << ",le=\"+Inf\"} "
+             << it.count() << '\n'
+             << "basilreach_" << name << "_sum{" << label << "} " << it.sum()
+             << '\n'
+             << "basilreach_" << name << "_count{" << label << "} "
+             << it.count() << '\n';
+    }
+
+    [[nodiscard]] std::string text() const
+    {
+        return out_.str();
+    }
+
+private:
+    std::ostringstream out_;
+};
+
+void write_gauges(page_writer& page, metrics_sample const& it)
+{
+    auto const& counts = it.traffic.counts;
+    page.family("callers", "gauge", "Connections of callers.");
+    page.sample("callers", "", it.traffic.clients);
+    page.family("sessions", "gauge", "Sessions of callers.");
+    page.sample("sessions", "", counts.sessions);
+    page.family("statements_in_progress", "gauge", "Statements not answered.");
+    page.sample("statements_in_progress", "", counts.requests);
+    page.family("server_connections", "gauge",
+                "Connections to backend servers.");
+    page.sample("server_connections", "", counts.connections);
+    page.family("control_revision", "gauge", "Revision of the control state.");
+    page.sample("control_revision", "", it.revision);
+    page.family("ready", "gauge", "1 if the host takes new callers.");
+    page.sample("ready", "", it.is_ready ? 1 : 0);
+    page.family("leader", "gauge", "1 if this host leads control.");
+    page.sample("leader", "", it.is_leader ? 1 : 0);
+    page.family("control_contact", "gauge", "1 if a control host answers.");
+    page.sample("control_contact", "", it.is_in_contact ? 1 : 0);
+}
+
+void write_counters(page_writer& page, metrics_sample const& it)
+{
+    auto const& counts = it.traffic.counts;
+    page.family("reads_total", "counter", "Reads answered, by server role.");
+    page.sample("reads_total", "{server=\"replica\"}",
+                counts.reads_at_replicas);
+    page.sample("reads_total", "{server=\"primary\"}",
+                counts.reads_at_primaries);
+    page.family("writes_total", "counter", "Writes and commits answered.");
+    page.sample("writes_total", "", counts.writes);
+    page.family("refused_total", "counter", "Statements refused, by outcome.");
+    page.sample("refused_total", "{outcome=\"not_run\"}",
+                counts.refused_not_run);
+    page.sample("refused_total", "{outcome=\"unknown\"}",
+                counts.outcome_unknown);
+    page.family("server_connections_opened_total", "counter",
+                "Connections opened to backend servers.");
+    page.sample("server_connections_opened_total", "",
+                counts.connections_opened);
+    page.family("silent_connections_total", "counter",
+                "Connections given up as nothing was answered.");
+    page.sample("silent_connections_total", "", counts.silent_connections);
+    page.family("decisions_dropped_total", "counter",
+                "Lines left out of the decision log.");
+    page.sample("decisions_dropped_total", "", it.decisions_dropped);
+}
+
+} // namespace
+
+std::string write_metrics(metrics_sample const& it)
+{
+    page_writer page;
+    write_gauges(page, it);
+    write_counters(page, it);
+    page.family("statement_seconds", "histogram",
+                "Time from a statement's arrival to its answer, in seconds.");
+    page.histogram("statement_seconds", "kind=\"read\"", it.traffic.reads);
+    page.histogram("statement_seconds", "kind=\"write\"", it.traffic.writes);
+    return page.text();
+}
+
+} // namespace basilreach::daemon
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -143,6 +143,8 @@
     std::optional<std::string> readiness_listen;
     // IP number and port for operators and reporting servers, over HTTP.
     std::optional<std::string> operator_listen;
+    // IP number and port for the metrics, as text over HTTP.
+    std::optional<std::string> metrics_listen;
     // IP number and port of the service that carries out promotions, for
     // groups whose servers check terms.
     std::optional<std::string> promotion_service;
--- a/packages/settings/src/fields.hpp
+++ b/packages/settings/src/fields.hpp
@@ -210,6 +210,7 @@
         {"protocol", &self::protocol},
         {"readiness_listen", &self::readiness_listen, {}, {&endpoint_format}},
         {"operator_listen", &self::operator_listen, {}, {&endpoint_format}},
+        {"metrics_listen", &self::metrics_listen, {}, {&endpoint_format}},
         {"promotion_service", &self::promotion_service, {}, {&endpoint_format}},
         {"serve_without_lease", &self::serve_without_lease},
         {"operator_key_sha256",
--- a/packages/telemetry/include/basilreach/telemetry/latency_histogram.hpp
+++ b/packages/telemetry/include/basilreach/telemetry/latency_histogram.hpp
@@ -24,6 +24,15 @@
     // Returns the number of recorded times.
     [[nodiscard]] std::uint64_t count() const;
 
+    // Returns the number of times in bins that end at or below the bound.
+    [[nodiscard]] std::uint64_t count_up_to(duration bound) const;
+
+    // Returns the sum of all times in seconds.
+    [[nodiscard]] double sum() const noexcept
+    {
+        return sum_;
+    }
+
     // Returns the upper edge of the bin in which the given share of the times
     // is reached; zero without any time. The relative error is below 12%.
     [[nodiscard]] duration quantile(double share) const;
@@ -40,6 +49,7 @@
                                     boost::histogram::dense_storage<double>>;
 
     histogram bins_;
+    double sum_ = 0;
 };
 
 } // namespace basilreach::telemetry
--- a/packages/telemetry/src/latency_histogram.cpp
+++ b/packages/telemetry/src/latency_histogram.cpp
@@ -12,6 +12,7 @@
 constexpr unsigned bins = 140;
 constexpr double least_seconds = 1e-5;
 constexpr double greatest_seconds = 1e2;
+constexpr double rounding = 1e-6;
 
 } // namespace
 
@@ -23,12 +24,15 @@
 
 void latency_histogram::record(duration it)
 {
-    bins_(std::chrono::duration<double>(it).count());
+    auto const seconds = std::chrono::duration<double>(it).count();
+    bins_(seconds);
+    sum_ += seconds;
 }
 
 latency_histogram& latency_histogram::operator+=(latency_histogram const& other)
 {
     bins_ += other.bins_;
+    sum_ += other.sum_;
     return *this;
 }
 
@@ -40,6 +44,19 @@
     return static_cast<std::uint64_t>(sum);
 }
 
+std::uint64_t latency_histogram::count_up_to(duration bound) const
+{
+    // Edges of bins are rounded.
+    auto const most =
+        std::chrono::duration<double>(bound).count() * (1 + rounding);
+    double sum = 0;
+    for (auto const& it :
+         boost::histogram::indexed(bins_, boost::histogram::coverage::all))
+        if (it.bin().upper() <= most)
+            sum += *it;
+    return static_cast<std::uint64_t>(sum);
+}
+
 duration latency_histogram::quantile(double share) const
 {
     auto const wanted = share * static_cast<double>(count());
