daemon: Keep what is sent while a link between daemons opens

Cause: after all hosts had lost power, a control leader was elected 0.8 s after they had started: the first requests for votes went to links that were still opening and were dropped, and a second election timeout had to pass. Ruled out: shorter election timeouts (a slow disk would bring elections). Change: a link that opens keeps up to 256 KiB, and the message that opens it is sent over it. Incarnations of a holder need no wait in a new leader where the server checks its limit.

--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/link_table.cpp
@@ -80,6 +80,7 @@
     auto const& opened =
         links_.emplace(row.link, make_link(row.link)).first->second;
     opened->connect(address_of(to));
+    opened->send(it);
 }
 
 void link_table::give_up(consensus::host_name const& to)
--- a/packages/daemon/src/message_link.cpp
+++ b/packages/daemon/src/message_link.cpp
@@ -22,6 +22,10 @@
 // Bytes that wait for a peer that does not read. A snapshot fits in.
 constexpr std::size_t send_limit = std::size_t{64} << 20U;
 
+// The same while the link opens. Dropping all of it cost hosts that started
+// together a whole election, as each asked for votes over links of its own.
+constexpr std::size_t opening_limit = std::size_t{256} << 10U;
+
 // Time in milliseconds after which unacknowledged bytes end a link. Hosts send
 // to each other at least twice a second, so that a link which has gone silent
 // is opened anew soon.
@@ -138,10 +142,10 @@
 
 void message_link::send(messages::message const& it)
 {
-    if (!is_open_)
+    if (!is_registered_)
         return;
     auto const bytes = messages::encode(it);
-    if (out_.size() + bytes.size() > send_limit)
+    if (out_.size() + bytes.size() > (is_open_ ? send_limit : opening_limit))
         return;
     messages::append_frame(out_, bytes);
     if (!waits_to_write_)
--- a/packages/daemon/test/link_test.cpp
+++ b/packages/daemon/test/link_test.cpp
@@ -65,6 +65,39 @@
     second.close();
 }
 
+// Guards against control hosts that start together and lose their first
+// requests for votes, because the links to each other were still opening.
+TEST_CASE("what is sent while a link opens arrives")
+{
+    event_loop loop;
+    loop.reactor().owner(ACE_OS::thr_self());
+    std::vector<messages::message> arrived;
+    link_table peer(loop, [&arrived](link_id, messages::message it)
+                    { arrived.push_back(std::move(it)); });
+    ACE_INET_Addr address;
+    {
+        ACE_SOCK_Acceptor any(
+            ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
+        REQUIRE(any.get_local_addr(address) == 0);
+        any.close();
+    }
+    auto const place = "127.0.0.1:" + std::to_string(address.get_port_number());
+    REQUIRE(peer.listen(place));
+    link_table links(loop, [](link_id, messages::message const&) {});
+    consensus::host_name const host("a=" + place);
+    messages::message const first = messages::not_leader{daemon_name("first")};
+    messages::message const second =
+        messages::not_leader{daemon_name("second")};
+    links.send(host, first);
+    links.send(host, second);
+    auto const end = read_clock() + 5s;
+    while (arrived.size() < 2 && read_clock() < end)
+        loop.run_once(read_clock() + 10ms);
+    REQUIRE(arrived.size() == 2);
+    CHECK(arrived[0] == first);
+    CHECK(arrived[1] == second);
+}
+
 // Guards against a host that wakes up after a suspension and believes in leases
 // that have ended: a clock that stands still meanwhile does not show it.
 TEST_CASE("the timer of an event loop counts the time of a suspension")
--- a/packages/limits/src/share_ledger.cpp
+++ b/packages/limits/src/share_ledger.cpp
@@ -185,7 +185,8 @@
         // which an earlier term has counted.
         auto const abandoned_for =
             with_clock_margin(settings_.lifetime) + settings_.lost_host_hold;
-        if (request.sent - request.started >= with_clock_margin(abandoned_for))
+        if (it.check == limit_check::server ||
+            request.sent - request.started >= with_clock_margin(abandoned_for))
             it.unreported.erase(from.holder);
         if (it.unreported.empty())
             settling_.set(by_name_.at(it.name), instant{});
