traffic: Take a server for silent only after what its answers usually take

Ruled out: a longer limit for all (a lost primary would be noticed later). Change: the limit is eight times the average answer, between 600 ms and 1.8 s, and 1.8 s for a server that has not answered yet.

--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -478,6 +478,9 @@
 {
     fixture f;
     f.open_session(1, "intake");
+    auto const first = f.send(1, statement_verb::write);
+    f.now += 10ms;
+    f.answer(first, {3, 9}, true);
     auto const sent = f.send(1, statement_verb::write);
     f.now += 500ms;
     f.run();
@@ -502,6 +505,7 @@
         f.open_session(id, "intake");
     auto const a = f.send(1, statement_verb::write);
     auto const b = f.send(2, statement_verb::write);
+    f.now += 10ms;
     f.answer(a, {3, 8}, true);
     f.answer(b, {3, 9}, true);
     auto const first = f.send(1, statement_verb::write);
@@ -522,3 +526,29 @@
     f.run();
     CHECK(f.find<send_statement>().has_value());
 }
+
+// Guards against a server that is taken for silent while it is slow, or while
+// all daemons open connections to it after a start.
+TEST_CASE("a slow server and one that has not answered yet are not silent")
+{
+    fixture f;
+    f.open_session(1, "intake");
+    f.open_session(2, "intake");
+    auto sent = f.send(1, statement_verb::write);
+    f.now += 700ms;
+    f.run();
+    CHECK_FALSE(f.find<server_reach>().has_value());
+    // The average answer takes more than 100 ms from now on.
+    for (int n = 0; n != 20; ++n)
+    {
+        f.answer(sent, {3, 10}, true);
+        sent = f.send(1, statement_verb::write);
+        f.now += 300ms;
+    }
+    f.now += 600ms;
+    f.run();
+    CHECK_FALSE(f.find<server_reach>().has_value());
+    f.now += 1s;
+    f.run();
+    CHECK(f.find<server_reach>().has_value());
+}
