daemon: Read the settings file again at SIGHUP

Cause: SIGHUP was logged and changed nothing, so that an entry host asked only the control hosts that it knew at its start or was told of. Ruled out: reading the file at intervals (a signal tells of each change that must be followed; the leader names itself to those who ask others). Change: the file is read and checked; new control hosts are added to those that are asked, other changes are logged as needing a restart, and a file with errors changes nothing.

--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -79,6 +79,7 @@
     void on_metrics(control_note& it);
     void on_drained(control_note& it);
     void on_stop(control_note& it);
+    void on_reload(control_note& it);
 
     void to_control_host(link_id from, messages::message& it);
     void on_grant(link_id from, messages::message& it);
--- a/packages/daemon/include/basilreach/daemon/signal_watcher.hpp
+++ b/packages/daemon/include/basilreach/daemon/signal_watcher.hpp
@@ -10,12 +10,14 @@
 namespace basilreach::daemon
 {
 
-// Reports SIGTERM and SIGINT in a reactor. The constructor blocks both, so it
-// runs before any other thread starts.
+// Reports SIGTERM and SIGINT, and SIGHUP apart from them, in a reactor. The
+// constructor blocks them, so it runs before any other thread starts.
 class signal_watcher : public ACE_Event_Handler
 {
 public:
-    signal_watcher(event_loop& loop, std::function<void()> received);
+    signal_watcher(event_loop& loop,
+                   std::function<void()> stop,
+                   std::function<void()> reload);
     ~signal_watcher() override;
     signal_watcher(signal_watcher const&) = delete;
     signal_watcher& operator=(signal_watcher const&) = delete;
@@ -25,7 +27,8 @@
 
 private:
     event_loop& loop_;
-    std::function<void()> received_;
+    std::function<void()> stop_;
+    std::function<void()> reload_;
     ACE_HANDLE handle_;
 };
 
--- a/packages/daemon/include/basilreach/daemon/thread_messages.hpp
+++ b/packages/daemon/include/basilreach/daemon/thread_messages.hpp
@@ -76,6 +76,13 @@
                            stop_requested const&) = default;
 };
 
+// The settings file may have changed.
+struct reload_requested
+{
+    friend bool operator==(reload_requested const&,
+                           reload_requested const&) = default;
+};
+
 using control_note = std::variant<view_adopted,
                                   traffic::term_ended,
                                   limits::token_request,
@@ -84,7 +91,8 @@
                                   admin_call,
                                   metrics_published,
                                   thread_drained,
-                                  stop_requested>;
+                                  stop_requested,
+                                  reload_requested>;
 
 // ---- To traffic threads ----
 
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -31,6 +31,8 @@
 struct daemon_context
 {
     settings::daemon_settings settings;
+    // Read again at a reload; empty in tests.
+    std::string settings_file;
     settings::backend_credential credential;
     deployment_adapter adapter;
     std::unique_ptr<daemon::protocol> protocol;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -9,6 +9,8 @@
 #include <basilreach/daemon/view_builder.hpp>
 
 #include <basilreach/daemon/metrics_page.hpp>
+#include <basilreach/daemon/reload.hpp>
+#include <basilreach/settings/parse.hpp>
 
 #include "admin_replies.hpp"
 
@@ -46,7 +48,7 @@
     &control_thread::on_tokens_wanted, &control_thread::on_connections_used,
     &control_thread::on_server_reach,  &control_thread::on_admin_call,
     &control_thread::on_metrics,       &control_thread::on_drained,
-    &control_thread::on_stop};
+    &control_thread::on_stop,          &control_thread::on_reload};
 
 // Indexed by the alternatives of messages::message.
 control_thread::message_handler const control_thread::message_handlers[] = {
@@ -514,6 +516,31 @@
     start_drain();
 }
 
+// The hosts that were known stay known: the file can be older than what other
+// control hosts have said since.
+void control_thread::on_reload(control_note& /*it*/)
+{
+    auto loaded = settings::load_daemon_settings(context_.settings_file);
+    if (!loaded)
+    {
+        for (auto const& it : loaded.error())
+            LOG(WARNING) << "event=reload outcome=refused error="
+                         << settings::to_string(it);
+        return;
+    }
+    auto const plan = plan_reload(context_.settings, std::move(loaded.value()));
+    for (auto const& it : plan.new_hosts)
+    {
+        auto const name = make_host_name(it);
+        if (std::find(known_hosts_.begin(), known_hosts_.end(), name) ==
+            known_hosts_.end())
+            known_hosts_.push_back(name);
+    }
+    LOG(INFO) << "event=reload outcome=applied new_control_hosts="
+              << plan.new_hosts.size()
+              << " needs_restart=" << plan.needs_restart;
+}
+
 // The balancer keeps sending new clients until it has noticed the stop, so the
 // phases are: everything is served for the drain period, then the listener is
 // closed and sessions drain, then the lease is given back.
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -60,7 +60,8 @@
     daemon::control_thread control(context);
     daemon::signal_watcher const signals(
         control.loop(),
-        [&control] { control.notes().push(daemon::stop_requested{}); });
+        [&control] { control.notes().push(daemon::stop_requested{}); },
+        [&control] { control.notes().push(daemon::reload_requested{}); });
     telemetry::decision_log decisions;
     context.decisions = &decisions;
     context.control = &control.notes();
@@ -112,6 +113,7 @@
     if (!loaded)
         return exit_usage;
     context.settings = std::move(*loaded);
+    context.settings_file = FLAGS_settings;
     if (context.settings.protocol == settings::statement_protocol::lines)
         context.adapter = platform::make_adapter();
     if (context.settings.backend_credential_file)
--- a/packages/daemon/src/signal_watcher.cpp
+++ b/packages/daemon/src/signal_watcher.cpp
@@ -4,7 +4,6 @@
 #include <utility>
 
 #include <ace/OS_NS_unistd.h>
-#include <easylogging++.h>
 #include <sys/signalfd.h>
 
 namespace basilreach::daemon
@@ -26,8 +25,11 @@
 
 } // namespace
 
-signal_watcher::signal_watcher(event_loop& loop, std::function<void()> received)
-    : loop_(loop), received_(std::move(received)), handle_(open_signals())
+signal_watcher::signal_watcher(event_loop& loop,
+                               std::function<void()> stop,
+                               std::function<void()> reload)
+    : loop_(loop), stop_(std::move(stop)), reload_(std::move(reload)),
+      handle_(open_signals())
 {
     loop_.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
 }
@@ -45,11 +47,9 @@
     if (ACE_OS::read(handle_, &info, sizeof(info)) != sizeof(info))
         return 0;
     if (info.ssi_signo == SIGHUP)
-        // No setting can change while the daemon runs; the signal must not end
-        // it either.
-        LOG(INFO) << "event=reload_asked outcome=unchanged";
+        reload_();
     else
-        received_();
+        stop_();
     return 0;
 }
 
--- /dev/null
+++ b/packages/daemon/test/reload_test.cpp
@@ -0,0 +1,46 @@
+// A settings file that changes while the daemon runs.
+#include <basilreach/daemon/reload.hpp>
+
+#include <doctest/doctest.h>
+
+using namespace basilreach;
+using namespace basilreach::daemon;
+
+namespace
+{
+
+settings::control_host host(char const* address)
+{
+    return {daemon_name(address), address, data_centre_name("a")};
+}
+
+settings::daemon_settings example()
+{
+    settings::daemon_settings it;
+    it.name = daemon_name("d");
+    it.client_listen = "127.0.0.1:1";
+    it.seeds = {"10.0.0.1:7"};
+    it.control_hosts = {host("10.0.0.1:9")};
+    return it;
+}
+
+} // namespace
+
+// Guards against an entry host that knows only control hosts which have all
+// been replaced since it started.
+TEST_CASE("control hosts that the file adds are learned at a reload")
+{
+    auto changed = example();
+    changed.seeds = {"10.0.0.2:7"};
+    changed.control_hosts = {host("10.0.0.2:9"), host("10.0.0.1:9")};
+    reload_plan const expected{{host("10.0.0.2:9")}, false};
+    CHECK(plan_reload(example(), changed) == expected);
+}
+
+TEST_CASE("a reload tells of fields that count from the next start on")
+{
+    CHECK(plan_reload(example(), example()) == reload_plan{});
+    auto changed = example();
+    changed.traffic_threads = 9;
+    CHECK(plan_reload(example(), changed).needs_restart);
+}
