traffic: State once how a group checks and how a refused primary is avoided

Cause: two places marked a primary that says it is none, and four spelled out the check of the group. Ruled out: nothing; a tidy-up without a change of behaviour. Change: avoid_primary and is_server_checked(group). Before and after: 49 tests of the package pass before and after.

--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -336,9 +336,16 @@
 void ask_over(state& s, connection_id connection, bool proves_lead = false);
 
 // Whether the group's servers check positions and terms themselves.
+[[nodiscard]] inline bool is_server_checked(group_row const& group)
+{
+    return group.checked_by == rules::position_check::server;
+}
 [[nodiscard]] bool is_server_checked(state const& s,
                                      request_row const& request);
 
+// Sends nothing to a primary for a while that has said that it is none.
+void avoid_primary(state& s, group_row_id id);
+
 // Whether a statement that was sent may have had an effect that lasts.
 [[nodiscard]] bool may_have_effect(state const& s, request_row const& request);
 
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -38,8 +38,7 @@
 // opening one again costs the server more than most statements.
 std::size_t recently_used(state const& s, server_row const& server)
 {
-    if (s.groups.find(server.group)->checked_by !=
-        rules::position_check::server)
+    if (!is_server_checked(*s.groups.find(server.group)))
         return 0;
     auto const is_recent = [&s](connection_id id)
     {
@@ -314,8 +313,7 @@
         auto* session = s.sessions.find(*row.pinned_by);
         session->in_transaction.reset();
         auto const* server = s.servers.find(row.server);
-        if (s.groups.find(server->group)->checked_by ==
-            rules::position_check::server)
+        if (is_server_checked(*s.groups.find(server->group)))
         {
             if (session->request)
                 return refuse_request(s, *session->request,
@@ -359,8 +357,7 @@
     for (auto const id : std::exchange(s.to_dispatch, {}))
     {
         auto* server = s.servers.find(id);
-        if (s.groups.find(server->group)->checked_by ==
-            rules::position_check::server)
+        if (is_server_checked(*s.groups.find(server->group)))
         {
             match_by_workspace(s, id, *server);
             continue;
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -149,9 +149,7 @@
         return;
     if (it.is_from_primary)
         return detail::add_primary_sample(s, *group, sent_at, it.position);
-    group->primary_refused_until = s.now + s.settings.primary_retry;
-    s.timers.set({detail::timer_kind::primary_retry, group_id},
-                 group->primary_refused_until);
+    detail::avoid_primary(s, group_id);
     detail::route_waiting_for_sample(s, *group);
 }
 
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -136,14 +136,9 @@
 void try_again(state& s, request_row_id id, answer_received const& it)
 {
     auto* request = s.requests.find(id);
-    auto* group = s.groups.find(request->group);
     request->state = request_state::arrived;
     if (it.proof == answer_proof::not_run_not_primary)
-    {
-        group->primary_refused_until = s.now + s.settings.primary_retry;
-        s.timers.set({timer_kind::primary_retry, request->group},
-                     group->primary_refused_until);
-    }
+        avoid_primary(s, request->group);
     else if (!request->at_primary || request->after)
         request->excluded.push_back(request->server);
     s.to_route.push_back(id);
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -471,8 +471,14 @@
 bool is_server_checked(state const& s, request_row const& request)
 {
     auto const* group = s.groups.find(request.group);
-    return group != nullptr &&
-           group->checked_by == rules::position_check::server;
+    return group != nullptr && is_server_checked(*group);
+}
+
+void avoid_primary(state& s, group_row_id id)
+{
+    auto* group = s.groups.find(id);
+    group->primary_refused_until = s.now + s.settings.primary_retry;
+    s.timers.set({timer_kind::primary_retry, id}, group->primary_refused_until);
 }
 
 void add_primary_sample(state& s,
@@ -508,7 +514,7 @@
     if (!server->position || position > *server->position)
         server->position = position;
     auto* group = s.groups.find(server->group);
-    if (group->checked_by == rules::position_check::server)
+    if (is_server_checked(*group))
         return;
     if (group->primary == id && position.term == group->term)
         add_primary_sample(s, *group, asked_at, position);
