control: Log a server that is not reached once, not each time it is reported

Cause: the leader logged each repeated report of a silent server, four a second from each host. Ruled out: reporting less often (the evidence counts for 700 ms). Change: the monitor says whether a daemon had said something else before. One check more in a test.

--- a/packages/control/include/basilreach/control/server_monitor.hpp
+++ b/packages/control/include/basilreach/control/server_monitor.hpp
@@ -66,7 +66,8 @@
 
     // Takes what a daemon says of its own connections to a server. A server
     // that is only slow answers some daemons, so that it takes most of them.
-    void receive(reach_report const& it, instant now);
+    // Returns whether the daemon had said something else before.
+    bool receive(reach_report const& it, instant now);
 
     // Returns the command that takes a server out of its group, if it is in.
     [[nodiscard]] std::optional<command_body>
--- a/packages/control/src/server_monitor.cpp
+++ b/packages/control/src/server_monitor.cpp
@@ -83,19 +83,17 @@
     return out;
 }
 
-void server_monitor::receive(reach_report const& it, instant now)
+bool server_monitor::receive(reach_report const& it, instant now)
 {
     auto& daemons = unreached_[it.server];
     if (it.is_reachable)
-    {
-        daemons.erase(it.daemon);
-        return;
-    }
-    daemons[it.daemon] = now;
+        return daemons.erase(it.daemon) > 0;
+    bool const is_new = daemons.insert_or_assign(it.daemon, now).second;
     auto const due = silent_since(it.server) + settings_.silence_with_evidence;
     if (has_evidence(it.server, now))
         deadlines_.set(it.server,
                        std::max({due, now, next_proposals_[it.server]}));
+    return is_new;
 }
 
 instant server_monitor::silent_since(server_name const& it) const
--- a/packages/control/test/server_checked_test.cpp
+++ b/packages/control/test/server_checked_test.cpp
@@ -299,6 +299,9 @@
     report("d1", false);
     report("d2", false);
     report("d3", false);
+    // What is repeated need not be logged again.
+    reach_report const repeated{daemon_name{"d1"}, server_name{"s1"}, false};
+    CHECK_FALSE(monitor.receive(repeated, f.now));
     f.now += 1800ms;
     CHECK(monitor.tick(f.now).empty());
     report("d1", false);
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -347,10 +347,11 @@
     if (!monitor_)
         return;
     auto const& report = std::get<control::reach_report>(it);
+    if (!monitor_->receive(report, now_))
+        return;
     LOG(INFO) << "event=server_reach daemon=" << report.daemon.str()
               << " server=" << report.server.str()
               << " reachable=" << report.is_reachable;
-    monitor_->receive(report, now_);
 }
 
 void control_host::on_join(link_id /*from*/, messages::message const& it)
--- a/packages/limits/src/concurrency_window.cpp
+++ b/packages/limits/src/concurrency_window.cpp
@@ -29,9 +29,10 @@
 {
     if (size_ >= 1)
         return {};
-    return last_send_ + std::chrono::duration_cast<duration>(
-                            std::chrono::duration<double, duration::period>(
-                                answer_time_.count() / size_));
+    return last_send_ +
+           std::chrono::duration_cast<duration>(
+               std::chrono::duration<double, duration::period>(
+                   static_cast<double>(answer_time_.count()) / size_));
 }
 
 void concurrency_window::record_send(instant now)
