telemetry: Log warnings and errors at the level info

Cause: control_lost never appeared in a log although its counterpart did. The logging library numbers information above warnings and errors, and its threshold by that order left both out at the default level. Change: levels below the threshold are switched off one by one.

--- a/packages/telemetry/include/basilreach/telemetry/log_output.hpp
+++ b/packages/telemetry/include/basilreach/telemetry/log_output.hpp
@@ -16,7 +16,7 @@
 };
 
 // Directs all log lines of the process to DIRECTORY/basilreachd.log, or to
-// standard error without a directory, from this level on.
+// standard output without a directory, from this level on.
 void set_log_output(std::optional<std::string> const& directory,
                     log_threshold threshold);
 
--- a/packages/telemetry/src/log_output.cpp
+++ b/packages/telemetry/src/log_output.cpp
@@ -21,7 +21,6 @@
 void set_log_output(std::optional<std::string> const& directory,
                     log_threshold threshold)
 {
-    el::Loggers::addFlag(el::LoggingFlag::HierarchicalLogging);
     el::Configurations it;
     it.setToDefault();
     it.setGlobally(el::ConfigurationType::Format,
@@ -35,8 +34,11 @@
     if (directory)
         it.setGlobally(el::ConfigurationType::Filename,
                        *directory + "/basilreachd.log");
+    // The library's own order of levels puts information above errors, so that
+    // a threshold by its numbers leaves out errors and warnings.
+    for (std::size_t n = 0; n != static_cast<std::size_t>(threshold); ++n)
+        it.set(levels[n], el::ConfigurationType::Enabled, "false");
     el::Loggers::reconfigureAllLoggers(it);
-    el::Loggers::setLoggingLevel(levels[static_cast<std::size_t>(threshold)]);
 }
 
 } // namespace basilreach::telemetry
