--- a/packages/limits/include/basilreach/limits/rate_ledger.hpp
+++ b/packages/limits/include/basilreach/limits/rate_ledger.hpp
@@ -24,8 +24,9 @@
     // How long the floor of a holder rests after its last contact. Longer than
     // the interval between two requests of an idle holder.
     duration contact = std::chrono::milliseconds(900);
-    // The same for a holder that reports at least at busy_interval. Lost contact
-    // is noticed sooner there, and its reserve covers the time until then.
+    // The same for a holder that reports at least at busy_interval. Lost
+    // contact is noticed sooner there, and its reserve covers the time until
+    // then.
     duration busy_lifetime = std::chrono::milliseconds(550);
     duration busy_contact = std::chrono::milliseconds(600);
     duration busy_interval = std::chrono::milliseconds(150);
