traffic, control, messages: Reuse what stands beside new code

Cause: a reading of the change found code that it wrote a second time: a count of a workspace's connections in routing and in dispatch, requeue_waiting written out for a silent primary, the shared fields of batches in six places, a map beside the rows of the monitor, a condition with two equal branches, and fixtures that two tests built by hand. The comment of lost_lease stood at another function. Change: one piece of code serves both in each case; behaviour stays.

--- a/packages/control/include/basilreach/control/server_monitor.hpp
+++ b/packages/control/include/basilreach/control/server_monitor.hpp
@@ -87,6 +87,8 @@
         std::uint64_t incarnation = 0;
         std::uint64_t sequence = 0;
         instant heard;
+        // When a verdict that was proposed may be proposed again.
+        instant next_proposal{};
     };
 
     [[nodiscard]] bool is_judged(server_name const& it) const;
@@ -98,8 +100,6 @@
     monitor_settings settings_;
     instant started_;
     std::map<server_name, row> rows_;
-    // When a verdict that was proposed may be proposed again.
-    std::map<server_name, instant> next_proposals_;
     // When daemons last said that they have no answer from a server.
     std::map<server_name, std::map<daemon_name, instant>> unreached_;
     deadline_queue<server_name> deadlines_;
--- a/packages/control/src/server_monitor.cpp
+++ b/packages/control/src/server_monitor.cpp
@@ -92,7 +92,7 @@
     auto const due = silent_since(it.server) + settings_.silence_with_evidence;
     if (has_evidence(it.server, now))
         deadlines_.set(it.server,
-                       std::max({due, now, next_proposals_[it.server]}));
+                       std::max({due, now, rows_[it.server].next_proposal}));
     return is_new;
 }
 
@@ -133,8 +133,9 @@
         deadlines_.set(it, silence);
         return std::nullopt;
     }
-    next_proposals_[it] = now + settings_.retry;
-    deadlines_.set(it, next_proposals_[it]);
+    auto const next = now + settings_.retry;
+    rows_[it].next_proposal = next;
+    deadlines_.set(it, next);
     return report_verdict{it, entry->verdict_sequence + 1, verdict::down};
 }
 
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -321,9 +321,7 @@
     daemon_links_[batch.holder] = from;
     for (auto request : batch.requests)
     {
-        request.holder = batch.holder;
-        request.incarnation = batch.incarnation;
-        request.sent = batch.sent;
+        messages::restore_shared(batch, request);
         limits_->receive(request, now_);
     }
 }
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -6,10 +6,9 @@
 
 #include <easylogging++.h>
 
-#include <basilreach/daemon/view_builder.hpp>
-
 #include <basilreach/daemon/metrics_page.hpp>
 #include <basilreach/daemon/reload.hpp>
+#include <basilreach/daemon/view_builder.hpp>
 #include <basilreach/settings/parse.hpp>
 
 #include "admin_replies.hpp"
@@ -354,9 +353,7 @@
     auto& batch = std::get<messages::token_grants>(it);
     for (auto& grant : batch.grants)
     {
-        grant.holder = batch.holder;
-        grant.incarnation = batch.incarnation;
-        grant.sent = batch.sent;
+        messages::restore_shared(batch, grant);
         limits_->receive(grant, read_clock());
     }
 }
--- a/packages/limits/src/rate_holder.cpp
+++ b/packages/limits/src/rate_holder.cpp
@@ -289,9 +289,7 @@
         return it.sent + settings_.retry_interval;
     if (it.asking)
         return it.sent + settings_.request_interval;
-    if (it.used)
-        return it.sent + settings_.report_interval;
-    if (it.waiting > 0)
+    if (it.used || it.waiting > 0)
         return it.sent + settings_.report_interval;
     return it.sent + settings_.idle_interval;
 }
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -112,7 +112,7 @@
         it.configure(server, 10, now, limit_check::server);
     }
 
-    void exchange(share_ledger& ledger, share_holder& holder)
+    void exchange(share_ledger& ledger)
     {
         for (auto const& request : holder.tick(now))
             ledger.receive(request, now);
@@ -121,17 +121,24 @@
                 holder.receive(grant, now);
     }
 
-    void run(share_ledger& ledger, share_holder& holder, unsigned steps)
+    void run(share_ledger& ledger, unsigned steps)
     {
         for (unsigned n = 0; n != steps; ++n)
         {
             now += std::chrono::milliseconds(20);
-            exchange(ledger, holder);
+            exchange(ledger);
         }
     }
 
+    share_holder& add_holder()
+    {
+        holder.add_server(server, now);
+        return holder;
+    }
+
     server_name const server{"s"};
     instant now = at_ms(1000);
+    share_holder holder{{}, daemon_name("a"), 1};
 };
 
 } // namespace
@@ -144,10 +151,9 @@
     share_ledger ledger({}, 1, f.now);
     ledger.assume_first(f.now);
     f.register_all(ledger);
-    share_holder holder({}, daemon_name("a"), 1);
-    holder.add_server(f.server, f.now);
+    auto& holder = f.add_holder();
     holder.set_use(f.server, 0, 6, f.now);
-    f.run(ledger, holder, 20);
+    f.run(ledger, 20);
     CHECK(holder.share(f.server, f.now) == 6);
     f.now += std::chrono::seconds(60);
     CHECK(holder.share(f.server, f.now) == 6);
@@ -161,10 +167,9 @@
     share_ledger second({}, 2, f.now);
     f.register_all(second);
     // The other holder cannot be reached.
-    share_holder holder({}, daemon_name("a"), 1);
-    holder.add_server(f.server, f.now);
+    auto& holder = f.add_holder();
     holder.set_use(f.server, 0, 6, f.now);
-    f.run(second, holder, 25);
+    f.run(second, 25);
     CHECK(holder.share(f.server, f.now) == 6);
 }
 
@@ -176,10 +181,9 @@
     share_ledger ledger({}, 1, f.now);
     ledger.assume_first(f.now);
     f.register_all(ledger);
-    share_holder holder({}, daemon_name("a"), 1);
-    holder.add_server(f.server, f.now);
+    auto& holder = f.add_holder();
     holder.set_use(f.server, 0, 50, f.now);
-    f.run(ledger, holder, 20);
+    f.run(ledger, 20);
     CHECK(holder.share(f.server, f.now) > 5);
     CHECK(holder.share(f.server, f.now) <= 8);
 }
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -115,6 +115,15 @@
     friend bool operator==(token_grants const&, token_grants const&) = default;
 };
 
+// Gives a request or grant of a batch what the batch states once for all.
+template <class Batch, class Item>
+void restore_shared(Batch const& from, Item& to)
+{
+    to.holder = from.holder;
+    to.incarnation = from.incarnation;
+    to.sent = from.sent;
+}
+
 // A control host that is no member asks the leader to add it. A host that does
 // not lead passes the message on once.
 struct join_request
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -584,35 +584,36 @@
     v.values = w.values;
 }
 
-void map_fields(to_wire d, token_requests const& v, wire::token_requestsT& w)
+// What all requests or grants of a batch share.
+template <class D, class V, class W>
+void map_batch(D d, V& v, W& w)
 {
     d(v.holder, w.holder);
     d(v.incarnation, w.incarnation);
     d(v.sent, w.sent);
+}
+
+void map_fields(to_wire d, token_requests const& v, wire::token_requestsT& w)
+{
+    map_batch(d, v, w);
     w.requests = make_list<wire::token_requestT>(v.requests);
 }
 
 void map_fields(from_wire d, token_requests& v, wire::token_requestsT const& w)
 {
-    d(v.holder, w.holder);
-    d(v.incarnation, w.incarnation);
-    d(v.sent, w.sent);
+    map_batch(d, v, w);
     v.requests = read_list<limits::token_request>(w.requests);
 }
 
 void map_fields(to_wire d, token_grants const& v, wire::token_grantsT& w)
 {
-    d(v.holder, w.holder);
-    d(v.incarnation, w.incarnation);
-    d(v.sent, w.sent);
+    map_batch(d, v, w);
     w.grants = make_list<wire::token_grantT>(v.grants);
 }
 
 void map_fields(from_wire d, token_grants& v, wire::token_grantsT const& w)
 {
-    d(v.holder, w.holder);
-    d(v.incarnation, w.incarnation);
-    d(v.sent, w.sent);
+    map_batch(d, v, w);
     v.grants = read_list<limits::token_grant>(w.grants);
 }
 
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -311,6 +311,9 @@
 // Takes the statements that wait for a connection to a server.
 std::vector<request_row_id> take_waiting(state& s, server_row& server);
 
+// Routes the statements that wait for a connection to a server anew.
+void requeue_waiting(state& s, server_row_id id);
+
 // Opens a connection to a server, for one workspace where the server is told
 // the workspace.
 void open_one(state& s,
@@ -322,6 +325,17 @@
 // certain at the moment it is sent. Returns whether it waits for a lease now.
 bool lost_lease(state& s, request_row_id id);
 
+struct connection_count
+{
+    std::size_t all = 0;
+    std::size_t opening = 0;
+    std::size_t idle = 0;
+};
+
+// Counts the connections to a server that serve the workspace.
+[[nodiscard]] connection_count count_connections(
+    state const& s, server_row const& server, workspace_name const& workspace);
+
 // Matches statements with connections of their workspaces.
 void match_by_workspace(state& s, server_row_id id, server_row& server);
 
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -58,16 +58,6 @@
             drop_connection(s, row->idle.back());
 }
 
-// Moves requests that wait for a server that must get no new work.
-void requeue_waiting(state& s, server_row_id server_id)
-{
-    for (auto const id : take_waiting(s, *s.servers.find(server_id)))
-    {
-        s.requests.find(id)->state = request_state::arrived;
-        s.to_route.push_back(id);
-    }
-}
-
 void remove_missing_servers(state& s, control_view const& view)
 {
     for (auto const& [name, id] : s.server_by_name)
@@ -212,6 +202,15 @@
 
 } // namespace
 
+void requeue_waiting(state& s, server_row_id id)
+{
+    for (auto const request : take_waiting(s, *s.servers.find(id)))
+    {
+        s.requests.find(request)->state = request_state::arrived;
+        s.to_route.push_back(request);
+    }
+}
+
 void adopt_control(state& s, control_view_ptr const& view)
 {
     // A view older than the one in effect is never adopted.
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -113,8 +113,7 @@
 // server, and the rest is refused.
 void reconsider_waiting(state& s, row_id id, server_row& server)
 {
-    for (auto const request : take_waiting(s, server))
-        s.to_route.push_back(request);
+    requeue_waiting(s, id);
     auto& group = *s.groups.find(server.group);
     if (group.primary == id)
         route_waiting_for_sample(s, group);
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -110,6 +110,19 @@
             request.verb == statement_verb::begin_read_write);
 }
 
+// A server that is slow, or that all daemons turn to at once after a start, is
+// not silent: its first answers only take longer.
+duration silence_limit(state const& s, server_row const& server)
+{
+    constexpr int answers_in_vain = 8;
+    constexpr int first_answer_factor = 3;
+    if (server.window.answer_time() == duration{})
+        return first_answer_factor * s.settings.silence_limit;
+    return std::clamp(answers_in_vain * server.window.answer_time(),
+                      s.settings.silence_limit,
+                      first_answer_factor * s.settings.silence_limit);
+}
+
 } // namespace
 
 void open_one(state& s,
@@ -135,26 +148,6 @@
                                            workspace, row.read_only});
 }
 
-// A statement may have waited since its admission; its key must still be
-// certain at the moment it is sent.
-namespace
-{
-
-// A server that is slow, or that all daemons turn to at once after a start, is
-// not silent: its first answers only take longer.
-duration silence_limit(state const& s, server_row const& server)
-{
-    constexpr int answers_in_vain = 8;
-    constexpr int first_answer_factor = 3;
-    if (server.window.answer_time() == duration{})
-        return first_answer_factor * s.settings.silence_limit;
-    return std::clamp(answers_in_vain * server.window.answer_time(),
-                      s.settings.silence_limit,
-                      first_answer_factor * s.settings.silence_limit);
-}
-
-} // namespace
-
 void note_sent(state& s, server_row_id id, server_row& server)
 {
     if (server.silent_since)
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -184,16 +184,10 @@
                                server_row const& server,
                                workspace_name const& workspace)
 {
-    auto const is_own = [&](connection_id id)
-    {
-        return s.connections.find(id)->workspace == workspace;
-    };
-    if (std::any_of(server.idle.begin(), server.idle.end(), is_own))
+    auto const own = count_connections(s, server, workspace);
+    if (own.idle > 0)
         return 0;
-    return std::any_of(server.connections.begin(), server.connections.end(),
-                       is_own)
-               ? busy_penalty
-               : opening_penalty;
+    return own.all > 0 ? busy_penalty : opening_penalty;
 }
 
 // Chooses among all servers of a group that checks positions itself.
--- a/packages/traffic/src/workspace_dispatch.cpp
+++ b/packages/traffic/src/workspace_dispatch.cpp
@@ -67,30 +67,6 @@
     }
 }
 
-struct connection_count
-{
-    std::size_t all = 0;
-    std::size_t opening = 0;
-    std::size_t idle = 0;
-};
-
-connection_count count_connections(state const& s,
-                                   server_row const& server,
-                                   workspace_name const& workspace)
-{
-    connection_count out;
-    for (auto const id : server.connections)
-    {
-        auto const& row = *s.connections.find(id);
-        if (row.workspace != workspace)
-            continue;
-        ++out.all;
-        out.opening += row.state == connection_state::opening ? 1 : 0;
-        out.idle += row.state == connection_state::idle ? 1 : 0;
-    }
-    return out;
-}
-
 // When the server's share is used up, the idle connection that was not used for
 // the longest time makes room. Returns until when there is none, if so.
 std::optional<instant> make_room(state& s, server_row& server)
@@ -141,6 +117,23 @@
 
 } // namespace
 
+connection_count count_connections(state const& s,
+                                   server_row const& server,
+                                   workspace_name const& workspace)
+{
+    connection_count out;
+    for (auto const id : server.connections)
+    {
+        auto const& row = *s.connections.find(id);
+        if (row.workspace != workspace)
+            continue;
+        ++out.all;
+        out.opening += row.state == connection_state::opening ? 1 : 0;
+        out.idle += row.state == connection_state::idle ? 1 : 0;
+    }
+    return out;
+}
+
 void match_by_workspace(state& s, server_row_id id, server_row& server)
 {
     probe_if_wanted(s, id, server);
--- a/packages/traffic/test/tokens_test.cpp
+++ b/packages/traffic/test/tokens_test.cpp
@@ -10,31 +10,40 @@
 namespace
 {
 
+control_view make_view()
+{
+    control_view view;
+    view.revision = 1;
+    rules::route_rule route;
+    route.group = group_name("g");
+    view.routes.emplace(route_name("r"), route);
+    view.keys.emplace(key_digest{1}, workspace_name("w"));
+    view.workspaces.insert(workspace_name("w"));
+    view.servers.emplace(server_name("s"),
+                         server_view{group_name("g"), data_centre_name("a"),
+                                     "127.0.0.1:1", false, false});
+    view.groups.emplace(group_name("g"), group_view{1, server_name("s"), 3});
+    return view;
+}
+
 struct fixture
 {
     fixture()
     {
-        control_view view;
-        view.revision = 1;
-        rules::route_rule route;
-        route.group = group_name("g");
-        view.routes.emplace(route_name("r"), route);
-        view.keys.emplace(key_digest{1}, workspace_name("w"));
-        view.workspaces.insert(workspace_name("w"));
-        view.servers.emplace(server_name("s"),
-                             server_view{group_name("g"), data_centre_name("a"),
-                                         "127.0.0.1:1", false, false});
-        view.groups.emplace(group_name("g"),
-                            group_view{1, server_name("s"), 3});
-        it.push(control_changed{std::make_shared<control_view>(view)});
+        it.push(control_changed{std::make_shared<control_view>(make_view())});
         it.push(lease_changed{instant{10s}});
+        open_session(1);
+        run();
+    }
+
+    void open_session(std::uint64_t id)
+    {
         session_opened event;
-        event.session = session_id{1};
+        event.session = session_id{id};
         event.route = route_name("r");
         event.workspace = workspace_name("w");
         event.key = key_digest{1};
         it.push(event);
-        run();
     }
 
     static engine_settings make_settings()
@@ -116,30 +125,13 @@
 TEST_CASE("a statement that is refused at once costs no token")
 {
     fixture f;
-    control_view view;
+    auto view = make_view();
     view.revision = 2;
-    rules::route_rule route;
-    route.group = group_name("g");
-    route.timeout = 800ms;
-    view.routes.emplace(route_name("r"), route);
-    view.keys.emplace(key_digest{1}, workspace_name("w"));
-    view.workspaces.insert(workspace_name("w"));
-    view.servers.emplace(server_name("s"),
-                         server_view{group_name("g"), data_centre_name("a"),
-                                     "127.0.0.1:1", false, false});
-    group_view group{1, server_name("s"), 3};
-    group.checked_by = rules::position_check::server;
-    view.groups.emplace(group_name("g"), group);
+    view.routes.at(route_name("r")).timeout = 800ms;
+    view.groups.at(group_name("g")).checked_by = rules::position_check::server;
     f.it.push(control_changed{std::make_shared<control_view>(view)});
     for (std::uint64_t id = 2; id != 6; ++id)
-    {
-        session_opened event;
-        event.session = session_id{id};
-        event.route = route_name("r");
-        event.workspace = workspace_name("w");
-        event.key = key_digest{1};
-        f.it.push(event);
-    }
+        f.open_session(id);
     f.run();
     f.grant(1);
     std::size_t silent = 0;
