daemon: Log why links end and how far daemons have the control state

The logs of the incident on grown deployments could not tell a change that is sent late from one that waits in the queue of a link, nor a leader that is slow from one whose answers are lost: no line had the bytes of a link, the reason of its end, or the revision of a daemon.

- event=link_closed has cause, age, bytes sent and received, what was queued and for how long.
- event=state_distribution, at a control host and at most once a second, has the updates and bytes sent, what is queued, and at the leader the leases and the lowest confirmed revision.
- event=rules_received at a daemon; event=control_lost has what was unanswered and the daemon's revision.
- The metrics page has the queued bytes, the longest backlog and the updates sent.

--- a/packages/control/include/basilreach/control/leader.hpp
+++ b/packages/control/include/basilreach/control/leader.hpp
@@ -178,6 +178,19 @@
                                    change_in_force,
                                    promotion_decision>;
 
+// The daemons as the leader knows them.
+struct lease_counts
+{
+    std::size_t registered = 0;
+    // Leases that have not ended, with those of earlier incarnations.
+    std::size_t leased = 0;
+    // The lowest revision that the holder of a lease has confirmed. A daemon
+    // without a lease is not waited for and may be below.
+    std::uint64_t lowest_confirmed = 0;
+
+    friend bool operator==(lease_counts const&, lease_counts const&) = default;
+};
+
 // Makes the decisions of the control host that is the leader: it grants leases,
 // determines which revisions are in force and replaces primaries. It is created
 // once the host has applied the first log entry of its own term, because the
@@ -209,6 +222,8 @@
         return revision_in_force_;
     }
 
+    [[nodiscard]] lease_counts leases() const;
+
     // Number of rows visited by all ticks so far; tests check the cost of a
     // tick with it.
     [[nodiscard]] std::uint64_t rows_visited() const noexcept
--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -126,6 +126,12 @@
         {lease_deadlines_.next(), removals_.next(), group_deadlines_.next()});
 }
 
+lease_counts leader::leases() const
+{
+    return {state_.parts().daemons.size(), by_confirmed_.size(),
+            by_confirmed_.empty() ? 0 : by_confirmed_.begin()->first};
+}
+
 void leader::on_renewal(leader_input const& it, instant now)
 {
     auto const& renewal = std::get<lease_renewal>(it);
--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -39,6 +39,18 @@
     std::function<void(storage::storage_error const&)> failed;
 };
 
+// How far the daemons have the control state, for the log and the metrics.
+struct distribution_sample
+{
+    std::uint64_t revision = 0;
+    // Empty while this host does not lead.
+    std::optional<control::lease_counts> leases;
+    update_counts sent;
+
+    friend bool operator==(distribution_sample const&,
+                           distribution_sample const&) = default;
+};
+
 // The control role of a daemon: its member of the consensus group, the
 // replicated control state and, while it leads, the leader's decisions.
 class control_host
@@ -71,6 +83,8 @@
         return *state_;
     }
 
+    [[nodiscard]] distribution_sample sample_distribution() const;
+
     // Empty when the leader is unknown.
     [[nodiscard]] consensus::host_name leader_name() const
     {
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -108,6 +108,7 @@
     void process_due_console_requests(instant now);
     void answer_console_request(std::uint64_t id, messages::admin_reply reply);
     [[nodiscard]] messages::admin_reply show_metrics() const;
+    void log_distribution(instant now);
     void announce_stop();
     void start_drain(instant now);
     void advance_drain(instant now);
@@ -132,6 +133,8 @@
     bool is_in_contact_ = false;
     instant presumed_since_;
     bool state_changed_ = false;
+    distribution_sample logged_distribution_;
+    instant next_distribution_line_;
 
     std::map<std::uint64_t, pending_console_request> console_requests_;
     deadline_queue<std::uint64_t> resends_;
--- a/packages/daemon/include/basilreach/daemon/link_table.hpp
+++ b/packages/daemon/include/basilreach/daemon/link_table.hpp
@@ -50,6 +50,13 @@
 
     [[nodiscard]] bool is_open(link_id id) const;
 
+    // Sums the counts of the links that are in the table now. The backlog is
+    // the longest one.
+    [[nodiscard]] link_counts sum_counts() const;
+
+    // Returns the counts of the link to a control host.
+    [[nodiscard]] link_counts counts(consensus::host_name const& to) const;
+
     // Closes the link to a control host that does not answer. The next message
     // to it opens another one.
     void disconnect(consensus::host_name const& to);
--- a/packages/daemon/include/basilreach/daemon/message_link.hpp
+++ b/packages/daemon/include/basilreach/daemon/message_link.hpp
@@ -1,12 +1,14 @@
 #ifndef BASILREACH_DAEMON_MESSAGE_LINK_HPP
 #define BASILREACH_DAEMON_MESSAGE_LINK_HPP
 
+#include <cstdint>
 #include <functional>
 #include <string>
 
 #include <ace/Event_Handler.h>
 #include <ace/SOCK_Stream.h>
 
+#include <basilreach/base/instant.hpp>
 #include <basilreach/daemon/event_loop.hpp>
 #include <basilreach/messages/frame.hpp>
 #include <basilreach/messages/message.hpp>
@@ -14,6 +16,35 @@
 namespace basilreach::daemon
 {
 
+// Why a link ended.
+enum class link_end : std::uint8_t
+{
+    closed_here,
+    invalid_address,
+    cannot_connect,
+    closed_by_peer,
+    receive_failed,
+    send_failed,
+    malformed_message
+};
+
+// Returns the name of a reason for the log.
+[[nodiscard]] char const* to_string(link_end it);
+
+// Traffic of a link since it was opened.
+struct link_counts
+{
+    std::uint64_t bytes_sent = 0;
+    std::uint64_t bytes_received = 0;
+    // Messages that were not queued because too many bytes were waiting.
+    std::uint64_t messages_dropped = 0;
+    std::uint64_t bytes_queued = 0;
+    // How long bytes have been waiting to be sent without a break.
+    duration backlog{};
+
+    friend bool operator==(link_counts const&, link_counts const&) = default;
+};
+
 struct link_observer
 {
     std::function<void()> opened;
@@ -49,6 +80,8 @@
         return is_open_;
     }
 
+    [[nodiscard]] link_counts counts() const;
+
     int handle_input(ACE_HANDLE) override;
     int handle_output(ACE_HANDLE) override;
     ACE_HANDLE get_handle() const override;
@@ -57,13 +90,20 @@
     void finish_connecting();
     void read_frames();
     void write();
-    void fail();
+    void fail(link_end reason);
+    void log_end(link_end reason) const;
 
     event_loop& loop_;
     link_observer observer_;
     ACE_SOCK_Stream stream_;
     messages::frame_reader reader_;
     std::string out_;
+    // IP:PORT of the other end, for the log.
+    std::string peer_;
+    link_counts counts_;
+    instant opened_at_;
+    // When bytes began to wait, if any do.
+    instant backlog_since_;
     bool is_registered_ = false;
     bool is_open_ = false;
     bool is_write_registered_ = false;
--- a/packages/daemon/include/basilreach/daemon/metrics_page.hpp
+++ b/packages/daemon/include/basilreach/daemon/metrics_page.hpp
@@ -4,7 +4,9 @@
 #include <cstdint>
 #include <string>
 
+#include <basilreach/daemon/message_link.hpp>
 #include <basilreach/daemon/thread_messages.hpp>
+#include <basilreach/daemon/update_feed.hpp>
 
 namespace basilreach::daemon
 {
@@ -22,6 +24,9 @@
     // Whether a leader is known or, without the control role, a control host
     // answers.
     bool is_in_contact = false;
+    // Sums over the links to other daemons that are open now.
+    link_counts links;
+    update_counts state_updates;
 
     friend bool operator==(metrics_sample const&,
                            metrics_sample const&) = default;
--- a/packages/daemon/include/basilreach/daemon/update_feed.hpp
+++ b/packages/daemon/include/basilreach/daemon/update_feed.hpp
@@ -15,6 +15,17 @@
 namespace basilreach::daemon
 {
 
+// Updates that a feed has produced since the start.
+struct update_counts
+{
+    std::uint64_t updates = 0;
+    // Of these, updates that carry a snapshot.
+    std::uint64_t snapshots = 0;
+
+    friend bool operator==(update_counts const&,
+                           update_counts const&) = default;
+};
+
 // Sends changes of the control state to the daemons that subscribe to this
 // control host. A subscriber gets the commands that it lacks, or a snapshot
 // when some of them are no longer retained.
@@ -38,12 +49,18 @@
     [[nodiscard]] std::vector<std::pair<link_id, messages::state_update>>
     collect_updates(control::control_state const& state);
 
+    [[nodiscard]] update_counts const& counts() const
+    {
+        return counts_;
+    }
+
 private:
     [[nodiscard]] messages::state_update
     make_update(control::control_state const& state, std::uint64_t after) const;
 
     std::deque<messages::indexed_command> retained_commands_;
     std::size_t retained_bytes_ = 0;
+    update_counts counts_;
     std::map<link_id, std::uint64_t> subscribers_;
 };
 
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -730,6 +730,13 @@
         run_step(member_->promote(member_->members().learners.front(), now_));
 }
 
+distribution_sample control_host::sample_distribution() const
+{
+    return {state_->revision(),
+            leader_ ? std::optional(leader_->leases()) : std::nullopt,
+            feed_.counts()};
+}
+
 void control_host::tick(instant now)
 {
     now_ = now;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -36,6 +36,9 @@
 // load, so that a lost leader is noticed before the reserve of tokens is spent.
 constexpr duration answer_timeout = std::chrono::milliseconds(250);
 
+// Least time between two lines on how far the daemons have the control state.
+constexpr duration distribution_line_interval = std::chrono::seconds(1);
+
 std::string milliseconds(duration it)
 {
     return std::to_string(
@@ -211,7 +214,9 @@
             lease_->state().revision(),
             is_ready(),
             host_ && host_->leader_name() == host_->self(),
-            host_ ? !host_->leader_name().empty() : is_in_contact_};
+            host_ ? !host_->leader_name().empty() : is_in_contact_,
+            links_.sum_counts(),
+            host_ ? host_->sample_distribution().sent : update_counts{}};
 }
 
 daemon_error control_thread::run()
@@ -237,6 +242,7 @@
         }
         deliver_local_messages();
         process_due_console_requests(now);
+        log_distribution(now);
         if (control_api_)
             control_api_->tick(now);
         advance_drain(now);
@@ -306,9 +312,19 @@
     if (host_ || now < switch_deadline())
         return;
     presumed_since_ = now;
-    unanswered_since_.reset();
     if (std::exchange(is_in_contact_, false))
-        LOG(WARNING) << "event=control_lost host=" << presumed_leader().str();
+    {
+        auto const link = links_.counts(presumed_leader());
+        LOG(WARNING) << "event=control_lost host=" << presumed_leader().str()
+                     << " unanswered_ms="
+                     << milliseconds(now - unanswered_since_.value_or(now))
+                     << " since_grant_ms="
+                     << milliseconds(now - lease_->last_grant())
+                     << " revision=" << lease_->state().revision()
+                     << " bytes_received=" << link.bytes_received
+                     << " bytes_queued=" << link.bytes_queued;
+    }
+    unanswered_since_.reset();
     // The link may no longer deliver anything although a new one would work.
     links_.disconnect(known_hosts_[presumed_leader_index_]);
     presumed_leader_index_ = (presumed_leader_index_ + 1) % known_hosts_.size();
@@ -532,6 +548,32 @@
     return make_reply(encode(rows));
 }
 
+// Tells apart a change that was sent late from one that was sent and is waiting
+// in the queue of a link, and from one that has arrived and is not adopted.
+void control_thread::log_distribution(instant now)
+{
+    if (!host_ || now < next_distribution_line_)
+        return;
+    auto const sample = host_->sample_distribution();
+    if (sample == logged_distribution_)
+        return;
+    next_distribution_line_ = now + distribution_line_interval;
+    logged_distribution_ = sample;
+    auto const leases = sample.leases.value_or(control::lease_counts{});
+    auto const links = links_.sum_counts();
+    LOG(INFO) << "event=state_distribution revision=" << sample.revision
+              << " leading=" << sample.leases.has_value()
+              << " daemons=" << leases.registered << " leases=" << leases.leased
+              << " lowest_confirmed=" << leases.lowest_confirmed
+              << " updates=" << sample.sent.updates
+              << " snapshots=" << sample.sent.snapshots
+              << " bytes_sent=" << links.bytes_sent
+              << " bytes_received=" << links.bytes_received
+              << " bytes_queued=" << links.bytes_queued
+              << " backlog_ms=" << milliseconds(links.backlog)
+              << " messages_dropped=" << links.messages_dropped;
+}
+
 void control_thread::on_stop_requested(control_message& /*it*/)
 {
     announce_stop();
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -73,6 +73,7 @@
 void lease_client::receive(messages::state_update const& it)
 {
     auto const before = state_.revision();
+    auto const rules_before = state_.parts().rules_version;
     // Commands that do not directly follow this state would lead to a state
     // that never existed.
     if (!it.snapshot && it.after > before)
@@ -88,6 +89,10 @@
     for (auto const& [index, entry] : it.commands)
         if (index > state_.revision())
             (void)state_.apply(index, entry);
+    if (state_.parts().rules_version != rules_before)
+        LOG(INFO) << "event=rules_received revision=" << state_.revision()
+                  << " version=" << state_.parts().rules_version
+                  << " snapshot=" << it.snapshot.has_value();
     if (state_.revision() > before)
         holder_.receive(control::state_offered{state_.revision()});
 }
--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/link_table.cpp
@@ -1,5 +1,6 @@
 #include <basilreach/daemon/link_table.hpp>
 
+#include <algorithm>
 #include <chrono>
 #include <utility>
 
@@ -109,6 +110,30 @@
     return link != links_.end() && link->second->is_open();
 }
 
+link_counts link_table::sum_counts() const
+{
+    link_counts sum;
+    for (auto const& [id, link] : links_)
+    {
+        auto const it = link->counts();
+        sum.bytes_sent += it.bytes_sent;
+        sum.bytes_received += it.bytes_received;
+        sum.messages_dropped += it.messages_dropped;
+        sum.bytes_queued += it.bytes_queued;
+        sum.backlog = std::max(sum.backlog, it.backlog);
+    }
+    return sum;
+}
+
+link_counts link_table::counts(consensus::host_name const& to) const
+{
+    auto const row = outgoing_.find(to);
+    if (row == outgoing_.end())
+        return {};
+    auto const link = links_.find(row->second.link);
+    return link == links_.end() ? link_counts{} : link->second->counts();
+}
+
 void link_table::remove_closed()
 {
     for (auto const id : std::exchange(closed_, {}))
--- a/packages/daemon/src/message_link.cpp
+++ b/packages/daemon/src/message_link.cpp
@@ -1,6 +1,7 @@
 #include <basilreach/daemon/message_link.hpp>
 
 #include <array>
+#include <chrono>
 #include <utility>
 
 #include <ace/INET_Addr.h>
@@ -33,6 +34,25 @@
 // anything is soon replaced.
 constexpr int tcp_user_timeout_ms = 1500;
 
+constexpr std::array link_end_texts = {
+    "closed_here",    "invalid_address", "cannot_connect",   "closed_by_peer",
+    "receive_failed", "send_failed",     "malformed_message"};
+
+std::int64_t to_milliseconds(duration it)
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(it).count();
+}
+
+std::string address_text(ACE_SOCK_Stream const& stream)
+{
+    ACE_INET_Addr remote;
+    std::array<char, INET6_ADDRSTRLEN + 8> buf{};
+    if (stream.get_remote_addr(remote) != 0 ||
+        remote.addr_to_string(buf.data(), buf.size()) != 0)
+        return {};
+    return buf.data();
+}
+
 void set_options(ACE_SOCK_Stream& stream)
 {
     int on = 1;
@@ -43,6 +63,11 @@
 
 } // namespace
 
+char const* to_string(link_end it)
+{
+    return link_end_texts.at(static_cast<std::size_t>(it));
+}
+
 message_link::message_link(event_loop& loop, link_observer observer)
     : loop_(loop), observer_(std::move(observer))
 {
@@ -63,6 +88,8 @@
     stream_ = stream;
     stream_.enable(ACE_NONBLOCK);
     set_options(stream_);
+    peer_ = address_text(stream_);
+    opened_at_ = read_clock();
     is_open_ = true;
     is_registered_ = true;
     loop_.reactor().register_handler(this, ACE_Event_Handler::READ_MASK);
@@ -70,15 +97,17 @@
 
 void message_link::connect(std::string const& address)
 {
+    peer_ = address;
+    opened_at_ = read_clock();
     auto const endpoint = settings::parse_endpoint(address);
     if (!endpoint)
-        return fail();
+        return fail(link_end::invalid_address);
     ACE_INET_Addr const remote(endpoint->port, endpoint->ip.c_str());
     ACE_SOCK_Connector connector;
     ACE_Time_Value none(0, 0);
     if (connector.connect(stream_, remote, &none) != 0 &&
         errno != EWOULDBLOCK && errno != EINPROGRESS)
-        return fail();
+        return fail(link_end::cannot_connect);
     stream_.enable(ACE_NONBLOCK);
     is_registered_ = true;
     is_write_registered_ = true;
@@ -91,7 +120,7 @@
     int error = 0;
     int n = sizeof(error);
     if (stream_.get_option(SOL_SOCKET, SO_ERROR, &error, &n) != 0 || error != 0)
-        return fail();
+        return fail(link_end::cannot_connect);
     set_options(stream_);
     is_open_ = true;
     observer_.opened();
@@ -105,9 +134,10 @@
         return 0;
     if (n <= 0)
     {
-        fail();
+        fail(n == 0 ? link_end::closed_by_peer : link_end::receive_failed);
         return 0;
     }
+    counts_.bytes_received += static_cast<std::uint64_t>(n);
     reader_.feed({buf.data(), static_cast<std::size_t>(n)});
     read_frames();
     return 0;
@@ -119,7 +149,7 @@
     {
         auto frame = reader_.next();
         if (!frame)
-            return fail();
+            return fail(link_end::malformed_message);
         if (!frame.value())
             return;
         auto it = messages::decode(*frame.value());
@@ -127,7 +157,7 @@
         {
             LOG(WARNING) << "event=malformed_message code="
                          << static_cast<int>(it.error());
-            return fail();
+            return fail(link_end::malformed_message);
         }
         observer_.received(std::move(it.value()));
     }
@@ -149,7 +179,12 @@
     auto const bytes = messages::encode(it);
     if (out_.size() + bytes.size() >
         (is_open_ ? max_queued_bytes : max_queued_bytes_while_connecting))
+    {
+        ++counts_.messages_dropped;
         return;
+    }
+    if (out_.empty())
+        backlog_since_ = read_clock();
     messages::append_frame(out_, bytes);
     if (!is_write_registered_)
         write();
@@ -167,8 +202,9 @@
             break;
         sent += static_cast<std::size_t>(n);
     }
+    counts_.bytes_sent += sent;
     if (sent < out_.size() && errno != EWOULDBLOCK)
-        return fail();
+        return fail(link_end::send_failed);
     out_.erase(0, sent);
     bool const waits = !out_.empty();
     if (waits == std::exchange(is_write_registered_, waits))
@@ -179,8 +215,33 @@
         loop_.reactor().cancel_wakeup(this, ACE_Event_Handler::WRITE_MASK);
 }
 
+link_counts message_link::counts() const
+{
+    auto out = counts_;
+    out.bytes_queued = out_.size();
+    if (!out_.empty())
+        out.backlog = read_clock() - backlog_since_;
+    return out;
+}
+
+void message_link::log_end(link_end reason) const
+{
+    auto const error = errno;
+    auto const it = counts();
+    LOG(INFO) << "event=link_closed peer=" << peer_
+              << " cause=" << to_string(reason) << " errno=" << error
+              << " age_ms=" << to_milliseconds(read_clock() - opened_at_)
+              << " bytes_sent=" << it.bytes_sent
+              << " bytes_received=" << it.bytes_received
+              << " bytes_queued=" << it.bytes_queued
+              << " backlog_ms=" << to_milliseconds(it.backlog)
+              << " messages_dropped=" << it.messages_dropped;
+}
+
 void message_link::close()
 {
+    if (is_open_)
+        log_end(link_end::closed_here);
     if (std::exchange(is_registered_, false))
         loop_.reactor().remove_handler(this,
                                        ACE_Event_Handler::ALL_EVENTS_MASK |
@@ -189,8 +250,11 @@
     stream_.close();
 }
 
-void message_link::fail()
+void message_link::fail(link_end reason)
 {
+    if (is_open_)
+        log_end(reason);
+    is_open_ = false;
     close();
     observer_.closed();
 }
--- a/packages/daemon/src/metrics_page.cpp
+++ b/packages/daemon/src/metrics_page.cpp
@@ -82,6 +82,23 @@
     page.sample("control_contact", "", it.is_in_contact ? 1 : 0);
 }
 
+void write_distribution(page_writer& page, metrics_sample const& it)
+{
+    page.family("link_queued_bytes", "gauge",
+                "Bytes that wait to be sent to other daemons.");
+    page.sample("link_queued_bytes", "", it.links.bytes_queued);
+    page.family("link_backlog_seconds", "gauge",
+                "Longest time for which a link has had bytes to send.");
+    page.sample("link_backlog_seconds", "",
+                std::chrono::duration<double>(it.links.backlog).count());
+    page.family("state_updates_total", "counter",
+                "Updates of the control state sent to daemons, by content.");
+    page.sample("state_updates_total", "{content=\"snapshot\"}",
+                it.state_updates.snapshots);
+    page.sample("state_updates_total", "{content=\"changes\"}",
+                it.state_updates.updates - it.state_updates.snapshots);
+}
+
 void write_counters(page_writer& page, metrics_sample const& it)
 {
     auto const& counts = it.traffic.counts;
@@ -116,6 +133,7 @@
     page_writer page;
     write_gauges(page, it);
     write_counters(page, it);
+    write_distribution(page, it);
     page.family("statement_seconds", "histogram",
                 "Time from a statement's arrival to its answer, in seconds.");
     page.histogram("statement_seconds", "kind=\"read\"", it.traffic.reads);
--- a/packages/daemon/src/update_feed.cpp
+++ b/packages/daemon/src/update_feed.cpp
@@ -56,6 +56,9 @@
             continue;
         out.emplace_back(link, make_update(state, revision));
         revision = state.revision();
+        ++counts_.updates;
+        if (out.back().second.snapshot)
+            ++counts_.snapshots;
     }
     return out;
 }
