tests: Reproduce the faults of the grown deployments

- an update that is on its way is sent again, and each change is queued for a slow receiver;

All fail on this code.

--- a/cmake/BasilreachPackage.cmake
+++ b/cmake/BasilreachPackage.cmake
@@ -18,6 +18,31 @@
   target_link_libraries(${target} ${scope} ${arg_DEPENDS})
 endfunction()
 
+# basilreach_known_red(PROGRAM RESULT)
+#
+# Sets RESULT to the doctest option that passes over the test cases of PROGRAM
+# that KNOWN-RED.txt lists, in lines of the form "PROGRAM: TEST CASE".
+function(basilreach_known_red program result)
+  set(list "${PROJECT_SOURCE_DIR}/KNOWN-RED.txt")
+  set(${result} "" PARENT_SCOPE)
+  if(NOT EXISTS "${list}")
+    return()
+  endif()
+  set_property(DIRECTORY APPEND PROPERTY CMAKE_CONFIGURE_DEPENDS "${list}")
+  file(STRINGS "${list}" lines REGEX "^${program}: ")
+  set(cases "")
+  foreach(line IN LISTS lines)
+    string(REPLACE "${program}: " "" case "${line}")
+    # doctest separates test cases by commas.
+    string(REPLACE "," "\\," case "${case}")
+    list(APPEND cases "${case}")
+  endforeach()
+  if(cases)
+    list(JOIN cases "," cases)
+    set(${result} "--test-case-exclude=${cases}" PARENT_SCOPE)
+  endif()
+endfunction()
+
 # basilreach_test(NAME SOURCES ... [DEPENDS ...])
 #
 # Adds NAME_test, the only doctest program of a package, and registers it with
@@ -30,7 +55,8 @@
   target_compile_definitions(${target} PRIVATE
     BASILREACH_SOURCE_DIR="${PROJECT_SOURCE_DIR}"
     BASILREACH_TEST_DIR="${CMAKE_CURRENT_SOURCE_DIR}")
-  add_test(NAME ${name} COMMAND ${target})
+  basilreach_known_red(${target} known_red)
+  add_test(NAME ${name} COMMAND ${target} ${known_red})
   set_tests_properties(${name} PROPERTIES TIMEOUT 120)
 endfunction()
 
--- a/packages/daemon/test/update_feed_test.cpp
+++ b/packages/daemon/test/update_feed_test.cpp
@@ -90,3 +90,33 @@
     f.feed.subscribe(1, 90);
     CHECK(f.feed.collect_updates(f.state)[0].second.snapshot.has_value());
 }
+
+// Guards against a slow link that is filled with copies of one state: a daemon
+// without any state asks again every 100 ms, also while the first copy is still
+// on its way.
+TEST_CASE("an update that is on its way is not sent again")
+{
+    fixture f;
+    f.apply(1);
+    f.feed.subscribe(1, 0);
+    CHECK(f.feed.collect_updates(f.state).size() == 1);
+    f.feed.subscribe(1, 0);
+    CHECK(f.feed.collect_updates(f.state).empty());
+}
+
+// Guards against a queue for a slow receiver that grows with every change.
+TEST_CASE("changes wait while an update is on its way, and go out as one")
+{
+    fixture f;
+    f.apply(1);
+    f.feed.subscribe(1, 0);
+    CHECK(f.feed.collect_updates(f.state).size() == 1);
+    f.apply(2);
+    CHECK(f.feed.collect_updates(f.state).empty());
+    f.apply(3);
+    CHECK(f.feed.collect_updates(f.state).empty());
+    f.feed.subscribe(1, 1);
+    auto const next = f.feed.collect_updates(f.state);
+    REQUIRE(next.size() == 1);
+    CHECK(next[0].second.after == 1);
+}
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -349,3 +349,129 @@
     for (auto const& request : it.tick(now))
         CHECK(request.left == 0);
 }
+
+namespace
+{
+
+// An encoded request or grant takes about this many bytes.
+constexpr std::size_t bytes_per_request = 125;
+
+// A small entry host has a link of 2 Mbit/s for clients, servers and control.
+// Requests may use a tenth of it when control does not answer.
+constexpr std::size_t max_unanswered_bytes_per_s = 25'000;
+
+// What a daemon may spend on control in the long run.
+constexpr std::size_t max_control_bytes_per_s = 3'000;
+
+constexpr std::size_t many_workspaces = 84;
+constexpr std::size_t many_holders = 80;
+
+workspace_name workspace_of(std::size_t n)
+{
+    return workspace_name("workspace-" + std::to_string(n));
+}
+
+daemon_name holder_of(std::size_t n)
+{
+    return daemon_name("entry-" + std::to_string(n));
+}
+
+// The settings of the limiter in a daemon.
+rate_limiter_settings daemon_settings()
+{
+    rate_limiter_settings settings;
+    settings.min_reserve = 1;
+    settings.batch_reports = true;
+    return settings;
+}
+
+// Floors of the whole rate, as on a deployment whose rates are not lowered
+// while hosts are cut off.
+token_allocator_settings whole_floors()
+{
+    token_allocator_settings settings;
+    settings.floor_rate_per_mille = 1000;
+    settings.floor_burst_per_mille = 400;
+    return settings;
+}
+
+// An allocator for many holders, with limits so low that an equal part of the
+// burst is less than one token.
+token_allocator allocator_of_many(std::size_t workspaces)
+{
+    token_allocator out(whole_floors(), 1, at_ms(0));
+    out.assume_no_earlier_grants(at_ms(0));
+    for (std::size_t n = 0; n != many_holders; ++n)
+        out.register_holder(holder_of(n), at_ms(0));
+    for (std::size_t n = 0; n != workspaces; ++n)
+        out.configure(workspace_of(n), 40, 60, at_ms(0));
+    return out;
+}
+
+} // namespace
+
+// Guards against daemons that fill their links with requests as soon as an
+// answer takes longer than the retry interval: each further request then delays
+// the answers more, and no answer arrives in time any more.
+TEST_CASE("unanswered token requests leave most of a small link free")
+{
+    rate_limiter limiter(daemon_settings(), holder_of(0), 1);
+    for (std::size_t n = 0; n != many_workspaces; ++n)
+        limiter.add_workspace(workspace_of(n), at_ms(0));
+    std::size_t requests = 0;
+    constexpr std::size_t seconds = 10;
+    for (std::uint64_t ms = 0; ms != seconds * 1000; ++ms)
+        requests += limiter.tick(at_ms(ms)).size();
+    CHECK(requests * bytes_per_request <= seconds * max_unanswered_bytes_per_s);
+}
+
+// Guards against control traffic that grows with the product of daemons and
+// workspaces, although each daemon uses few of them at a time.
+TEST_CASE("workspaces that a daemon does not use cost no control traffic")
+{
+    auto allocator = allocator_of_many(many_workspaces);
+    rate_limiter limiter(daemon_settings(), holder_of(0), 1);
+    for (std::size_t n = 0; n != many_workspaces; ++n)
+        limiter.add_workspace(workspace_of(n), at_ms(0));
+    std::size_t requests = 0;
+    constexpr std::uint64_t settled_ms = 2000;
+    constexpr std::size_t seconds = 10;
+    for (std::uint64_t ms = 0; ms != settled_ms + seconds * 1000; ++ms)
+    {
+        for (auto const& it : limiter.tick(at_ms(ms)))
+        {
+            allocator.receive(it, at_ms(ms));
+            requests += ms < settled_ms ? 0 : 1;
+        }
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            limiter.receive(it, at_ms(ms));
+    }
+    CHECK(requests * bytes_per_request <= seconds * max_control_bytes_per_s);
+}
+
+// Guards against a workspace without any tokens: a registered daemon that is
+// down never reports, and the floors reserved for it were the whole rate,
+// although the floors of so many daemons hold less than a token each and are
+// not granted.
+TEST_CASE("a holder that never reports does not stop the refill")
+{
+    auto allocator = allocator_of_many(1);
+    rate_limiter limiter(daemon_settings(), holder_of(0), 1);
+    limiter.add_workspace(workspace_of(0), at_ms(0));
+    std::size_t admitted = 0;
+    constexpr std::uint64_t interval_ms = 50;
+    constexpr std::size_t statements = 200;
+    for (std::uint64_t ms = 0; ms != statements * interval_ms; ++ms)
+    {
+        limiter.set_waiting(workspace_of(0), 1, at_ms(ms));
+        if (ms % interval_ms == 0 &&
+            limiter.try_consume(workspace_of(0), 1, at_ms(ms)))
+            ++admitted;
+        for (auto const& it : limiter.tick(at_ms(ms)))
+            allocator.receive(it, at_ms(ms));
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            limiter.receive(it, at_ms(ms));
+    }
+    // Half of the rate is used.
+    CHECK(admitted >= statements * 9 / 10);
+}
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -191,3 +191,70 @@
     CHECK(limiter.share(f.server, f.now) > 5);
     CHECK(limiter.share(f.server, f.now) <= 8);
 }
+
+namespace
+{
+
+// An encoded request takes about this many bytes.
+constexpr std::size_t bytes_per_request = 200;
+
+// A tenth of the link of a small entry host, 2 Mbit/s.
+constexpr std::size_t max_unanswered_bytes_per_s = 25'000;
+
+// What a daemon may spend on control in the long run.
+constexpr std::size_t max_control_bytes_per_s = 3'000;
+
+constexpr std::size_t many_servers = 24;
+constexpr std::size_t many_holders = 80;
+
+server_name server_of(std::size_t n)
+{
+    return server_name("server-" + std::to_string(n));
+}
+
+} // namespace
+
+// Guards against daemons that fill their links with requests as soon as an
+// answer takes longer than the retry interval.
+TEST_CASE("unanswered share requests leave most of a small link free")
+{
+    connection_limiter limiter({}, daemon_name("entry-0"), 1);
+    for (std::size_t n = 0; n != many_servers; ++n)
+        limiter.add_server(server_of(n), at_ms(0));
+    std::size_t requests = 0;
+    constexpr std::size_t seconds = 10;
+    for (std::uint64_t ms = 0; ms != seconds * 1000; ++ms)
+        requests += limiter.tick(at_ms(ms)).size();
+    CHECK(requests * bytes_per_request <= seconds * max_unanswered_bytes_per_s);
+}
+
+// Guards against control traffic that grows with the product of daemons and
+// servers, although each daemon uses few of them at a time.
+TEST_CASE("servers that a daemon does not use cost no control traffic")
+{
+    share_allocator allocator({}, 1, at_ms(0));
+    allocator.assume_no_earlier_grants(at_ms(0));
+    for (std::size_t n = 0; n != many_holders; ++n)
+        allocator.register_holder(daemon_name("entry-" + std::to_string(n)),
+                                  at_ms(0));
+    connection_limiter limiter({}, daemon_name("entry-0"), 1);
+    for (std::size_t n = 0; n != many_servers; ++n)
+    {
+        allocator.configure(server_of(n), 56, at_ms(0), limit_check::server);
+        limiter.add_server(server_of(n), at_ms(0));
+    }
+    std::size_t requests = 0;
+    constexpr std::uint64_t settled_ms = 2000;
+    constexpr std::size_t seconds = 10;
+    for (std::uint64_t ms = 0; ms != settled_ms + seconds * 1000; ++ms)
+    {
+        for (auto const& it : limiter.tick(at_ms(ms)))
+        {
+            allocator.receive(it, at_ms(ms));
+            requests += ms < settled_ms ? 0 : 1;
+        }
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            limiter.receive(it, at_ms(ms));
+    }
+    CHECK(requests * bytes_per_request <= seconds * max_control_bytes_per_s);
+}
