limits: Reserve no tokens for floors that are not granted

Callers saw: every statement of a keyed workspace was refused for its rate (tokens_missing, then rate_exceeded) on deployments with 80 entry hosts.

Cause: a floor that cannot hold a token is not granted, but the allocator still reserved all floors, which is the whole rate in the platform's settings, for holders that had not reported. One registered daemon that is down or slow then kept every bucket from being refilled. Holders also kept a token each for statements that might come; with a burst below two tokens for each holder, those left nothing for statements that waited.

Change: no floor is counted if an equal part is less than a token, and no reserve is granted while the burst is below two tokens for each holder.

--- a/packages/limits/include/basilreach/limits/token_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/token_allocator.hpp
@@ -196,6 +196,7 @@
     [[nodiscard]] rate_floor floor_total(bucket const& it) const;
     [[nodiscard]] rate_floor reserved_floors(bucket const& it) const;
     [[nodiscard]] std::int64_t grantable(bucket const& it) const;
+    [[nodiscard]] static bool allows_reserves(bucket const& it);
     void set_outstanding(bucket& it,
                          allocation& to,
                          std::int64_t new_outstanding) const;
--- a/packages/limits/src/token_allocator.cpp
+++ b/packages/limits/src/token_allocator.cpp
@@ -17,6 +17,11 @@
 // holder's reserve, so that tokens are left for waiting requests of others.
 constexpr std::int64_t reserve_divisor = 4;
 
+// Tokens of the burst for each holder below which none may keep a reserve. With
+// less, the reserves of holders that are not using theirs would leave nothing
+// for requests that wait.
+constexpr std::int64_t min_burst_per_holder = 2;
+
 rate_floor component_max(rate_floor const& a, rate_floor const& b)
 {
     return {std::max(a.rate, b.rate), std::max(a.burst, b.burst)};
@@ -358,6 +363,11 @@
                              microtokens_per_token / 1000,
                          it.burst / nanotokens_per_microtoken / 1000 *
                              settings_.floor_burst_per_mille};
+    // A floor that cannot hold one token is not granted, so nothing is reserved
+    // for it: a holder that never reports would keep the whole rate.
+    auto const holder_count = static_cast<std::int64_t>(it.allocations.size());
+    if (all.burst < holder_count * microtokens_per_token)
+        return {};
     // If the floors left less than one whole token of the burst, nothing could
     // be granted. The holders then have no floor.
     bool const room = it.burst - all.burst * nanotokens_per_microtoken >=
@@ -391,6 +401,13 @@
            nanotokens_per_token;
 }
 
+bool token_allocator::allows_reserves(bucket const& it)
+{
+    auto const holder_count = static_cast<std::int64_t>(it.allocations.size());
+    return it.burst >=
+           holder_count * min_burst_per_holder * nanotokens_per_token;
+}
+
 void token_allocator::set_outstanding(bucket& it,
                                       allocation& to,
                                       std::int64_t new_outstanding) const
@@ -443,9 +460,7 @@
 {
     auto const all = floor_total(it);
     auto const holder_count = static_cast<std::int64_t>(it.allocations.size());
-    rate_floor next{all.rate / holder_count, all.burst / holder_count};
-    if (next.burst < microtokens_per_token)
-        next = {};
+    rate_floor const next{all.rate / holder_count, all.burst / holder_count};
     // The floor changes again only after the holder has confirmed the last
     // change, so that the greater of two floors covers what it may use.
     if (to.confirmed_floor != to.granted_floor)
@@ -564,9 +579,10 @@
         to.order = ++order_;
         it.queue.insert({to.order, next});
         set_demand(it, next, to, to.waiting - granted, to.reserve);
-        auto const granted_reserve = std::min(
-            to.reserve,
-            it.queue.empty() ? (tokens - granted) / reserve_divisor : 0);
+        auto const granted_reserve =
+            std::min(to.reserve, it.queue.empty() && allows_reserves(it)
+                                     ? (tokens - granted) / reserve_divisor
+                                     : 0);
         set_demand(it, next, to, to.waiting, to.reserve - granted_reserve);
         add_grant(it, next, granted + granted_reserve, now, grants);
     }
@@ -574,7 +590,7 @@
     {
         auto& to = *allocations_.find(next);
         auto const granted_reserve =
-            it.recovering || !it.queue.empty()
+            it.recovering || !it.queue.empty() || !allows_reserves(it)
                 ? 0
                 : std::min(to.reserve, grantable(it) / reserve_divisor);
         set_demand(it, next, to, to.waiting, to.reserve - granted_reserve);
