limits: Back off unanswered requests and report only what is in use

Callers saw: no request served, and routes missing that had been confirmed, because the links of the entry hosts were full.

Cause: a request for rate tokens or a connection share without an answer was sent again every 20 ms, for each of 84 workspaces and 24 servers. Once an answer took longer than that, the requests filled the link (525 and 240 KB/s on 250 KB/s) and delayed the answers further. Daemons also reported every workspace every 350 ms and every server every second, used or not.

Change: the retry interval doubles up to 1 s, and starts again at 20 ms when requests go to another control host. A workspace without tokens, floor and demand, and a server without share and demand, is not reported.

Ruled out while doing so: a share request that states a change must not wait for the retry of an earlier one.

--- a/packages/limits/include/basilreach/limits/connection_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/connection_limiter.hpp
@@ -18,8 +18,11 @@
 {
     // Minimum time between two requests for a server.
     duration request_interval = std::chrono::milliseconds(1);
-    // Time after which an unanswered request is sent again.
+    // Time after which an unanswered request is sent again for the first time.
+    // It doubles with each further request up to the maximum: on a link that is
+    // full, each request would delay the answer to the others.
     duration retry_interval = std::chrono::milliseconds(20);
+    duration max_retry_interval = std::chrono::seconds(1);
     // Time between two requests for a server without urgent changes.
     duration idle_interval = std::chrono::milliseconds(1000);
 
@@ -51,6 +54,10 @@
     // Applies a grant; a stale one is ignored.
     void receive(share_grant const& grant, instant now);
 
+    // States that requests now go to another allocator, or over another
+    // connection. Unanswered ones are sent again soon.
+    void reset_retries(instant now);
+
     // Returns the number of connections that the holder may have now. If more
     // are open, the caller closes the surplus: at once if the share has
     // expired, otherwise as connections become idle.
@@ -79,6 +86,8 @@
         grant_id last_grant;
         std::uint64_t sequence = 0;
         instant sent;
+        // Time after which the request is sent again.
+        duration retry{};
         // Whether a grant has answered the last request.
         bool answered = true;
         // Whether the next request is due after request_interval already.
@@ -86,6 +95,7 @@
     };
 
     void schedule(row_id id, row const& it);
+    [[nodiscard]] static bool has_nothing_to_report(row const& it);
     [[nodiscard]] instant send_time(row const& it) const;
 
     connection_limiter_settings settings_;
--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -18,8 +18,11 @@
 {
     // Minimum time between two requests for a workspace.
     duration request_interval = std::chrono::milliseconds(1);
-    // Time after which an unanswered request is sent again.
+    // Time after which an unanswered request is sent again for the first time.
+    // It doubles with each further request up to the maximum: on a link that is
+    // full, each request would delay the answer to the others.
     duration retry_interval = std::chrono::milliseconds(20);
+    duration max_retry_interval = std::chrono::seconds(1);
     // Maximum time until the use of tokens is reported.
     duration report_interval = std::chrono::milliseconds(100);
     // Time between two requests for a workspace without traffic.
@@ -73,6 +76,10 @@
     // Adds the tokens of a grant; a stale grant is ignored.
     void receive(token_grant const& grant, instant now);
 
+    // States that requests now go to another allocator, or over another
+    // connection. Unanswered ones are sent again soon.
+    void reset_retries(instant now);
+
     // Removes up to this many unconsumed tokens, to be passed on to the
     // allocator of the daemon's threads, and returns how many.
     std::int64_t
@@ -118,6 +125,8 @@
         instant floor_refilled_until;
         std::uint64_t sequence = 0;
         instant sent;
+        // Time after which the request is sent again.
+        duration retry{};
         // Whether a grant has answered the last request.
         bool answered = true;
         // Whether the next request is due after request_interval already.
@@ -139,6 +148,7 @@
                                               instant now) const;
     [[nodiscard]] instant send_time(local_bucket const& it) const;
     [[nodiscard]] static bool is_urgent(local_bucket const& it);
+    [[nodiscard]] static bool has_nothing_to_report(local_bucket const& it);
     [[nodiscard]] bool is_due_soon(local_bucket const& it, instant now) const;
     void schedule(row_id id, local_bucket const& it);
     token_request make_request(local_bucket& it, instant now) const;
--- a/packages/limits/src/connection_limiter.cpp
+++ b/packages/limits/src/connection_limiter.cpp
@@ -85,6 +85,19 @@
     schedule(found->second, it);
 }
 
+void connection_limiter::reset_retries(instant now)
+{
+    for (auto const& [server, id] : by_name_)
+    {
+        auto& it = *rows_.find(id);
+        if (it.answered)
+            continue;
+        it.retry = settings_.retry_interval;
+        it.sent = std::min(it.sent, now);
+        schedule(id, it);
+    }
+}
+
 std::uint32_t connection_limiter::share(server_name const& server,
                                         instant now) const
 {
@@ -110,6 +123,9 @@
         auto& it = *rows_.find(*id);
         if (send_time(it) <= now)
         {
+            it.retry = it.answered ? settings_.retry_interval
+                                   : std::min(2 * it.retry,
+                                              settings_.max_retry_interval);
             it.sent = now;
             it.answered = false;
             it.request_urgent = false;
@@ -134,10 +150,23 @@
 
 instant connection_limiter::send_time(row const& it) const
 {
+    // A request that states a change is sent even if an earlier one has no
+    // answer yet, but not more often than those are repeated.
     if (it.request_urgent)
         return it.sent + settings_.request_interval;
-    return it.sent +
-           (it.answered ? settings_.idle_interval : settings_.retry_interval);
+    if (!it.answered)
+        return it.sent + it.retry;
+    return has_nothing_to_report(it) ? never
+                                     : it.sent + settings_.idle_interval;
+}
+
+// Returns whether the allocator needs to know nothing of this holder: it has no
+// share that must be renewed and wants none. A daemon uses few of many servers
+// at a time.
+bool connection_limiter::has_nothing_to_report(row const& it)
+{
+    return it.answered && !it.request_urgent && it.share == 0 && it.open == 0 &&
+           it.wanted == 0;
 }
 
 } // namespace basilreach::limits
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -145,6 +145,19 @@
     schedule(by_name_.at(grant.workspace), *it);
 }
 
+void rate_limiter::reset_retries(instant now)
+{
+    for (auto const& [workspace, id] : by_name_)
+    {
+        auto& it = *buckets_.find(id);
+        if (it.answered)
+            continue;
+        it.retry = settings_.retry_interval;
+        it.sent = std::min(it.sent, now);
+        schedule(id, it);
+    }
+}
+
 std::int64_t rate_limiter::delegate(workspace_name const& workspace,
                                     std::int64_t tokens,
                                     instant now)
@@ -303,7 +316,9 @@
 instant rate_limiter::send_time(local_bucket const& it) const
 {
     if (!it.answered)
-        return it.sent + settings_.retry_interval;
+        return it.sent + it.retry;
+    if (has_nothing_to_report(it))
+        return never;
     if (it.request_urgent)
         return it.sent + settings_.request_interval;
     if (it.use_unreported || it.waiting > 0)
@@ -318,10 +333,21 @@
     return !it.answered || it.request_urgent;
 }
 
+// Returns whether the allocator needs to know nothing of this holder: it has no
+// tokens whose expiry must be renewed and no floor that must stay suspended. A
+// daemon uses few of many workspaces at a time.
+bool rate_limiter::has_nothing_to_report(local_bucket const& it)
+{
+    return it.answered && !it.request_urgent && !it.use_unreported &&
+           it.waiting == 0 && it.left == 0 && it.delegated == 0 &&
+           it.floor == rate_floor{};
+}
+
 // Returns whether at least half of the time until the next request has passed.
 bool rate_limiter::is_due_soon(local_bucket const& it, instant now) const
 {
-    return it.answered && it.sent + (send_time(it) - it.sent) / 2 <= now;
+    return it.answered && !has_nothing_to_report(it) &&
+           it.sent + (send_time(it) - it.sent) / 2 <= now;
 }
 
 void rate_limiter::schedule(row_id id, local_bucket const& it)
@@ -340,6 +366,9 @@
                        : std::max<std::int64_t>(whole_tokens - 2 * target, 0);
     it.left -= surplus * nanotokens_per_token;
     it.returned += surplus;
+    it.retry = it.answered
+                   ? settings_.retry_interval
+                   : std::min(2 * it.retry, settings_.max_retry_interval);
     it.sent = now;
     it.answered = false;
     it.request_urgent = false;
