daemon: Send a daemon one difference of the state at a time

Callers saw: routes that had been confirmed were answered with 404 for seconds on hosts with slow links.

Cause: the leader sent each command to each daemon as soon as it was applied and kept no account of what was on its way; a daemon without a state asked again every 100 ms and got another copy each time. Rows of links that had ended stayed for ever.

Change: a daemon asks for its next update once it has handled the last one, so that at most one update is queued for it and changes made meanwhile are sent as one. It is encoded once for all daemons at one revision. Registrations and the history are no longer sent.

--- a/packages/control/include/basilreach/control/control_state.hpp
+++ b/packages/control/include/basilreach/control/control_state.hpp
@@ -14,8 +14,11 @@
 #include <vector>
 
 #include <basilreach/base/result.hpp>
+#include <basilreach/control/change_index.hpp>
 #include <basilreach/control/command.hpp>
 #include <basilreach/control/command_answer.hpp>
+#include <basilreach/control/control_parts.hpp>
+#include <basilreach/control/state_update.hpp>
 
 namespace basilreach::control
 {
@@ -33,99 +36,6 @@
 using rules_parser =
     std::function<result<rules::rule_set, rules_errors>(std::string_view)>;
 
-struct daemon_entry
-{
-    data_centre_name data_centre;
-    // Set by remove_daemon: the daemon's lease is no longer renewed.
-    bool is_removed = false;
-
-    friend bool operator==(daemon_entry const&, daemon_entry const&) = default;
-};
-
-struct server_entry
-{
-    group_name group;
-    data_centre_name data_centre;
-    std::string address;
-    // Sequence of the last announcement.
-    std::uint64_t sequence = 0;
-    bool is_leaving = false;
-    // The server is no longer in the group. The entry is kept for its
-    // sequences, against late announcements.
-    bool is_removed = false;
-    verdict health = verdict::none;
-    std::uint64_t verdict_sequence = 0;
-    std::uint64_t incarnation = 0;
-    server_role role = server_role::unknown;
-
-    friend bool operator==(server_entry const&, server_entry const&) = default;
-};
-
-enum class group_phase : std::uint8_t
-{
-    serving,
-    // The term has ended: daemons stop relaying results of it.
-    fencing,
-    // A server has been chosen and has not yet accepted its term.
-    choosing
-};
-
-struct group_entry
-{
-    // Term of the primary, or of the candidate while choosing.
-    std::uint64_t term = 0;
-    group_phase phase = group_phase::serving;
-    // While serving the primary, while fencing the last primary, while choosing
-    // the candidate. Absent before the first one; in a server-checked group
-    // also after the primary reported another role or was removed.
-    std::optional<server_name> primary;
-    // Revision of the begin_fencing that last started the phase fencing.
-    std::uint64_t fenced_at = 0;
-
-    friend bool operator==(group_entry const&, group_entry const&) = default;
-};
-
-// A command that had an id, and the answer to it.
-struct history_entry
-{
-    std::uint64_t revision = 0;
-    change_id id;
-    std::string author;
-    // Distinguishes a resent command from a different one with the same id.
-    std::uint64_t content_hash = 0;
-    first_answer answer;
-    // Whether the command created a new version of the rules.
-    bool made_version = false;
-
-    friend bool operator==(history_entry const&,
-                           history_entry const&) = default;
-};
-
-// Number of history entries that are kept: about one day at 19,000 changes a
-// day. Older ones can be dropped: a change of the rules that is sent again
-// later conflicts by its base version, and other commands may be applied again.
-inline constexpr std::size_t history_limit = 20'000;
-
-// The control state without the parsed rules, which result from the text. This
-// value is encoded as the snapshot.
-struct control_parts
-{
-    std::uint64_t revision = 0;
-    std::uint64_t rules_version = 0;
-    // Id of the change that created the version.
-    change_id rules_id;
-    std::string rules_text;
-    std::set<key_digest> withdrawn;
-    std::map<daemon_name, daemon_entry> daemons;
-    std::map<server_name, server_entry> servers;
-    std::map<group_name, group_entry> groups;
-    // Oldest first.
-    std::deque<history_entry> history;
-
-    friend bool operator==(control_parts const&,
-                           control_parts const&) = default;
-};
-
 // The replicated control state, a deterministic state machine. Control hosts
 // and daemons that apply the same commands at the same log indices have equal
 // states. A copy serves as a snapshot.
@@ -143,6 +53,20 @@
     // not greater than the revision is refused and changes nothing.
     command_answer apply(std::uint64_t index, command const& it);
 
+    // Returns what a copy of this state at an earlier revision lacks. The rules
+    // are given as the difference from base_text, which is the text of
+    // base_version; without one as a whole. A state that was restored knows
+    // only that all its rows are at most as old as its revision.
+    [[nodiscard]] state_update changes_after(std::uint64_t revision,
+                                             std::uint64_t base_version,
+                                             std::string_view base_text) const;
+
+    // Brings a copy of the state to the revision of the update. Changes nothing
+    // and returns false if the update does not fit: it follows a later
+    // revision than that of the copy, or other rules, or its rules cannot be
+    // parsed.
+    [[nodiscard]] bool merge(state_update const& it);
+
     [[nodiscard]] std::uint64_t revision() const noexcept
     {
         return parts_.revision;
@@ -204,6 +128,9 @@
     [[nodiscard]] first_answer accept() const;
     [[nodiscard]] first_answer conflict_with(std::uint64_t base) const;
     [[nodiscard]] server_entry* find_group_member(server_name const& it);
+    void record_change(command_body const& it);
+    [[nodiscard]] std::optional<std::string>
+    text_of(rules_update const& it) const;
     void replace_rules(rules::rule_set parsed, std::string const& text);
     void update_primary(server_name const& server, server_role role);
     void record(history_entry entry);
@@ -219,6 +146,9 @@
     std::map<std::uint64_t, std::uint64_t> history_by_version_;
     std::uint64_t first_history_number_ = 0;
     std::map<group_name, std::set<server_name>> servers_by_group_;
+    change_index<server_name> changed_servers_;
+    change_index<group_name> changed_groups_;
+    change_index<key_digest> withdrawn_keys_;
 };
 
 } // namespace basilreach::control
--- a/packages/control/src/control_state.cpp
+++ b/packages/control/src/control_state.cpp
@@ -221,9 +221,17 @@
     state.parts_ = std::move(parts);
     for (std::size_t n = 0; n != state.parts_.history.size(); ++n)
         state.index_entry(n);
+    auto const revision = state.parts_.revision;
     for (auto const& [server, entry] : state.parts_.servers)
+    {
+        state.changed_servers_.record(server, revision);
         if (!entry.is_removed)
             state.servers_by_group_[entry.group].insert(server);
+    }
+    for (auto const& [group, entry] : state.parts_.groups)
+        state.changed_groups_.record(group, revision);
+    for (auto const& digest : state.parts_.withdrawn)
+        state.withdrawn_keys_.record(digest, revision);
     return state;
 }
 
@@ -244,6 +252,7 @@
     }
     std::uint64_t const version = parts_.rules_version;
     first_answer answer = (this->*handlers[it.body.index()])(it);
+    record_change(it.body);
     if (!it.id.empty())
         record({index, it.id, it.author, hash, answer,
                 parts_.rules_version != version});
@@ -251,6 +260,102 @@
         [](auto& value) -> command_answer { return std::move(value); }, answer);
 }
 
+// A command that was refused may be recorded too: its rows are then sent once
+// more than necessary.
+void control_state::record_change(command_body const& it)
+{
+    auto const revision = parts_.revision;
+    std::visit(
+        [this, revision](auto const& body)
+        {
+            if constexpr (requires { body.server; })
+                if (auto const* const entry = find(body.server))
+                {
+                    changed_servers_.record(body.server, revision);
+                    changed_groups_.record(entry->group, revision);
+                }
+            if constexpr (requires { body.group; })
+                if (find(body.group) != nullptr)
+                    changed_groups_.record(body.group, revision);
+            if constexpr (requires { body.digest; })
+                withdrawn_keys_.record(body.digest, revision);
+        },
+        it);
+}
+
+state_update control_state::changes_after(std::uint64_t revision,
+                                          std::uint64_t base_version,
+                                          std::string_view base_text) const
+{
+    state_update out;
+    out.after = revision;
+    out.revision = parts_.revision;
+    if (parts_.rules_version != base_version)
+        out.rules = {parts_.rules_version, parts_.rules_id,
+                     base_text.empty() ? 0 : base_version,
+                     rules::make_text_delta(base_text, parts_.rules_text)};
+    for (auto const& it : withdrawn_keys_.changed_after(revision))
+        out.withdrawn.insert(it);
+    for (auto const& it : changed_servers_.changed_after(revision))
+        out.servers.emplace(it, parts_.servers.at(it));
+    for (auto const& it : changed_groups_.changed_after(revision))
+        out.groups.emplace(it, parts_.groups.at(it));
+    return out;
+}
+
+std::optional<std::string> control_state::text_of(rules_update const& it) const
+{
+    if (it.base_version == 0)
+        return rules::apply_text_delta({}, it.delta);
+    if (it.base_version != parts_.rules_version)
+        return std::nullopt;
+    return rules::apply_text_delta(parts_.rules_text, it.delta);
+}
+
+bool control_state::merge(state_update const& it)
+{
+    if (it.after > parts_.revision || it.revision <= parts_.revision)
+        return false;
+    auto text = it.rules ? text_of(*it.rules) : parts_.rules_text;
+    if (!text)
+        return false;
+    rules::rule_set granted = *rules_;
+    if (it.rules)
+    {
+        auto parsed = parser_(*text);
+        if (!parsed)
+            return false;
+        granted = std::move(parsed).value();
+        parts_.rules_version = it.rules->version;
+        parts_.rules_id = it.rules->id;
+    }
+    parts_.revision = it.revision;
+    parts_.withdrawn.insert(it.withdrawn.begin(), it.withdrawn.end());
+    if (it.rules || !it.withdrawn.empty())
+    {
+        for (auto const& digest : parts_.withdrawn)
+            granted.keys.erase(digest);
+        replace_rules(std::move(granted), *text);
+    }
+    for (auto const& [server, entry] : it.servers)
+    {
+        if (auto const* const known = find(server))
+            servers_by_group_[known->group].erase(server);
+        parts_.servers.insert_or_assign(server, entry);
+        if (!entry.is_removed)
+            servers_by_group_[entry.group].insert(server);
+        changed_servers_.record(server, it.revision);
+    }
+    for (auto const& [group, entry] : it.groups)
+    {
+        parts_.groups.insert_or_assign(group, entry);
+        changed_groups_.record(group, it.revision);
+    }
+    for (auto const& digest : it.withdrawn)
+        withdrawn_keys_.record(digest, it.revision);
+    return true;
+}
+
 daemon_entry const* control_state::find(daemon_name const& it) const
 {
     return find_in(parts_.daemons, it);
--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -31,6 +31,8 @@
     std::function<void(consensus::host_name const&, messages::message const&)>
         send_to_host;
     std::function<void(link_id, messages::message const&)> send_to_link;
+    std::function<void(std::vector<link_id> const&, messages::message const&)>
+        send_to_links;
     // Answers a call of the control API.
     std::function<void(std::uint64_t id, call_answer)> answer_call;
     // The control state has changed.
@@ -70,6 +72,9 @@
     // Handles a message that arrived over a link.
     void receive(link_id from, messages::message const& it);
 
+    // No more messages arrive over the link.
+    void link_ended(link_id it);
+
     // Runs a call of the control API. The answer is passed to
     // control_host_outputs::answer_call, possibly before this returns.
     void call(std::uint64_t id, control_call const& it, instant now);
--- a/packages/daemon/include/basilreach/daemon/lease_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/lease_client.hpp
@@ -27,10 +27,14 @@
                  instant now);
 
     void receive(control::grant_lease const& it);
-    void receive(messages::state_update const& it);
+    void receive(control::state_update const& it);
     void receive(view_adopted const& it);
     void receive(traffic::term_ended const& it);
 
+    // States that messages now go to another control host, which does not know
+    // of this daemon's subscription.
+    void leader_changed();
+
     // Takes over the state of the control host in this daemon, if it is newer.
     void update_state(control::control_state const& state);
 
@@ -77,6 +81,8 @@
     void on_state_refused(control::holder_output const& it);
     void on_lease_updated(control::holder_output const& it);
 
+    // Asks the presumed leader for the next update of the state.
+    void subscribe();
     void publish();
     void post(traffic::event const& it) const;
 
@@ -89,6 +95,11 @@
     instant last_grant_;
     // Revision of the leader's state at the last grant.
     std::uint64_t leader_revision_ = 0;
+    std::uint64_t updates_handled_ = 0;
+    // Whether the presumed leader has been asked for the next update.
+    bool is_subscribed_ = false;
+    // The last update did not fit, so the whole state is asked for.
+    bool needs_whole_state_ = false;
 };
 
 } // namespace basilreach::daemon
--- a/packages/daemon/include/basilreach/daemon/link_table.hpp
+++ b/packages/daemon/include/basilreach/daemon/link_table.hpp
@@ -35,8 +35,13 @@
 {
 public:
     using receiver = std::function<void(link_id, messages::message)>;
+    using end_observer = std::function<void(link_id)>;
 
-    link_table(event_loop& loop, receiver received);
+    // `ended` is called by remove_closed() for each link that has ended.
+    link_table(
+        event_loop& loop,
+        receiver received,
+        end_observer ended = [](link_id) {});
 
     // Listens on IP:PORT. Returns whether that succeeded.
     [[nodiscard]] bool listen(std::string const& address);
@@ -48,6 +53,9 @@
     // Sends over the link of a received message. Does nothing if it has ended.
     void send(link_id to, messages::message const& it);
 
+    // Sends one message over several links and encodes it once.
+    void send(std::vector<link_id> const& to, messages::message const& it);
+
     [[nodiscard]] bool is_open(link_id id) const;
 
     // Sums the counts of the links that are in the table now. The backlog is
@@ -76,6 +84,7 @@
 
     event_loop& loop_;
     receiver received_;
+    end_observer ended_;
     client_listener listener_;
     std::map<link_id, std::unique_ptr<message_link>> links_;
     std::map<consensus::host_name, outgoing_link> outgoing_;
--- a/packages/daemon/include/basilreach/daemon/message_link.hpp
+++ b/packages/daemon/include/basilreach/daemon/message_link.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 
 #include <ace/Event_Handler.h>
 #include <ace/SOCK_Stream.h>
@@ -73,6 +74,9 @@
     // are queued: every sender repeats what it still needs.
     void send(messages::message const& it);
 
+    // The same with a message that is encoded as a frame.
+    void send_frame(std::string_view frame);
+
     void close();
 
     [[nodiscard]] bool is_open() const
--- a/packages/daemon/include/basilreach/daemon/update_feed.hpp
+++ b/packages/daemon/include/basilreach/daemon/update_feed.hpp
@@ -5,6 +5,8 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <set>
+#include <string>
 #include <utility>
 #include <vector>
 
@@ -19,34 +21,45 @@
 struct update_counts
 {
     std::uint64_t updates = 0;
-    // Of these, updates that carry a snapshot.
+    // Of these, updates that carry the whole state.
     std::uint64_t snapshots = 0;
 
     friend bool operator==(update_counts const&,
                            update_counts const&) = default;
 };
 
+// One update for all subscribers with the same state.
+struct outgoing_update
+{
+    control::state_update update;
+    std::vector<link_id> links;
+
+    friend bool operator==(outgoing_update const&,
+                           outgoing_update const&) = default;
+};
+
 // Sends changes of the control state to the daemons that subscribe to this
-// control host. A subscriber gets the commands that it lacks, or a snapshot
-// when some of them are no longer retained.
+// control host. A subscriber asks for one update at a time, so what is queued
+// for it is bounded by one update, and changes that are made meanwhile reach it
+// as one.
 class update_feed
 {
 public:
-    // Bytes of rules in the commands that are retained.
+    // Bytes of the texts of earlier rules that are retained. A subscriber that
+    // has one of them gets the difference, others get the whole text.
     static constexpr std::size_t max_retained_bytes = std::size_t{2} << 20U;
 
-    // Adds a command that the state has applied.
-    void record(std::uint64_t index, control::command const& it);
+    // Retains the rules of the state, if they are another version.
+    void record(control::control_state const& state);
 
-    // Drops the retained commands, after a snapshot has replaced the state.
-    void clear();
+    // The link's peer asks for its next update.
+    void subscribe(link_id link, messages::subscribe const& it);
 
-    // The link's peer has the state of this revision and gets later changes.
-    void subscribe(link_id link, std::uint64_t revision);
+    // The link has ended.
+    void remove(link_id link);
 
-    // Returns the updates that subscribers lack. They are assumed to arrive; a
-    // subscriber that misses one subscribes again.
-    [[nodiscard]] std::vector<std::pair<link_id, messages::state_update>>
+    // Returns the updates that subscribers wait for.
+    [[nodiscard]] std::vector<outgoing_update>
     collect_updates(control::control_state const& state);
 
     [[nodiscard]] update_counts const& counts() const
@@ -55,13 +68,29 @@
     }
 
 private:
-    [[nodiscard]] messages::state_update
-    make_update(control::control_state const& state, std::uint64_t after) const;
+    // The revision and the version of the rules that a subscriber has.
+    using position = std::pair<std::uint64_t, std::uint64_t>;
+
+    struct subscriber
+    {
+        position has;
+        std::uint64_t updates_handled = 0;
+    };
+
+    struct retained_rules
+    {
+        std::uint64_t version = 0;
+        std::string text;
+    };
+
+    [[nodiscard]] std::string_view text_of(std::uint64_t version) const;
 
-    std::deque<messages::indexed_command> retained_commands_;
+    std::deque<retained_rules> retained_;
     std::size_t retained_bytes_ = 0;
+    std::map<link_id, subscriber> subscribers_;
+    // Subscribers without an update on its way.
+    std::map<position, std::set<link_id>> waiting_;
     update_counts counts_;
-    std::map<link_id, std::uint64_t> subscribers_;
 };
 
 } // namespace basilreach::daemon
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -317,9 +317,14 @@
         leader_inputs_.emplace_back(std::get<control::lease_returned>(it));
 }
 
+void control_host::link_ended(link_id it)
+{
+    feed_.remove(it);
+}
+
 void control_host::on_subscribe(link_id from, messages::message const& it)
 {
-    feed_.subscribe(from, std::get<messages::subscribe>(it).revision);
+    feed_.subscribe(from, std::get<messages::subscribe>(it));
     send_updates();
 }
 
@@ -399,8 +404,8 @@
 
 void control_host::send_updates()
 {
-    for (auto const& [link, update] : feed_.collect_updates(*state_))
-        outputs_.send_to_link(link, update);
+    for (auto const& it : feed_.collect_updates(*state_))
+        outputs_.send_to_links(it.links, it.update);
 }
 
 void control_host::answer(requester const& to, messages::admin_reply reply)
@@ -570,7 +575,7 @@
     // Assigned in place, as control::leader refers to the state. Only a host
     // that does not lead installs a snapshot.
     *state_ = std::move(state.value());
-    feed_.clear();
+    feed_.record(*state_);
 }
 
 void control_host::apply(consensus::log_entry const& entry)
@@ -589,7 +594,7 @@
         auto const answered = state_->apply(entry.index, it.value());
         outcome = outcome_of(answered);
         log_applied(entry.index, it.value(), outcome);
-        feed_.record(entry.index, it.value());
+        feed_.record(*state_);
         if (leader_)
             leader_inputs_.emplace_back(
                 control::committed{entry.index, it.value(), answered});
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -82,8 +82,14 @@
 
 control_thread::control_thread(daemon_context& context)
     : context_(context), inbox_(loop_),
-      links_(loop_,
-             [this](link_id from, messages::message it) { receive(from, it); })
+      links_(
+          loop_,
+          [this](link_id from, messages::message it) { receive(from, it); },
+          [this](link_id it)
+          {
+              if (host_)
+                  host_->link_ended(it);
+          })
 {
     static_assert(std::size(control_message_handlers) ==
                   std::variant_size_v<control_message>);
@@ -128,6 +134,11 @@
         else
             links_.send(to, it);
     };
+    outputs.send_to_links =
+        [this](std::vector<link_id> const& to, messages::message const& it)
+    {
+        links_.send(to, it);
+    };
     outputs.answer_call = [this](std::uint64_t id, call_answer it)
     {
         control_api_->answer(id, std::move(it));
@@ -356,7 +367,7 @@
 void control_thread::on_state_update(link_id /*from*/, messages::message& it)
 {
     if (!host_)
-        lease_->receive(std::get<messages::state_update>(it));
+        lease_->receive(std::get<control::state_update>(it));
 }
 
 void control_thread::on_not_leader(link_id /*from*/, messages::message& it)
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -65,36 +65,44 @@
     last_grant_ = read_clock();
     leader_revision_ = it.revision;
     holder_.receive(it);
-    if (it.revision > state_.revision())
-        send_to_leader_(
-            messages::subscribe{context_.settings.name, state_.revision()});
-}
-
-void lease_client::receive(messages::state_update const& it)
-{
-    auto const before = state_.revision();
-    auto const rules_before = state_.parts().rules_version;
-    // Commands that do not directly follow this state would lead to a state
-    // that never existed.
-    if (!it.snapshot && it.after > before)
-        return send_to_leader_(
-            messages::subscribe{context_.settings.name, before});
-    if (it.snapshot && it.snapshot->revision > before)
-    {
-        auto restored =
-            control::control_state::restore(*it.snapshot, context_.rules);
-        if (restored)
-            state_ = std::move(restored.value());
-    }
-    for (auto const& [index, entry] : it.commands)
-        if (index > state_.revision())
-            (void)state_.apply(index, entry);
-    if (state_.parts().rules_version != rules_before)
+    if (!is_subscribed_ || it.revision > state_.revision())
+        subscribe();
+}
+
+void lease_client::receive(control::state_update const& it)
+{
+    ++updates_handled_;
+    bool const is_newer = it.revision > state_.revision();
+    needs_whole_state_ = is_newer && !state_.merge(it);
+    if (needs_whole_state_)
+        LOG(WARNING) << "event=state_update_refused after=" << it.after
+                     << " revision=" << it.revision
+                     << " own_revision=" << state_.revision()
+                     << " own_version=" << state_.parts().rules_version;
+    else if (is_newer)
+        holder_.receive(control::state_offered{state_.revision()});
+    if (is_newer && it.rules && !needs_whole_state_)
         LOG(INFO) << "event=rules_received revision=" << state_.revision()
                   << " version=" << state_.parts().rules_version
-                  << " snapshot=" << it.snapshot.has_value();
-    if (state_.revision() > before)
-        holder_.receive(control::state_offered{state_.revision()});
+                  << " base_version=" << it.rules->base_version;
+    subscribe();
+}
+
+void lease_client::subscribe()
+{
+    // A control host has the state itself.
+    if (context_.settings.roles.contains(settings::daemon_role::control))
+        return;
+    is_subscribed_ = true;
+    auto const& parts = state_.parts();
+    send_to_leader_(messages::subscribe{
+        context_.settings.name, needs_whole_state_ ? 0 : parts.revision,
+        needs_whole_state_ ? 0 : parts.rules_version, updates_handled_});
+}
+
+void lease_client::leader_changed()
+{
+    is_subscribed_ = false;
 }
 
 void lease_client::update_state(control::control_state const& state)
@@ -150,8 +158,7 @@
     // before it has the leader's state, and learns the leader's revision only
     // from a grant.
     if (state_.revision() < leader_revision_ || state_.revision() == 0)
-        send_to_leader_(
-            messages::subscribe{context_.settings.name, state_.revision()});
+        subscribe();
 }
 
 void lease_client::on_lease_returned(control::holder_output const& it)
--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/link_table.cpp
@@ -4,6 +4,9 @@
 #include <chrono>
 #include <utility>
 
+#include <basilreach/messages/codec.hpp>
+#include <basilreach/messages/frame.hpp>
+
 namespace basilreach::daemon
 {
 
@@ -29,8 +32,8 @@
     return it.str().substr(it.str().find('=') + 1);
 }
 
-link_table::link_table(event_loop& loop, receiver received)
-    : loop_(loop), received_(std::move(received)),
+link_table::link_table(event_loop& loop, receiver received, end_observer ended)
+    : loop_(loop), received_(std::move(received)), ended_(std::move(ended)),
       listener_(loop, [this](ACE_SOCK_Stream const& it) { accept(it); })
 {
 }
@@ -104,6 +107,19 @@
         link->second->send(it);
 }
 
+void link_table::send(std::vector<link_id> const& to,
+                      messages::message const& it)
+{
+    std::string frame;
+    messages::append_frame(frame, messages::encode(it));
+    for (auto const id : to)
+    {
+        auto const link = links_.find(id);
+        if (link != links_.end())
+            link->second->send_frame(frame);
+    }
+}
+
 bool link_table::is_open(link_id id) const
 {
     auto const link = links_.find(id);
@@ -137,7 +153,10 @@
 void link_table::remove_closed()
 {
     for (auto const id : std::exchange(closed_, {}))
+    {
         links_.erase(id);
+        ended_(id);
+    }
 }
 
 } // namespace basilreach::daemon
--- a/packages/daemon/src/message_link.cpp
+++ b/packages/daemon/src/message_link.cpp
@@ -176,8 +176,16 @@
 {
     if (!is_registered_)
         return;
-    auto const bytes = messages::encode(it);
-    if (out_.size() + bytes.size() >
+    std::string frame;
+    messages::append_frame(frame, messages::encode(it));
+    send_frame(frame);
+}
+
+void message_link::send_frame(std::string_view frame)
+{
+    if (!is_registered_)
+        return;
+    if (out_.size() + frame.size() >
         (is_open_ ? max_queued_bytes : max_queued_bytes_while_connecting))
     {
         ++counts_.messages_dropped;
@@ -185,7 +193,7 @@
     }
     if (out_.empty())
         backlog_since_ = read_clock();
-    messages::append_frame(out_, bytes);
+    out_.append(frame);
     if (!is_write_registered_)
         write();
 }
--- a/packages/daemon/src/update_feed.cpp
+++ b/packages/daemon/src/update_feed.cpp
@@ -5,79 +5,73 @@
 namespace basilreach::daemon
 {
 
-namespace
+void update_feed::record(control::control_state const& state)
 {
-
-// Limit of the number of retained commands. The limit in bytes does not bound
-// it, as that limit counts the texts of rules only.
-constexpr std::size_t max_retained_commands = 1000;
-
-std::size_t size_of(control::command const& it)
-{
-    if (auto const* rules = std::get_if<control::apply_rules>(&it.body))
-        return rules->text.size();
-    if (auto const* rules = std::get_if<control::offer_rules>(&it.body))
-        return rules->text.size();
-    return 0;
-}
-
-} // namespace
-
-void update_feed::record(std::uint64_t index, control::command const& it)
-{
-    retained_commands_.push_back({index, it});
-    retained_bytes_ += size_of(it);
-    while (retained_commands_.size() > max_retained_commands ||
-           retained_bytes_ > max_retained_bytes)
+    auto const& parts = state.parts();
+    if (parts.rules_version == 0 ||
+        (!retained_.empty() && retained_.back().version == parts.rules_version))
+        return;
+    retained_.push_back({parts.rules_version, parts.rules_text});
+    retained_bytes_ += parts.rules_text.size();
+    while (retained_bytes_ > max_retained_bytes && retained_.size() > 1)
     {
-        retained_bytes_ -= size_of(retained_commands_.front().entry);
-        retained_commands_.pop_front();
+        retained_bytes_ -= retained_.front().text.size();
+        retained_.pop_front();
     }
 }
 
-void update_feed::clear()
+void update_feed::subscribe(link_id link, messages::subscribe const& it)
 {
-    retained_commands_.clear();
-    retained_bytes_ = 0;
+    auto const [row, is_new] = subscribers_.try_emplace(link);
+    // A copy of an earlier request: its update waits or is on its way.
+    if (!is_new && it.updates_handled <= row->second.updates_handled)
+        return;
+    remove(link);
+    position const has{it.revision, it.rules_version};
+    subscribers_[link] = {has, it.updates_handled};
+    waiting_[has].insert(link);
 }
 
-void update_feed::subscribe(link_id link, std::uint64_t revision)
+void update_feed::remove(link_id link)
 {
-    subscribers_[link] = revision;
+    auto const row = subscribers_.find(link);
+    if (row == subscribers_.end())
+        return;
+    if (auto const found = waiting_.find(row->second.has);
+        found != waiting_.end())
+    {
+        found->second.erase(link);
+        if (found->second.empty())
+            waiting_.erase(found);
+    }
+    subscribers_.erase(row);
 }
 
-std::vector<std::pair<link_id, messages::state_update>>
+std::vector<outgoing_update>
 update_feed::collect_updates(control::control_state const& state)
 {
-    std::vector<std::pair<link_id, messages::state_update>> out;
-    for (auto& [link, revision] : subscribers_)
+    std::vector<outgoing_update> out;
+    while (!waiting_.empty() &&
+           waiting_.begin()->first.first < state.revision())
     {
-        if (revision >= state.revision())
-            continue;
-        out.emplace_back(link, make_update(state, revision));
-        revision = state.revision();
-        ++counts_.updates;
-        if (out.back().second.snapshot)
-            ++counts_.snapshots;
+        auto const [has, links] = *waiting_.begin();
+        waiting_.erase(waiting_.begin());
+        out.push_back(
+            {state.changes_after(has.first, has.second, text_of(has.second)),
+             {links.begin(), links.end()}});
+        counts_.updates += links.size();
+        if (has.first == 0)
+            counts_.snapshots += links.size();
     }
     return out;
 }
 
-messages::state_update
-update_feed::make_update(control::control_state const& state,
-                         std::uint64_t after) const
+std::string_view update_feed::text_of(std::uint64_t version) const
 {
-    messages::state_update out;
-    out.after = after;
-    bool const has_gap = retained_commands_.empty() ||
-                         retained_commands_.front().index > after + 1;
-    if (has_gap)
-        out.snapshot = state.parts();
-    else
-        std::copy_if(retained_commands_.begin(), retained_commands_.end(),
-                     std::back_inserter(out.commands),
-                     [after](auto const& it) { return it.index > after; });
-    return out;
+    auto const found = std::find_if(retained_.begin(), retained_.end(),
+                                    [version](retained_rules const& it)
+                                    { return it.version == version; });
+    return found == retained_.end() ? std::string_view() : found->text;
 }
 
 } // namespace basilreach::daemon
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -13,44 +13,30 @@
 #include <basilreach/control/control_state.hpp>
 #include <basilreach/control/lease.hpp>
 #include <basilreach/control/reach_report.hpp>
+#include <basilreach/control/state_update.hpp>
 #include <basilreach/limits/share_messages.hpp>
 #include <basilreach/limits/token_messages.hpp>
 
 namespace basilreach::messages
 {
 
-// Requests from a control host the changes of the control state after this
-// revision, now and whenever the state changes.
+// Asks a control host for one update of the control state, now or as soon as
+// the state is newer than the sender's. The sender asks again when it has
+// handled the update, so that at most one is on its way and a slow daemon skips
+// what a later change replaces.
 struct subscribe
 {
     daemon_name daemon;
+    // The revision and the version of the rules that the sender has.
     std::uint64_t revision = 0;
+    std::uint64_t rules_version = 0;
+    // Updates that the sender has handled. A request that repeats the number is
+    // a copy of an earlier one.
+    std::uint64_t updates_handled = 0;
 
     friend bool operator==(subscribe const&, subscribe const&) = default;
 };
 
-// A command of the replicated log with its log index.
-struct indexed_command
-{
-    std::uint64_t index = 0;
-    control::command entry;
-
-    friend bool operator==(indexed_command const&,
-                           indexed_command const&) = default;
-};
-
-// The commands after the receiver's revision, or a whole snapshot if the
-// receiver is too far behind.
-struct state_update
-{
-    // The revision that the commands follow.
-    std::uint64_t after = 0;
-    std::vector<indexed_command> commands;
-    std::optional<control::control_parts> snapshot;
-
-    friend bool operator==(state_update const&, state_update const&) = default;
-};
-
 // The sender is not the leader. The name of the leader is empty if the sender
 // does not know it.
 struct not_leader
@@ -145,7 +131,7 @@
                              control::lease_returned,
                              control::grant_lease,
                              subscribe,
-                             state_update,
+                             control::state_update,
                              not_leader,
                              admin_request,
                              admin_reply,
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -8,6 +8,7 @@
 #include <array>
 #include <functional>
 #include <memory>
+#include <set>
 #include <type_traits>
 #include <utility>
 
@@ -377,6 +378,16 @@
 {
     d(v.daemon, w.daemon);
     d(v.revision, w.revision);
+    d(v.rules_version, w.rules_version);
+    d(v.updates_handled, w.updates_handled);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::text_editT& w)
+{
+    d(v.offset, w.offset);
+    d(v.length, w.length);
+    d(v.inserted, w.inserted);
 }
 
 template <class D, class V>
@@ -919,14 +930,31 @@
                     decode_table<typename Map::mapped_type>(*it));
 }
 
+template <class WireList>
+void encode_digests(std::set<rules::key_digest> const& digests, WireList& out)
+{
+    for (auto const& it : digests)
+        encode_field(it, out.emplace_back());
+}
+
+template <class WireList>
+void decode_digests(WireList const& list, std::set<rules::key_digest>& out)
+{
+    for (auto const& it : list)
+    {
+        rules::key_digest digest{};
+        decode_field(it, digest);
+        out.insert(digest);
+    }
+}
+
 void map_fields(to_wire d, control_parts const& v, wire::control_partsT& w)
 {
     d(v.revision, w.revision);
     d(v.rules_version, w.rules_version);
     d(v.rules_id, w.rules_id);
     d(v.rules_text, w.rules_text);
-    for (auto const& it : v.withdrawn)
-        encode_field(it, w.withdrawn.emplace_back());
+    encode_digests(v.withdrawn, w.withdrawn);
     w.daemons = encode_entries<wire::daemon_entryT>(v.daemons);
     w.servers = encode_entries<wire::server_entryT>(v.servers);
     w.groups = encode_entries<wire::group_entryT>(v.groups);
@@ -939,12 +967,7 @@
     d(v.rules_version, w.rules_version);
     d(v.rules_id, w.rules_id);
     d(v.rules_text, w.rules_text);
-    for (auto const& it : w.withdrawn)
-    {
-        rules::key_digest digest{};
-        decode_field(it, digest);
-        v.withdrawn.insert(digest);
-    }
+    decode_digests(w.withdrawn, v.withdrawn);
     decode_entries(w.daemons, v.daemons);
     decode_entries(w.servers, v.servers);
     decode_entries(w.groups, v.groups);
@@ -952,35 +975,50 @@
         v.history.push_back(decode_table<control::history_entry>(*it));
 }
 
-void map_fields(to_wire d, indexed_command const& v, wire::indexed_commandT& w)
+void map_fields(to_wire d,
+                control::rules_update const& v,
+                wire::rules_updateT& w)
 {
-    d(v.index, w.index);
-    w.entry = encode_table<wire::commandT>(v.entry);
+    d(v.version, w.version);
+    d(v.id, w.id);
+    d(v.base_version, w.base_version);
+    w.edits = encode_list<wire::text_editT>(v.delta.edits);
 }
 
 void map_fields(from_wire d,
-                indexed_command& v,
-                wire::indexed_commandT const& w)
+                control::rules_update& v,
+                wire::rules_updateT const& w)
 {
-    d(v.index, w.index);
-    check_present(w.entry);
-    v.entry = decode_table<command>(*w.entry);
+    d(v.version, w.version);
+    d(v.id, w.id);
+    d(v.base_version, w.base_version);
+    v.delta.edits = decode_list<rules::text_edit>(w.edits);
 }
 
-void map_fields(to_wire d, state_update const& v, wire::state_updateT& w)
+void map_fields(to_wire d,
+                control::state_update const& v,
+                wire::state_updateT& w)
 {
     d(v.after, w.after);
-    w.commands = encode_list<wire::indexed_commandT>(v.commands);
-    if (v.snapshot)
-        w.snapshot = encode_table<wire::control_partsT>(*v.snapshot);
+    d(v.revision, w.revision);
+    if (v.rules)
+        w.rules = encode_table<wire::rules_updateT>(*v.rules);
+    encode_digests(v.withdrawn, w.withdrawn);
+    w.servers = encode_entries<wire::server_entryT>(v.servers);
+    w.groups = encode_entries<wire::group_entryT>(v.groups);
 }
 
-void map_fields(from_wire d, state_update& v, wire::state_updateT const& w)
+void map_fields(from_wire d,
+                control::state_update& v,
+                wire::state_updateT const& w)
 {
     d(v.after, w.after);
-    v.commands = decode_list<indexed_command>(w.commands);
-    if (w.snapshot)
-        v.snapshot = decode_table<control_parts>(*w.snapshot);
+    d(v.revision, w.revision);
+    if (w.rules)
+        v.rules = decode_table<control::rules_update>(*w.rules);
+    decode_digests(w.withdrawn, v.withdrawn);
+    decode_entries(w.servers, v.servers);
+    decode_entries(w.groups, v.groups);
 }
 
 template <class Wire, class Value>
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -47,20 +47,15 @@
     renewal.daemon = daemon_name("d");
     renewal.sent_at = instant(duration(-5));
     renewal.acknowledged[group_name("g")] = {1, 2};
-    state_update update;
+    control::state_update update;
     update.after = 2;
-    update.commands.push_back(
-        {3, {control::change_id("i"), "a", control::apply_rules{1, "t"}}});
-    update.commands.push_back({4, {{}, "", control::withdraw_key{{9}}}});
-    update.commands.push_back({5, {{}, "", control::offer_rules{7, "{}"}}});
-    update.commands.push_back(
-        {6,
-         {{},
-          "",
-          control::announce_server{server_name("s"), group_name("g"),
-                                   data_centre_name("a"), "127.0.0.1:1", 2, 3,
-                                   control::server_role::primary, true}}});
-    update.snapshot = example_control_parts();
+    update.revision = 6;
+    update.rules = control::rules_update{
+        7, control::change_id("i"), 5, {{{1, 2, "text"}, {3, 4, ""}}}};
+    auto const parts = example_control_parts();
+    update.withdrawn = parts.withdrawn;
+    update.servers = parts.servers;
+    update.groups = parts.groups;
     admin_reply reply{1, "", "", "SHOW", {"a"}, {{{"x"}}, {{"y"}}}};
     limits::token_request tokens;
     tokens.last_grant = {1, 2};
@@ -80,7 +75,7 @@
         renewal,
         control::lease_returned{daemon_name("d"), 2},
         control::grant_lease{},
-        subscribe{daemon_name("d"), 3},
+        subscribe{daemon_name("d"), 3, 2, 1},
         update,
         not_leader{daemon_name("l")},
         admin_request{1, "SHOW STATUS"},
--- a/tools/measure_daemon_program/control_fleet.cpp
+++ b/tools/measure_daemon_program/control_fleet.cpp
@@ -110,7 +110,7 @@
         if (grant->lease.count() > 0)
             has_lease_[n] = true;
     }
-    else if (auto const* update = std::get_if<messages::state_update>(&it))
+    else if (auto const* update = std::get_if<control::state_update>(&it))
         row.lease->receive(*update);
     else if (auto const* other = std::get_if<messages::not_leader>(&it))
     {
