control: Keep a leader whose message is arriving, and back off

Cause: a daemon took the leader for lost when nothing had been answered for 250 ms, closed the link and started again from nothing. An update takes 1.5 s on 2 Mbit/s, and the answers wait behind it. State subscriptions and reach reports, which are not answered, also started the timeout. Daemons that lost a slow leader turned to the next host and back every 250 ms, all together.

Ruled out: a longer timeout, which would delay the reaction to a leader that is really lost, and would fail again with larger rules.

Change: contact_monitor decides when a host is given up. A message of which a part has arrived counts as progress, only messages that are answered start the timeout, and it doubles up to 1 s with a jitter once every known host has been tried.

--- /dev/null
+++ b/packages/control/test/contact_monitor_test.cpp
@@ -0,0 +1,82 @@
+#include <basilreach/control/contact_monitor.hpp>
+
+#include <doctest/doctest.h>
+
+#include <set>
+
+using namespace basilreach;
+using namespace basilreach::control;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr instant start{};
+constexpr std::size_t known_hosts = 3;
+
+} // namespace
+
+TEST_CASE("a host that does not answer is given up after the timeout")
+{
+    contact_monitor it({}, 1, start);
+    it.record_grant(start);
+    it.record_message(start + 10ms);
+    it.record_message(start + 100ms);
+    CHECK(it.deadline() >= start + 260ms);
+    CHECK(it.deadline() < start + 330ms);
+    it.record_answer();
+    CHECK(it.deadline() >= start + 900ms);
+}
+
+// Guards against an entry host that gives up the leader while a large update is
+// arriving over its slow link, and then starts again from nothing.
+TEST_CASE("a host whose message is arriving is not given up")
+{
+    contact_monitor it({}, 1, start);
+    it.record_message(start);
+    it.record_progress(start + 2s);
+    CHECK(it.deadline() >= start + 2250ms);
+    // Progress that is older than the message does not count.
+    it.record_answer();
+    it.record_message(start + 5s);
+    it.record_grant(start + 5s);
+    it.record_message(start + 5s);
+    CHECK(it.deadline() >= start + 5250ms);
+}
+
+// Guards against daemons that turn from one control host to the next so often
+// that a slow leader answers none of them in time.
+TEST_CASE("the timeout grows once every known host has been tried")
+{
+    contact_monitor it({}, 1, start);
+    auto const timeout_after_switch = [&it]
+    {
+        it.record_switch(start, known_hosts);
+        it.record_message(start);
+        return it.deadline() - start;
+    };
+    CHECK(timeout_after_switch() < 330ms);
+    CHECK(timeout_after_switch() < 330ms);
+    CHECK(timeout_after_switch() >= 500ms);
+    for (int n = 0; n != 20; ++n)
+        CHECK(timeout_after_switch() <= 1250ms);
+    CHECK(it.deadline() - start >= 900ms);
+    it.record_answer();
+    it.record_message(start);
+    CHECK(it.deadline() - start < 330ms);
+}
+
+// Guards against daemons that lose the leader at one moment and all come back
+// at one moment.
+TEST_CASE("daemons with different seeds have different deadlines")
+{
+    std::set<instant> deadlines;
+    constexpr std::uint64_t daemons = 80;
+    for (std::uint64_t n = 0; n != daemons; ++n)
+    {
+        contact_monitor it({}, n, start);
+        it.record_message(start);
+        deadlines.insert(it.deadline());
+    }
+    CHECK(deadlines.size() > daemons / 4);
+}
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -9,6 +9,7 @@
 #include <vector>
 
 #include <basilreach/base/deadline_queue.hpp>
+#include <basilreach/control/contact_monitor.hpp>
 #include <basilreach/daemon/control_api_server.hpp>
 #include <basilreach/daemon/control_host.hpp>
 #include <basilreach/daemon/http_server.hpp>
@@ -101,8 +102,8 @@
     void deliver_local_messages();
     void send_to_leader(messages::message const& it);
     [[nodiscard]] consensus::host_name presumed_leader() const;
-    void record_answer();
-    [[nodiscard]] instant switch_deadline() const;
+    void log_contact(bool was_in_contact);
+    void on_leader_changed(instant now);
     void switch_control_host(instant now);
     void send_console_request(std::uint64_t id);
     void process_due_console_requests(instant now);
@@ -128,10 +129,7 @@
     std::vector<messages::message> local_messages_;
     std::vector<consensus::host_name> known_hosts_;
     std::size_t presumed_leader_index_ = 0;
-    // When the first unanswered message was sent to the presumed leader.
-    std::optional<instant> unanswered_since_;
-    bool is_in_contact_ = false;
-    instant presumed_since_;
+    control::contact_monitor contact_;
     bool state_changed_ = false;
     distribution_sample logged_distribution_;
     instant next_distribution_line_;
--- a/packages/daemon/include/basilreach/daemon/limit_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -41,6 +41,9 @@
     void receive(limits::share_grant const& it, instant now);
     void receive(traffic::connections_used const& it, instant now);
 
+    // States that messages now go to another control host.
+    void reset_retries(instant now);
+
     void tick(instant now);
 
     [[nodiscard]] instant next_deadline() const;
--- a/packages/daemon/include/basilreach/daemon/link_table.hpp
+++ b/packages/daemon/include/basilreach/daemon/link_table.hpp
@@ -62,8 +62,9 @@
     // the longest one.
     [[nodiscard]] link_counts sum_counts() const;
 
-    // Returns the counts of the link to a control host.
-    [[nodiscard]] link_counts counts(consensus::host_name const& to) const;
+    // Returns the link to a control host, or null if there is none.
+    [[nodiscard]] message_link const*
+    find(consensus::host_name const& to) const;
 
     // Closes the link to a control host that does not answer. The next message
     // to it opens another one.
--- a/packages/daemon/include/basilreach/daemon/message_link.hpp
+++ b/packages/daemon/include/basilreach/daemon/message_link.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -86,6 +87,10 @@
 
     [[nodiscard]] link_counts counts() const;
 
+    // When the last part of a message arrived that is not complete; nothing if
+    // there is none.
+    [[nodiscard]] std::optional<instant> partial_message_at() const;
+
     int handle_input(ACE_HANDLE) override;
     int handle_output(ACE_HANDLE) override;
     ACE_HANDLE get_handle() const override;
@@ -106,6 +111,7 @@
     std::string peer_;
     link_counts counts_;
     instant opened_at_;
+    instant received_at_;
     // When bytes began to wait, if any do.
     instant backlog_since_;
     bool is_registered_ = false;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -29,12 +29,23 @@
 
 // Another control host is tried when a lease renewal has not been answered this
 // long after it was due.
-constexpr duration lease_grant_timeout = std::chrono::milliseconds(400);
+constexpr duration late_grant_timeout = std::chrono::milliseconds(400);
 
-// Another control host is tried when no message to the leader has been answered
-// for this time. Requests for rate tokens are sent ten times a second under
-// load, so that a lost leader is noticed before the reserve of tokens is spent.
-constexpr duration answer_timeout = std::chrono::milliseconds(250);
+control::contact_settings
+contact_settings_of(settings::daemon_settings const& it)
+{
+    control::contact_settings out;
+    out.grant_timeout = it.durations.lease_renewal + late_grant_timeout;
+    return out;
+}
+
+// Whether the leader answers a message of this kind.
+bool expects_answer(messages::message const& it)
+{
+    return !std::holds_alternative<messages::subscribe>(it) &&
+           !std::holds_alternative<control::reach_report>(it) &&
+           !std::holds_alternative<control::lease_returned>(it);
+}
 
 // Least time between two lines on how far the daemons have the control state.
 constexpr duration distribution_line_interval = std::chrono::seconds(1);
@@ -89,7 +100,10 @@
           {
               if (host_)
                   host_->link_ended(it);
-          })
+          }),
+      contact_(contact_settings_of(context.settings),
+               std::hash<daemon_name>{}(context.settings.name),
+               read_clock())
 {
     static_assert(std::size(control_message_handlers) ==
                   std::variant_size_v<control_message>);
@@ -108,7 +122,6 @@
     for (std::size_t n = 0; n != settings.control_hosts.size(); ++n)
         if (settings.control_hosts[n].data_centre == settings.data_centre)
             presumed_leader_index_ = n;
-    presumed_since_ = now;
     lease_ = std::make_unique<lease_client>(
         context_, [this](messages::message const& it) { send_to_leader(it); },
         now);
@@ -225,7 +238,7 @@
             lease_->state().revision(),
             is_ready(),
             host_ && host_->leader_name() == host_->self(),
-            host_ ? !host_->leader_name().empty() : is_in_contact_,
+            host_ ? !host_->leader_name().empty() : contact_.is_in_contact(),
             links_.sum_counts(),
             host_ ? host_->sample_distribution().sent : update_counts{}};
 }
@@ -270,8 +283,8 @@
     if (!local_messages_.empty() || state_changed_)
         return instant::min();
     auto own = std::min(resends_.next(), drain_deadline_);
-    if (!host_ && unanswered_since_)
-        own = std::min(own, switch_deadline());
+    if (!host_ && contact_.unanswered_since())
+        own = std::min(own, contact_.deadline());
     if (has_entry_role())
         own =
             std::min({own, lease_->next_deadline(), limits_->next_deadline()});
@@ -306,49 +319,52 @@
     if (host_ && leader == host_->self())
         return local_messages_.push_back(it);
     links_.send(leader, it);
-    if (!unanswered_since_)
-        unanswered_since_ = read_clock();
+    if (expects_answer(it))
+        contact_.record_message(read_clock());
 }
 
-void control_thread::record_answer()
+void control_thread::log_contact(bool was_in_contact)
 {
-    unanswered_since_.reset();
-    if (std::exchange(is_in_contact_, true))
-        return;
-    LOG(INFO) << "event=control_reached host=" << presumed_leader().str();
+    if (!was_in_contact)
+        LOG(INFO) << "event=control_reached host=" << presumed_leader().str();
 }
 
 void control_thread::switch_control_host(instant now)
 {
-    if (host_ || now < switch_deadline())
+    if (host_ || now < contact_.deadline())
+        return;
+    auto const leader = presumed_leader();
+    auto const* const link = links_.find(leader);
+    if (auto const at =
+            link != nullptr ? link->partial_message_at() : std::nullopt)
+        contact_.record_progress(*at);
+    if (now < contact_.deadline())
         return;
-    presumed_since_ = now;
-    if (std::exchange(is_in_contact_, false))
+    if (contact_.is_in_contact())
     {
-        auto const link = links_.counts(presumed_leader());
-        LOG(WARNING) << "event=control_lost host=" << presumed_leader().str()
+        auto const counts = link != nullptr ? link->counts() : link_counts{};
+        LOG(WARNING) << "event=control_lost host=" << leader.str()
                      << " unanswered_ms="
-                     << milliseconds(now - unanswered_since_.value_or(now))
+                     << milliseconds(now -
+                                     contact_.unanswered_since().value_or(now))
                      << " since_grant_ms="
                      << milliseconds(now - lease_->last_grant())
                      << " revision=" << lease_->state().revision()
-                     << " bytes_received=" << link.bytes_received
-                     << " bytes_queued=" << link.bytes_queued;
+                     << " bytes_received=" << counts.bytes_received
+                     << " bytes_queued=" << counts.bytes_queued;
     }
-    unanswered_since_.reset();
+    contact_.record_switch(now, known_hosts_.size());
     // The link may no longer deliver anything although a new one would work.
-    links_.disconnect(known_hosts_[presumed_leader_index_]);
+    links_.disconnect(leader);
     presumed_leader_index_ = (presumed_leader_index_ + 1) % known_hosts_.size();
+    on_leader_changed(now);
 }
 
-instant control_thread::switch_deadline() const
+// The other control host knows nothing of what the earlier one was asked for.
+void control_thread::on_leader_changed(instant now)
 {
-    auto const without_lease = std::max(lease_->last_grant(), presumed_since_) +
-                               context_.settings.durations.lease_renewal +
-                               lease_grant_timeout;
-    if (!unanswered_since_)
-        return without_lease;
-    return std::min(without_lease, *unanswered_since_ + answer_timeout);
+    lease_->leader_changed();
+    limits_->reset_retries(now);
 }
 
 void control_thread::forward_to_control_host(link_id from,
@@ -360,7 +376,8 @@
 
 void control_thread::on_lease_grant(link_id /*from*/, messages::message& it)
 {
-    record_answer();
+    log_contact(contact_.is_in_contact());
+    contact_.record_grant(read_clock());
     lease_->receive(std::get<control::grant_lease>(it));
 }
 
@@ -383,8 +400,9 @@
     // The leader may have joined after this daemon read its settings.
     if (found == known_hosts_.end())
         known_hosts_.push_back(name);
-    presumed_since_ = read_clock();
-    unanswered_since_.reset();
+    auto const now = read_clock();
+    contact_.record_redirect(now);
+    on_leader_changed(now);
 }
 
 void control_thread::on_admin_reply(link_id /*from*/, messages::message& it)
@@ -396,7 +414,8 @@
 
 void control_thread::on_token_grant(link_id /*from*/, messages::message& it)
 {
-    record_answer();
+    log_contact(contact_.is_in_contact());
+    contact_.record_answer();
     auto& batch = std::get<messages::token_grants>(it);
     for (auto& grant : batch.grants)
     {
@@ -407,7 +426,8 @@
 
 void control_thread::on_share_grant(link_id /*from*/, messages::message& it)
 {
-    record_answer();
+    log_contact(contact_.is_in_contact());
+    contact_.record_answer();
     limits_->receive(std::get<limits::share_grant>(it), read_clock());
 }
 
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -114,6 +114,12 @@
         connection_limiter_.report_use(it.server, it.open, it.wanted, now);
 }
 
+void limit_client::reset_retries(instant now)
+{
+    rate_limiter_.reset_retries(now);
+    connection_limiter_.reset_retries(now);
+}
+
 void limit_client::tick(instant now)
 {
     for (auto const& it : workspaces_)
--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/link_table.cpp
@@ -141,13 +141,13 @@
     return sum;
 }
 
-link_counts link_table::counts(consensus::host_name const& to) const
+message_link const* link_table::find(consensus::host_name const& to) const
 {
     auto const row = outgoing_.find(to);
     if (row == outgoing_.end())
-        return {};
+        return nullptr;
     auto const link = links_.find(row->second.link);
-    return link == links_.end() ? link_counts{} : link->second->counts();
+    return link == links_.end() ? nullptr : link->second.get();
 }
 
 void link_table::remove_closed()
--- a/packages/daemon/src/message_link.cpp
+++ b/packages/daemon/src/message_link.cpp
@@ -137,6 +137,7 @@
         fail(n == 0 ? link_end::closed_by_peer : link_end::receive_failed);
         return 0;
     }
+    received_at_ = read_clock();
     counts_.bytes_received += static_cast<std::uint64_t>(n);
     reader_.feed({buf.data(), static_cast<std::size_t>(n)});
     read_frames();
@@ -232,6 +233,12 @@
     return out;
 }
 
+std::optional<instant> message_link::partial_message_at() const
+{
+    return reader_.has_partial_frame() ? std::optional(received_at_)
+                                       : std::nullopt;
+}
+
 void message_link::log_end(link_end reason) const
 {
     auto const error = errno;
