control: Add voters until the tolerated losses leave a majority

Change: the setting tolerated_losses; learners become voters until there are 2 n + 1. The default of 1 keeps three. Ruled out: every control host as a voter, which grows with the hosts that are set aside rather than with what must be borne.

Test: "learners become voters until the tolerated losses leave a majority"; before, learners became voters only to replace a lost one.

--- a/packages/control/include/basilreach/control/membership_manager.hpp
+++ b/packages/control/include/basilreach/control/membership_manager.hpp
@@ -2,6 +2,7 @@
 #define BASILREACH_CONTROL_MEMBERSHIP_MANAGER_HPP
 
 #include <compare>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -22,6 +23,10 @@
     duration join_request_lifetime = std::chrono::milliseconds{2000};
     // Time without contact after which a learner is removed.
     duration learner_contact_timeout = std::chrono::seconds{10};
+    // Control hosts that may be lost at once, with their disks, without loss of
+    // what was acknowledged. Learners become voters until a majority is left
+    // after such a loss.
+    std::size_t tolerated_losses = 1;
 
     friend bool operator==(membership_settings const&,
                            membership_settings const&) = default;
@@ -46,8 +51,9 @@
 // Decides on the leader which control hosts join and leave the consensus group.
 // A host name is NAME=ADDRESS. A host that lost its disk returns with a new
 // NAME at the same ADDRESS and is a new host. A host joins as a learner. It
-// becomes a voter to replace a voter at its address or one that is out of
-// contact. Before the next replacement, the number of voters is made odd again.
+// becomes a voter if there are fewer voters than the tolerated losses need, or
+// to replace a voter at its address or one that is out of contact. Before the
+// next replacement, the number of voters is made odd again.
 class membership_manager
 {
 public:
--- a/packages/control/src/membership_manager.cpp
+++ b/packages/control/src/membership_manager.cpp
@@ -102,7 +102,8 @@
 {
     if (is_out_of_contact(learner, settings_.contact_timeout, now))
         return false;
-    if (members.voters.size() % 2 == 0)
+    auto const needed_voters = 2 * settings_.tolerated_losses + 1;
+    if (members.voters.size() % 2 == 0 || members.voters.size() < needed_voters)
         return true;
     return std::any_of(members.voters.begin(), members.voters.end(),
                        [&](host_name const& it)
--- a/packages/control/test/membership_manager_test.cpp
+++ b/packages/control/test/membership_manager_test.cpp
@@ -141,4 +141,28 @@
     CHECK(f.members.learners.empty());
 }
 
+// Guards against three voters in a deployment of more control hosts that must
+// not lose what it acknowledged when two disks are lost at once.
+TEST_CASE("learners become voters until the tolerated losses leave a majority")
+{
+    host_name const e("e=10.0.0.5:1");
+    host_name const f("f=10.0.0.6:1");
+    fixture it;
+    membership_settings settings;
+    settings.tolerated_losses = 2;
+    it.manager = membership_manager(settings, a, it.now);
+    it.record_contact({b, c, d, e, f});
+    for (auto const& host : {d, e, f})
+        it.manager.record_join_request(host, it.now);
+    it.run();
+    CHECK(it.members.voters.size() == 5);
+    CHECK(it.members.learners.size() == 1);
+    // A lost voter is replaced by the learner that is left.
+    it.now += 3s;
+    it.record_contact({b, d, e, f});
+    it.run();
+    CHECK(it.members.voters.size() == 5);
+    CHECK(!it.members.has_voter(c));
+}
+
 } // namespace basilreach::control::test
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -133,6 +133,14 @@
     return out;
 }
 
+control::membership_settings
+membership_settings_of(settings::daemon_settings const& it)
+{
+    control::membership_settings out;
+    out.tolerated_losses = it.tolerated_losses;
+    return out;
+}
+
 std::unique_ptr<promotion_client>
 make_promotion_client(event_loop& loop,
                       daemon_context const& context,
@@ -677,7 +685,7 @@
         now_);
     if (!context_.settings.seeds.empty())
         membership_manager_ = std::make_unique<control::membership_manager>(
-            control::membership_settings{}, self_, now_);
+            membership_settings_of(context_.settings), self_, now_);
     next_membership_check_ = now_ + membership_check_interval;
     if (state_->parts().rules_version == 0 &&
         context_.settings.initial_rules_file)
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -146,6 +146,9 @@
     // consensus group of the listed control hosts; otherwise it waits to be
     // added to one.
     bool first_start = true;
+    // Control hosts that may be lost at once, with their disks. As many control
+    // hosts become voters as this needs, if seeds are given.
+    std::uint32_t tolerated_losses = 1;
     statement_protocol protocol = statement_protocol::postgresql;
     // IP address and port for the readiness check of a load balancer, over
     // HTTP.
--- a/packages/settings/src/fields.hpp
+++ b/packages/settings/src/fields.hpp
@@ -208,6 +208,7 @@
         {"seeds", &self::seeds, {}, {&endpoint_format, 1, 19}},
         {"peer_port", &self::peer_port, {}, range(1, 65535)},
         {"first_start", &self::first_start},
+        {"tolerated_losses", &self::tolerated_losses, {}, range(0, 9)},
         {"protocol", &self::protocol},
         {"readiness_listen", &self::readiness_listen, {}, {&endpoint_format}},
         {"operator_listen", &self::operator_listen, {}, {&endpoint_format}},
