limits: Keep the floors of unused workspaces suspended by one report

Cause: a daemon sent a token request for each workspace that has a floor every 350 ms, used or not, so that the floor stays suspended while the daemon is in contact.

Change: a contact report in the batch of requests, answered by a contact grant that prolongs all floors that are suspended when it arrives. The allocator prolongs lazily, when a suspension ends, and only if every grant of an unbroken chain arrived before and the holder already had a grant of the term. A change of the allocator makes the holder report tokens and floors at once.

Alternatives: longer suspensions (a cut-off daemon waits longer for its floor), no floors on large deployments (a cut-off data centre then refuses every keyed statement).

Tests: "one contact report keeps all unused floors suspended"; the 600 random traces now carry contact messages with loss, jitter and clock drift, and admit nothing over the rate.

--- a/packages/daemon/include/basilreach/daemon/limit_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -38,11 +38,12 @@
     // Handles the requests of traffic threads and the grants of the leader.
     void receive(limits::token_request const& it, instant now);
     void receive(limits::token_grant const& it, instant now);
+    void receive(limits::contact_grant const& it, instant now);
     void receive(limits::share_grant const& it, instant now);
     void receive(traffic::connections_used const& it, instant now);
 
     // States that messages now go to another control host.
-    void reset_retries(instant now);
+    void change_allocator(instant now);
 
     void tick(instant now);
 
--- a/packages/daemon/include/basilreach/daemon/limit_leader.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -35,6 +35,7 @@
     void configure(control::control_state const& state, instant now);
 
     void receive(limits::token_request const& it, instant now);
+    void receive(limits::contact_report const& it, instant now);
     void receive(limits::share_request const& it, instant now);
 
     // Sends the grants that are due. No other host can lead before
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -347,6 +347,8 @@
         messages::copy_batch_fields(batch, request);
         limits_->receive(request, now_);
     }
+    if (batch.contact)
+        limits_->receive(*batch.contact, now_);
 }
 
 void control_host::on_share_request(link_id from, messages::message const& it)
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -364,7 +364,7 @@
 void control_thread::on_leader_changed(instant now)
 {
     lease_->leader_changed();
-    limits_->reset_retries(now);
+    limits_->change_allocator(now);
 }
 
 void control_thread::forward_to_control_host(link_id from,
@@ -422,6 +422,8 @@
         messages::copy_batch_fields(batch, grant);
         limits_->receive(grant, read_clock());
     }
+    if (batch.contact)
+        limits_->receive(*batch.contact, read_clock());
 }
 
 void control_thread::on_share_grant(link_id /*from*/, messages::message& it)
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -103,6 +103,11 @@
     rate_limiter_.receive(it, now);
 }
 
+void limit_client::receive(limits::contact_grant const& it, instant now)
+{
+    rate_limiter_.receive(it, now);
+}
+
 void limit_client::receive(limits::share_grant const& it, instant now)
 {
     connection_limiter_.receive(it, now);
@@ -114,10 +119,10 @@
         connection_limiter_.report_use(it.server, it.open, it.wanted, now);
 }
 
-void limit_client::reset_retries(instant now)
+void limit_client::change_allocator(instant now)
 {
-    rate_limiter_.reset_retries(now);
-    connection_limiter_.reset_retries(now);
+    rate_limiter_.change_allocator(now);
+    connection_limiter_.change_allocator(now);
 }
 
 void limit_client::tick(instant now)
@@ -126,9 +131,12 @@
         limits::transfer_tokens(rate_limiter_, thread_allocator_, it, now);
     for (auto const& it : thread_allocator_.tick(now))
         context_.threads[thread_index_of(it.holder)]->post(traffic::event(it));
-    if (auto requests = rate_limiter_.tick(now); !requests.empty())
-        send_to_leader_(messages::token_requests{
-            context_.settings.name, incarnation_, now, std::move(requests)});
+    auto requests = rate_limiter_.tick(now);
+    auto const contact = rate_limiter_.tick_contact(now);
+    if (!requests.empty() || contact)
+        send_to_leader_(messages::token_requests{context_.settings.name,
+                                                 incarnation_, now,
+                                                 std::move(requests), contact});
     for (auto const& it : connection_limiter_.tick(now))
         send_to_leader_(it);
     post_share_changes(now);
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -132,6 +132,11 @@
     token_allocator_.receive(it, now);
 }
 
+void limit_leader::receive(limits::contact_report const& it, instant now)
+{
+    token_allocator_.receive(it, now);
+}
+
 void limit_leader::receive(limits::share_request const& it, instant now)
 {
     share_allocator_.receive(it, now);
@@ -150,6 +155,14 @@
         batch.sent = it.sent;
         batch.grants.push_back(std::move(it));
     }
+    for (auto& it : token_allocator_.tick_contacts(now))
+    {
+        auto& batch = batches[it.holder];
+        batch.holder = it.holder;
+        batch.incarnation = it.incarnation;
+        batch.sent = it.sent;
+        batch.contact = std::move(it);
+    }
     for (auto const& [holder, batch] : batches)
         send_(holder, batch);
     for (auto const& it : share_allocator_.tick(now))
--- a/packages/limits/include/basilreach/limits/connection_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/connection_limiter.hpp
@@ -56,7 +56,7 @@
 
     // States that requests now go to another allocator, or over another
     // connection. Unanswered ones are sent again soon.
-    void reset_retries(instant now);
+    void change_allocator(instant now);
 
     // Returns the number of connections that the holder may have now. If more
     // are open, the caller closes the surplus: at once if the share has
--- /dev/null
+++ b/packages/limits/include/basilreach/limits/contact_messages.hpp
@@ -0,0 +1,46 @@
+#ifndef BASILREACH_LIMITS_CONTACT_MESSAGES_HPP
+#define BASILREACH_LIMITS_CONTACT_MESSAGES_HPP
+
+#include <compare>
+#include <cstdint>
+
+#include <basilreach/base/instant.hpp>
+#include <basilreach/base/name.hpp>
+
+namespace basilreach::limits
+{
+
+// From a holder to the allocator: it is in contact. One report keeps the floors
+// of all its workspaces suspended, so that those it does not use need no
+// requests of their own.
+struct contact_report
+{
+    daemon_name holder;
+    std::uint64_t incarnation = 0;
+    // The last contact grant that the holder accepted.
+    std::uint64_t term = 0;
+    instant heard;
+
+    friend auto operator<=>(contact_report const&,
+                            contact_report const&) = default;
+};
+
+// The answer to a contact report. It prolongs the suspension of each floor that
+// is suspended when it arrives and whose last grant was of this term.
+struct contact_grant
+{
+    daemon_name holder;
+    std::uint64_t incarnation = 0;
+    std::uint64_t term = 0;
+    // When it was sent, by the allocator's clock.
+    instant sent;
+    // How long the floors are suspended after this grant arrives.
+    duration floor_suspension{};
+
+    friend auto operator<=>(contact_grant const&,
+                            contact_grant const&) = default;
+};
+
+} // namespace basilreach::limits
+
+#endif
--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -3,12 +3,15 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
+#include <utility>
 #include <vector>
 
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/base/instant.hpp>
 #include <basilreach/base/name.hpp>
 #include <basilreach/base/table.hpp>
+#include <basilreach/limits/contact_messages.hpp>
 #include <basilreach/limits/token_messages.hpp>
 
 namespace basilreach::limits
@@ -76,9 +79,12 @@
     // Adds the tokens of a grant; a stale grant is ignored.
     void receive(token_grant const& grant, instant now);
 
+    // Applies a contact grant; a stale one is ignored.
+    void receive(contact_grant const& grant, instant now);
+
     // States that requests now go to another allocator, or over another
-    // connection. Unanswered ones are sent again soon.
-    void reset_retries(instant now);
+    // connection. All that it needs to know is sent soon.
+    void change_allocator(instant now);
 
     // Removes up to this many unconsumed tokens, to be passed on to the
     // allocator of the daemon's threads, and returns how many.
@@ -102,7 +108,11 @@
     // Processes what is due and returns the requests to send.
     std::vector<token_request> tick(instant now);
 
-    // Returns when tick has something to do next.
+    // Returns the contact report to send, if one is due. To be called after
+    // tick.
+    [[nodiscard]] std::optional<contact_report> tick_contact(instant now);
+
+    // Returns when tick or tick_contact has something to do next.
     [[nodiscard]] instant next_deadline() const;
 
 private:
@@ -149,6 +159,7 @@
     [[nodiscard]] instant send_time(local_bucket const& it) const;
     [[nodiscard]] static bool is_urgent(local_bucket const& it);
     [[nodiscard]] static bool has_nothing_to_report(local_bucket const& it);
+    [[nodiscard]] instant next_contact() const;
     [[nodiscard]] bool is_due_soon(local_bucket const& it, instant now) const;
     void schedule(row_id id, local_bucket const& it);
     token_request make_request(local_bucket& it, instant now) const;
@@ -160,6 +171,11 @@
     std::map<workspace_name, row_id> by_name_;
     deadline_queue<row_id> due_;
     instant last_batch_sent_;
+    // Whether a workspace has a floor, which contact keeps suspended.
+    bool has_floor_ = false;
+    instant contact_sent_;
+    // Term and sending time of the last contact grant.
+    std::pair<std::uint64_t, instant> last_contact_;
 };
 
 } // namespace basilreach::limits
--- a/packages/limits/include/basilreach/limits/token_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/token_allocator.hpp
@@ -12,6 +12,7 @@
 #include <basilreach/base/instant.hpp>
 #include <basilreach/base/name.hpp>
 #include <basilreach/base/table.hpp>
+#include <basilreach/limits/contact_messages.hpp>
 #include <basilreach/limits/token_messages.hpp>
 
 namespace basilreach::limits
@@ -79,6 +80,9 @@
     // Records a holder's state and demand.
     void receive(token_request const& request, instant now);
 
+    // Records that a holder is in contact.
+    void receive(contact_report const& report, instant now);
+
     // Sets the time before which no other leader can exist. No tokens are
     // granted from then on.
     void set_leader_until(instant until);
@@ -109,6 +113,9 @@
     // Processes what is due and returns the grants to send.
     std::vector<token_grant> tick(instant now);
 
+    // Returns the answers to contact reports.
+    [[nodiscard]] std::vector<contact_grant> tick_contacts(instant now);
+
     // Returns when tick has something to do next.
     [[nodiscard]] instant next_deadline() const;
 
@@ -162,6 +169,8 @@
         std::uint64_t number = 0;
         instant echo;
         bool reported = false;
+        // When the first report of this term arrived.
+        instant reported_at;
         // Grants of tokens that no request has acknowledged yet.
         std::deque<unacknowledged_grant> unacknowledged;
         std::int64_t outstanding = 0;
@@ -187,6 +196,17 @@
         bool floor_suspended = false;
     };
 
+    // What a holder has heard of the contact grants of this term.
+    struct contact
+    {
+        std::uint64_t incarnation = 0;
+        // When the first of the reports arrived that each came before the
+        // suspension by the one before had ended.
+        instant since;
+        // Sending time of the last contact grant that the holder acknowledged.
+        instant heard;
+    };
+
     bucket* find(workspace_name const& workspace);
     [[nodiscard]] bucket const* find(workspace_name const& workspace) const;
     void add_allocation(row_id id, daemon_name const& holder, instant now);
@@ -222,6 +242,7 @@
     void advance(instant now);
     void expire_allocations(instant now);
     void resume_floors(instant now);
+    [[nodiscard]] instant suspended_by_contact(allocation const& it) const;
     void end_recoveries(instant now);
     void allocate(row_id id, instant now, std::vector<token_grant>& grants);
     void add_grant(bucket& it,
@@ -240,6 +261,8 @@
     std::map<workspace_name, row_id> by_name_;
     std::set<daemon_name> holders_;
     std::set<row_id> changed_;
+    std::map<daemon_name, contact> contacts_;
+    std::set<daemon_name> unanswered_contacts_;
     deadline_queue<row_id> expiries_;
     deadline_queue<row_id> floor_resumptions_;
     deadline_queue<row_id> recoveries_;
--- a/packages/limits/replay/rate_replay.cpp
+++ b/packages/limits/replay/rate_replay.cpp
@@ -327,6 +327,9 @@
                 at(virtual_now + thread_latency,
                    [this, n, incarnation = it.incarnation, request]
                    { receive_thread_request(n, incarnation, request); });
+        if (trace_.threads == 0)
+            if (auto const contact = s.limiter.tick_contact(now))
+                send(n, *contact);
         auto next_tick = it.clock.global(s.limiter.next_deadline());
         if (!s.waiting.empty())
             next_tick = std::min(next_tick, arrivals_[s.waiting.front()].at +
@@ -381,6 +384,8 @@
         }
         for (auto const& request : it.daemon_limiter->tick(now))
             send(n, request);
+        if (auto const contact = it.daemon_limiter->tick_contact(now))
+            send(n, *contact);
         auto const next_tick = std::max(
             it.clock.global(std::min(it.daemon_limiter->next_deadline(),
                                      it.thread_allocator->next_deadline())),
@@ -396,7 +401,9 @@
            });
     }
 
-    void send(unsigned n, token_request const& request)
+    // Sends a token request or a contact report.
+    template <class Request>
+    void send(unsigned n, Request const& request)
     {
         ++messages_;
         if (!message_passes(n))
@@ -412,19 +419,27 @@
            });
     }
 
+    // Sends a token grant or a contact grant.
+    template <class Grant>
+    void send_grant(Grant const& grant)
+    {
+        auto const n =
+            static_cast<unsigned>(std::stoul(grant.holder.str().substr(4)));
+        ++messages_;
+        if (message_passes(n))
+            at(simulation_.now() + delay(),
+               [this, n, grant] { receive_grant(n, grant); });
+    }
+
     void tick_leader()
     {
         auto const virtual_now = simulation_.now();
         for (auto const& grant :
              leader_->tick(leader_clock_.local(virtual_now)))
-        {
-            auto const n =
-                static_cast<unsigned>(std::stoul(grant.holder.str().substr(4)));
-            ++messages_;
-            if (message_passes(n))
-                at(virtual_now + delay(),
-                   [this, n, grant] { receive_grant(n, grant); });
-        }
+            send_grant(grant);
+        for (auto const& grant :
+             leader_->tick_contacts(leader_clock_.local(virtual_now)))
+            send_grant(grant);
         auto const next_tick =
             std::max(leader_clock_.global(leader_->next_deadline()),
                      virtual_now + duration(1));
@@ -439,7 +454,8 @@
            });
     }
 
-    void receive_grant(unsigned n, token_grant const& grant)
+    template <class Grant>
+    void receive_grant(unsigned n, Grant const& grant)
     {
         auto& it = hosts_[n];
         if (it.lost || !message_passes(n))
--- a/packages/limits/src/connection_limiter.cpp
+++ b/packages/limits/src/connection_limiter.cpp
@@ -85,7 +85,7 @@
     schedule(found->second, it);
 }
 
-void connection_limiter::reset_retries(instant now)
+void connection_limiter::change_allocator(instant now)
 {
     for (auto const& [server, id] : by_name_)
     {
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -29,6 +29,10 @@
 // it.
 constexpr duration floor_token_lifetime = std::chrono::milliseconds(50);
 
+// A floor whose suspension ends within this time is reported with a request of
+// its own: contact has not prolonged it.
+constexpr duration suspension_margin = std::chrono::milliseconds(200);
+
 double seconds(duration it)
 {
     return std::chrono::duration<double>(it).count();
@@ -128,6 +132,7 @@
     // leader does not know the holder's floor yet.
     if (grant.lifetime > duration{})
         it->floor = grant.floor;
+    has_floor_ = has_floor_ || it->floor != rate_floor{};
     // A floor in use continues after a grant without suspension, once the
     // tokens left have expired. The end of a suspension is never moved to an
     // earlier time: the allocator relies on the longer one of an earlier grant.
@@ -145,15 +150,38 @@
     schedule(by_name_.at(grant.workspace), *it);
 }
 
-void rate_limiter::reset_retries(instant now)
+void rate_limiter::receive(contact_grant const& grant, instant now)
 {
+    if (grant.holder != holder_ || grant.incarnation != incarnation_ ||
+        std::pair(grant.term, grant.sent) <= last_contact_)
+        return;
+    last_contact_ = {grant.term, grant.sent};
+    auto const until = now + grant.floor_suspension;
     for (auto const& [workspace, id] : by_name_)
     {
         auto& it = *buckets_.find(id);
-        if (it.answered)
+        refresh(it, now);
+        bool const is_suspended =
+            it.floor_suspended_until != never && it.floor_suspended_until > now;
+        if (!is_suspended || it.last_grant.term != grant.term ||
+            until <= it.floor_suspended_until)
             continue;
+        it.floor_suspended_until = until;
+        it.floor_refilled_until = std::max(it.floor_refilled_until, until);
+        schedule(id, it);
+    }
+}
+
+void rate_limiter::change_allocator(instant now)
+{
+    contact_sent_ = now - settings_.idle_interval;
+    for (auto const& [workspace, id] : by_name_)
+    {
+        auto& it = *buckets_.find(id);
         it.retry = settings_.retry_interval;
         it.sent = std::min(it.sent, now);
+        if (it.answered && (it.left > 0 || it.floor != rate_floor{}))
+            it.request_urgent = true;
         schedule(id, it);
     }
 }
@@ -239,9 +267,23 @@
     return requests;
 }
 
+std::optional<contact_report> rate_limiter::tick_contact(instant now)
+{
+    if (now < next_contact())
+        return std::nullopt;
+    contact_sent_ = now;
+    return contact_report{holder_, incarnation_, last_contact_.first,
+                          last_contact_.second};
+}
+
+instant rate_limiter::next_contact() const
+{
+    return has_floor_ ? contact_sent_ + settings_.idle_interval : never;
+}
+
 instant rate_limiter::next_deadline() const
 {
-    return due_.next();
+    return std::min(due_.next(), next_contact());
 }
 
 rate_limiter::local_bucket* rate_limiter::find(workspace_name const& workspace)
@@ -318,7 +360,15 @@
     if (!it.answered)
         return it.sent + it.retry;
     if (has_nothing_to_report(it))
-        return never;
+    {
+        if (it.floor == rate_floor{})
+            return never;
+        auto const idle_until = it.sent + settings_.idle_interval;
+        return it.floor_suspended_until == never
+                   ? idle_until
+                   : std::max(idle_until,
+                              it.floor_suspended_until - suspension_margin);
+    }
     if (it.request_urgent)
         return it.sent + settings_.request_interval;
     if (it.use_unreported || it.waiting > 0)
@@ -333,14 +383,13 @@
     return !it.answered || it.request_urgent;
 }
 
-// Returns whether the allocator needs to know nothing of this holder: it has no
-// tokens whose expiry must be renewed and no floor that must stay suspended. A
-// daemon uses few of many workspaces at a time.
+// Returns whether the allocator needs to know nothing of this holder but that
+// it is in contact: it has no tokens whose expiry must be renewed. A daemon
+// uses few of many workspaces at a time.
 bool rate_limiter::has_nothing_to_report(local_bucket const& it)
 {
     return it.answered && !it.request_urgent && !it.use_unreported &&
-           it.waiting == 0 && it.left == 0 && it.delegated == 0 &&
-           it.floor == rate_floor{};
+           it.waiting == 0 && it.left == 0 && it.delegated == 0;
 }
 
 // Returns whether at least half of the time until the next request has passed.
--- a/packages/limits/src/token_allocator.cpp
+++ b/packages/limits/src/token_allocator.cpp
@@ -91,6 +91,8 @@
 {
     if (holders_.erase(holder) == 0)
         return;
+    contacts_.erase(holder);
+    unanswered_contacts_.erase(holder);
     for (auto const& [workspace, id] : by_name_)
     {
         auto& it = *buckets_.find(id);
@@ -150,6 +152,51 @@
     changed_.insert(by_name_.at(request.workspace));
 }
 
+void token_allocator::receive(contact_report const& report, instant now)
+{
+    if (!holders_.contains(report.holder))
+        return;
+    // Suspensions that have ended by now are not prolonged.
+    advance(now);
+    auto& it = contacts_[report.holder];
+    if (report.incarnation < it.incarnation)
+        return;
+    if (report.incarnation > it.incarnation)
+        it = {report.incarnation, {}, {}};
+    unanswered_contacts_.insert(report.holder);
+    if (report.term != term_ || report.heard <= it.heard)
+        return;
+    if (now >= it.heard + settings_.floor_suspension)
+        it.since = now;
+    it.heard = report.heard;
+}
+
+// Returns until when contact keeps a floor suspended whose own suspension ends
+// now. The holder prolonged it only if it was suspended when each of the
+// contact grants arrived, and if it had a grant of this term by then.
+instant token_allocator::suspended_by_contact(allocation const& it) const
+{
+    auto const found = contacts_.find(it.holder);
+    if (found == contacts_.end())
+        return {};
+    auto const& row = found->second;
+    bool const is_prolonged =
+        it.reported && row.incarnation == it.incarnation &&
+        row.since < it.floor_suspended_until && row.heard >= it.reported_at;
+    return is_prolonged ? row.heard + settings_.floor_suspension : instant{};
+}
+
+std::vector<contact_grant> token_allocator::tick_contacts(instant now)
+{
+    std::vector<contact_grant> out;
+    if (now >= leader_until_)
+        return out;
+    for (auto const& holder : std::exchange(unanswered_contacts_, {}))
+        out.push_back({holder, contacts_.at(holder).incarnation, term_, now,
+                       with_clock_margin(settings_.floor_suspension)});
+    return out;
+}
+
 void token_allocator::apply_report(bucket& it,
                                    allocation& from,
                                    token_request const& request,
@@ -187,6 +234,8 @@
     // left a holder without any tokens when this leader was lost as well.
     auto const granted_floor =
         from.reported ? from.granted_floor : request.floor;
+    if (!from.reported)
+        from.reported_at = now;
     from.reported = true;
     it.unreported.erase(from.holder);
     if (it.unreported.empty())
@@ -529,6 +578,13 @@
     {
         auto& row = *allocations_.find(*id);
         auto& it = *buckets_.find(row.bucket);
+        if (auto const until = suspended_by_contact(row);
+            until > row.floor_suspended_until)
+        {
+            row.floor_suspended_until = until;
+            floor_resumptions_.set(*id, until);
+            continue;
+        }
         // The floor is reserved from the end of its suspension on, also if the
         // tick comes late.
         refill(it, row.floor_suspended_until);
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -449,6 +449,49 @@
     CHECK(requests * bytes_per_request <= seconds * max_control_bytes_per_s);
 }
 
+// Guards against a report for each floor in each interval: the floors of the
+// workspaces that a daemon does not use cost 5 KB/s a daemon.
+TEST_CASE("one contact report keeps all unused floors suspended")
+{
+    token_allocator allocator(whole_floors(), 1, at_ms(0));
+    allocator.assume_no_earlier_grants(at_ms(0));
+    allocator.register_holder(holder_of(0), at_ms(0));
+    rate_limiter limiter(daemon_settings(), holder_of(0), 1);
+    for (std::size_t n = 0; n != many_workspaces; ++n)
+    {
+        allocator.configure(workspace_of(n), 40, 60, at_ms(0));
+        limiter.add_workspace(workspace_of(n), at_ms(0));
+    }
+    std::size_t requests = 0;
+    constexpr std::uint64_t settled_ms = 2000;
+    constexpr std::uint64_t cut_ms = 12'000;
+    for (std::uint64_t ms = 0; ms != cut_ms; ++ms)
+    {
+        for (auto const& it : limiter.tick(at_ms(ms)))
+        {
+            allocator.receive(it, at_ms(ms));
+            requests += ms < settled_ms ? 0 : 1;
+        }
+        if (auto const it = limiter.tick_contact(at_ms(ms)))
+        {
+            allocator.receive(*it, at_ms(ms));
+            requests += ms < settled_ms ? 0 : 1;
+        }
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            limiter.receive(it, at_ms(ms));
+        for (auto const& it : allocator.tick_contacts(at_ms(ms)))
+            limiter.receive(it, at_ms(ms));
+        if (ms > settled_ms)
+            for (std::size_t n = 0; n != many_workspaces; ++n)
+                REQUIRE(limiter.available(workspace_of(n), at_ms(ms)) == 0);
+    }
+    CHECK(requests * bytes_per_request <=
+          (cut_ms - settled_ms) / 1000 * max_control_bytes_per_s);
+    // Without contact the floors are used.
+    (void)limiter.available(workspace_of(0), at_ms(cut_ms + 1000));
+    CHECK(limiter.available(workspace_of(0), at_ms(cut_ms + 2000)) > 0);
+}
+
 // Guards against a workspace without any tokens: a registered daemon that is
 // down never reports, and the floors reserved for it were the whole rate,
 // although the floors of so many daemons hold less than a token each and are
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -14,6 +14,7 @@
 #include <basilreach/control/lease.hpp>
 #include <basilreach/control/reach_report.hpp>
 #include <basilreach/control/state_update.hpp>
+#include <basilreach/limits/contact_messages.hpp>
 #include <basilreach/limits/share_messages.hpp>
 #include <basilreach/limits/token_messages.hpp>
 
@@ -88,6 +89,7 @@
     // When the batch was sent, by the sender's clock.
     instant sent;
     std::vector<limits::token_request> requests;
+    std::optional<limits::contact_report> contact;
 
     friend bool operator==(token_requests const&,
                            token_requests const&) = default;
@@ -102,6 +104,7 @@
     // When the batch was sent, by the sender's clock.
     instant sent;
     std::vector<limits::token_grant> grants;
+    std::optional<limits::contact_grant> contact;
 
     friend bool operator==(token_grants const&, token_grants const&) = default;
 };
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -611,28 +611,55 @@
     d(v.sent, w.sent);
 }
 
+template <class D, class V>
+void map_fields(D d, V& v, wire::contact_reportT& w)
+{
+    d(v.term, w.term);
+    d(v.heard, w.heard);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::contact_grantT& w)
+{
+    d(v.term, w.term);
+    d(v.floor_suspension, w.floor_suspension);
+}
+
 void map_fields(to_wire d, token_requests const& v, wire::token_requestsT& w)
 {
     map_batch(d, v, w);
     w.requests = encode_list<wire::token_requestT>(v.requests);
+    if (v.contact)
+        w.contact = encode_table<wire::contact_reportT>(*v.contact);
 }
 
 void map_fields(from_wire d, token_requests& v, wire::token_requestsT const& w)
 {
     map_batch(d, v, w);
     v.requests = decode_list<limits::token_request>(w.requests);
+    if (!w.contact)
+        return;
+    v.contact = decode_table<limits::contact_report>(*w.contact);
+    v.contact->holder = v.holder;
+    v.contact->incarnation = v.incarnation;
 }
 
 void map_fields(to_wire d, token_grants const& v, wire::token_grantsT& w)
 {
     map_batch(d, v, w);
     w.grants = encode_list<wire::token_grantT>(v.grants);
+    if (v.contact)
+        w.contact = encode_table<wire::contact_grantT>(*v.contact);
 }
 
 void map_fields(from_wire d, token_grants& v, wire::token_grantsT const& w)
 {
     map_batch(d, v, w);
     v.grants = decode_list<limits::token_grant>(w.grants);
+    if (!w.contact)
+        return;
+    v.contact = decode_table<limits::contact_grant>(*w.contact);
+    copy_batch_fields(v, *v.contact);
 }
 
 void map_fields(to_wire d, admin_reply const& v, wire::admin_replyT& w)
