limits: Rotate connections among more holders than there are

Cause: 54 connections of a server for 80 daemons. A daemon keeps a connection for 10 s after its last statement and counts it as wanted; connections moved between wanting holders only if one had two more than another. A daemon without a connection waited for as long as the others wanted theirs. Waiting holders were also served by their row, not in order.

Ruled out: processor time (0.02 of 0.3 core at control hosts) and the servers' slots (no statement refused as busy).

Change: if a holder wants a connection and has none, the one that has had its share for longest, at least 200 ms, gives one back, every 10 ms at most; a running statement keeps its connection. Unsatisfied holders with equal shares are served in order.

Test: "connections rotate among more holders than there are": the longest wait was 10 s of 10 s, now it is below 1 s.

--- a/packages/limits/include/basilreach/limits/share_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/share_allocator.hpp
@@ -5,6 +5,7 @@
 #include <deque>
 #include <map>
 #include <set>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -106,15 +107,19 @@
         bool recovering = true;
         std::set<daemon_name> unreported;
         std::map<daemon_name, row_id> allocations;
-        // Allocations that want more than their share, by share.
-        std::set<std::pair<std::uint32_t, row_id>> unsatisfied;
+        // Allocations that want more than their share, by share and then in the
+        // order in which they began to.
+        std::set<std::tuple<std::uint32_t, std::uint64_t, row_id>> unsatisfied;
         // All allocations by share, to reclaim from the largest.
         std::set<std::pair<std::uint32_t, row_id>> by_share;
         // Allocations that want less than their share, by `idle_since`.
         std::set<std::pair<instant, row_id>> idle;
         // Allocations to which a grant must be sent.
         std::set<row_id> unanswered;
+        // Allocations with a share, by `held_since`.
+        std::set<std::pair<instant, row_id>> held;
         instant next_rebalance;
+        instant next_rotation;
     };
 
     struct unacknowledged_share
@@ -149,10 +154,15 @@
         // Connections of earlier incarnations that the server may still have.
         std::uint32_t abandoned = 0;
         instant idle_since = never;
+        // Its place among the unsatisfied ones; 0 while it is satisfied.
+        std::uint64_t order = 0;
+        // When the share was last raised.
+        instant held_since = never;
     };
 
     void add_allocation(row_id id, daemon_name const& holder);
     void update_derived(server& it, row_id id, allocation& to, instant now);
+    void update_order(server& it, row_id id, allocation& to);
     void set_share(server& it, row_id id, std::uint32_t share, instant now);
     void apply_report(server& it,
                       row_id id,
@@ -167,6 +177,9 @@
     void end_recoveries(instant now);
     void allocate(row_id id, instant now, std::vector<share_grant>& grants);
     void reclaim(row_id id, server& it, instant now);
+    [[nodiscard]] static bool has_holder_without_share(server const& it);
+    instant rotate(server& it, instant now);
+    static void set_held_since(server& it, row_id id, allocation& to, instant);
     void add_grant(server& it,
                    row_id id,
                    instant now,
@@ -178,6 +191,7 @@
     instant recovery_end_;
     bool no_earlier_grants_ = false;
     instant leader_until_ = never;
+    std::uint64_t last_order_ = 0;
     table<server> servers_;
     table<allocation> allocations_;
     std::map<server_name, row_id> by_name_;
--- a/packages/limits/src/share_allocator.cpp
+++ b/packages/limits/src/share_allocator.cpp
@@ -13,6 +13,11 @@
 // server.
 constexpr duration rebalance_interval = std::chrono::milliseconds(50);
 
+// Minimum time between two connections that are taken from holders for others
+// without any. It covers the round trip until the first holder has reported
+// what it wants now.
+constexpr duration rotation_interval = std::chrono::milliseconds(10);
+
 } // namespace
 
 share_allocator::share_allocator(share_allocator_settings settings,
@@ -98,6 +103,7 @@
         row.unacknowledged.clear();
         set_share(it, found->second, 0, now);
         it.by_share.erase({0, found->second});
+        it.held.erase({row.held_since, found->second});
         it.unreported.erase(holder);
         it.unanswered.erase(found->second);
         expiries_.erase(found->second);
@@ -262,9 +268,7 @@
     it.counted += counted - to.counted;
     to.counted = counted;
 
-    it.unsatisfied.erase({to.share, id});
-    if (to.reported && std::max(to.wanted, base_share(it)) > to.share)
-        it.unsatisfied.insert({to.share, id});
+    update_order(it, id, to);
     bool const idle = to.wanted < to.share && to.share > base_share(it);
     if (idle && to.idle_since == never)
     {
@@ -278,20 +282,49 @@
     }
 }
 
+void share_allocator::update_order(server& it, row_id id, allocation& to)
+{
+    it.unsatisfied.erase({to.share, to.order, id});
+    if (!to.reported || std::max(to.wanted, base_share(it)) <= to.share)
+    {
+        to.order = 0;
+        return;
+    }
+    if (to.order == 0)
+        to.order = ++last_order_;
+    it.unsatisfied.insert({to.share, to.order, id});
+}
+
 void share_allocator::set_share(server& it,
                                 row_id id,
                                 std::uint32_t share,
                                 instant now)
 {
     auto& to = *allocations_.find(id);
-    it.unsatisfied.erase({to.share, id});
+    it.unsatisfied.erase({to.share, to.order, id});
     it.by_share.erase({to.share, id});
+    if (share == 0)
+        set_held_since(it, id, to, never);
+    else if (share > to.share)
+        set_held_since(it, id, to, now);
     it.shares += share - to.share;
     to.share = share;
     it.by_share.insert({share, id});
     update_derived(it, id, to, now);
 }
 
+void share_allocator::set_held_since(server& it,
+                                     row_id id,
+                                     allocation& to,
+                                     instant since)
+{
+    if (to.held_since != never)
+        it.held.erase({to.held_since, id});
+    to.held_since = since;
+    if (since != never)
+        it.held.insert({since, id});
+}
+
 void share_allocator::expire_allocations(instant now)
 {
     while (auto const id = abandoned_expiries_.pop_due(now))
@@ -346,7 +379,7 @@
     std::set<row_id> raised_allocations;
     while (!it.recovering && !it.unsatisfied.empty() && it.counted < it.limit)
     {
-        auto const next = it.unsatisfied.begin()->second;
+        auto const next = std::get<row_id>(*it.unsatisfied.begin());
         auto const& to = *allocations_.find(next);
         // This raises it.counted only if the holder's connections that are
         // counted already do not cover the new share.
@@ -367,7 +400,7 @@
 void share_allocator::reclaim(row_id id, server& it, instant now)
 {
     std::uint32_t missing = 0;
-    for (auto const& [share, next] : it.unsatisfied)
+    for (auto const& [share, order, next] : it.unsatisfied)
     {
         auto const wanted =
             std::max(allocations_.find(next)->wanted, base_share(it));
@@ -393,9 +426,12 @@
         if (taken == 0)
             break;
     }
+    auto const next_rotation =
+        wanted > 0 && has_holder_without_share(it) ? rotate(it, now) : never;
     auto const largest = *it.by_share.rbegin();
-    bool const uneven = !it.unsatisfied.empty() &&
-                        largest.first > it.unsatisfied.begin()->first + 1;
+    bool const uneven =
+        !it.unsatisfied.empty() &&
+        largest.first > std::get<0>(*it.unsatisfied.begin()) + 1;
     bool const excess = surplus > returning && largest.first > 0;
     if (wanted > 0 && (uneven || excess) && it.next_rebalance <= now)
     {
@@ -406,6 +442,7 @@
     if (wanted == 0)
         return;
     auto retry_at = uneven || excess ? it.next_rebalance : never;
+    retry_at = std::min(retry_at, next_rotation);
     if (!it.idle.empty())
         retry_at = std::min(retry_at,
                             it.idle.begin()->first + settings_.reclaim_after);
@@ -413,6 +450,34 @@
         reclaims_.set(id, std::max(retry_at, now + duration(1)));
 }
 
+bool share_allocator::has_holder_without_share(server const& it)
+{
+    return !it.unsatisfied.empty() && std::get<0>(*it.unsatisfied.begin()) == 0;
+}
+
+// Takes a connection from the holder that has had its share for longest, for
+// one that has none. Holders keep connections for their next statements, so
+// with fewer connections than holders some would never get one. Returns when to
+// rotate next.
+instant share_allocator::rotate(server& it, instant now)
+{
+    if (it.held.empty())
+        return never;
+    auto const [held_since, from] = *it.held.begin();
+    auto const due =
+        std::max(held_since + settings_.reclaim_after, it.next_rotation);
+    if (now < due)
+        return due;
+    it.next_rotation = now + rotation_interval;
+    auto const share = allocations_.find(from)->share - 1;
+    set_share(it, from, share, now);
+    // A holder that keeps other connections comes last in the next rotations.
+    if (share > 0)
+        set_held_since(it, from, *allocations_.find(from), now);
+    it.unanswered.insert(from);
+    return it.next_rotation;
+}
+
 void share_allocator::add_grant(server& it,
                                 row_id id,
                                 instant now,
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -214,6 +214,47 @@
 
 } // namespace
 
+// Guards against daemons that never get a connection: with fewer connections
+// than daemons, those that had one kept it for their next statement, and
+// statements at the others waited until their deadline.
+TEST_CASE("connections rotate among more holders than there are")
+{
+    share_allocator allocator({}, 1, at_ms(0));
+    allocator.assume_no_earlier_grants(at_ms(0));
+    std::vector<connection_limiter> limiters;
+    std::vector<int> waits(many_holders);
+    for (std::size_t n = 0; n != many_holders; ++n)
+    {
+        daemon_name const name("entry-" + std::to_string(n));
+        allocator.register_holder(name, at_ms(0));
+        limiters.emplace_back(basilreach::limits::connection_limiter_settings{},
+                              name, 1);
+        limiters.back().add_server(server_of(0), at_ms(0));
+    }
+    allocator.configure(server_of(0), 56, at_ms(0), limit_check::server);
+    // Each holder uses one connection for a statement now and then, and keeps
+    // it meanwhile.
+    int longest_wait = 0;
+    for (std::uint64_t ms = 0; ms != 10'000; ++ms)
+    {
+        for (std::size_t n = 0; n != many_holders; ++n)
+        {
+            auto const share = limiters[n].share(server_of(0), at_ms(ms));
+            limiters[n].report_use(server_of(0), share, 1, at_ms(ms));
+            waits[n] = share > 0 ? 0 : waits[n] + 1;
+            longest_wait = std::max(longest_wait, waits[n]);
+            for (auto const& it : limiters[n].tick(at_ms(ms)))
+                allocator.receive(it, at_ms(ms));
+        }
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            for (auto& to : limiters)
+                to.receive(it, at_ms(ms));
+    }
+    // All of them want a connection all the time, and 54 have one.
+    constexpr int max_wait_ms = 1000;
+    CHECK(longest_wait <= max_wait_ms);
+}
+
 // Guards against daemons that fill their links with requests as soon as an
 // answer takes longer than the retry interval.
 TEST_CASE("unanswered share requests leave most of a small link free")
