traffic: Ask for a connection to query the primary's position

Cause: a read of bounded age waits for a position of its group's primary. The query needs a connection, and a daemon without a share of the primary's connections did not ask for one: connections_for_polling counted held writes and reads that wait for a replica, but not reads that wait for the primary's position. It shows only where there are more daemons than connections, since otherwise each daemon has a base share of one.

Test: "a read that needs the primary's position asks for a connection" failed before.

--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -30,8 +30,13 @@
 std::size_t connections_for_polling(state const& s, server_row const& server)
 {
     auto const& group = *s.groups.find(server.group);
-    bool const is_polled =
-        !group.held.empty() || !group.waiting_position.empty();
+    auto const* const primary =
+        group.primary ? s.servers.find(*group.primary) : nullptr;
+    bool const is_primary_queried =
+        !group.waiting_sample.empty() && primary == &server;
+    bool const is_polled = !group.held.empty() ||
+                           !group.waiting_position.empty() ||
+                           is_primary_queried;
     return is_polled && server.connections.empty() ? 1 : 0;
 }
 
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -252,6 +252,26 @@
     CHECK(at_primary < 5);
 }
 
+// Guards against reads that wait for the primary's position until their
+// deadline: a host without any connection to the primary did not ask for one.
+TEST_CASE("a read that needs the primary's position asks for a connection")
+{
+    fixture f(0);
+    f.open_session(1, "lookup");
+    f.it->push(statement_received{session_id{1}, statement_verb::read});
+    f.run();
+    std::optional<connections_used> wanted;
+    for (auto const& a : f.actions)
+        if (auto const* it = std::get_if<connections_used>(&a);
+            it != nullptr && it->server == server_name("s1"))
+            wanted = *it;
+    REQUIRE(wanted);
+    CHECK(wanted->wanted == 1);
+    f.it->push(connection_share_changed{server_name("s1"), 1});
+    f.run();
+    CHECK(f.find<query_position>());
+}
+
 // Guards against retries that double the load of slow servers.
 TEST_CASE("reads without an answer are retried within a budget")
 {
