limits: Leave tokens for requests that wait, and probe silent floors

Causes, found by a test with 80 holders, two thirds of the rate used and bursts of ten: - the allocator took floors for in use whose holders took them for suspended and therefore did not report them: the suspension after two quick reports is 0.6 s, and the first acknowledgement of contact came after 0.7 s; - a holder whose statements no longer waited did not say so once it was silent, so that tokens were granted to it first; - reserves of holders that did not use theirs could take all that may be outstanding.

Change: the first contact grant of a term is acknowledged at once; a floor that resumes while its holder is in contact makes the allocator send a grant, which a silent holder answers with a report; a holder reports that nothing waits any more before it is silent; at most half of what may be outstanding goes into reserves.

--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -125,6 +125,8 @@
         std::int64_t delegated = 0;
         std::int64_t returned = 0;
         std::int64_t waiting = 0;
+        // What the last request stated.
+        std::int64_t reported_waiting = 0;
         instant expiry;
         grant_id last_grant;
         instant last_grant_sent;
--- a/packages/limits/include/basilreach/limits/token_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/token_allocator.hpp
@@ -216,7 +216,8 @@
     [[nodiscard]] rate_floor floor_total(bucket const& it) const;
     [[nodiscard]] rate_floor reserved_floors(bucket const& it) const;
     [[nodiscard]] std::int64_t grantable(bucket const& it) const;
-    [[nodiscard]] static bool allows_reserves(bucket const& it);
+    [[nodiscard]] std::int64_t max_outstanding(bucket const& it) const;
+    [[nodiscard]] std::int64_t reservable(bucket const& it) const;
     void set_outstanding(bucket& it,
                          allocation& to,
                          std::int64_t new_outstanding) const;
@@ -243,6 +244,7 @@
     void expire_allocations(instant now);
     void resume_floors(instant now);
     [[nodiscard]] instant suspended_by_contact(allocation const& it) const;
+    [[nodiscard]] bool is_in_contact(allocation const& it, instant now) const;
     void end_recoveries(instant now);
     void allocate(row_id id, instant now, std::vector<token_grant>& grants);
     void add_grant(bucket& it,
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -120,12 +120,14 @@
         grant.incarnation != incarnation_ || grant.id <= it->last_grant)
         return;
     refresh(*it, now);
+    // The allocator asks for a report: it counts the floor as in use.
+    bool const is_probe = grant.tokens == 0 && has_nothing_to_report(*it);
     it->expiry = std::max(it->expiry, grant.echo + grant.lifetime);
     it->left += grant.tokens * nanotokens_per_token;
     // A new leader grants nothing before the holder has reported to it, and
     // without traffic the next report would be due after idle_interval only.
     it->request_urgent =
-        it->request_urgent || it->last_grant.term != grant.id.term;
+        it->request_urgent || is_probe || it->last_grant.term != grant.id.term;
     it->last_grant = grant.id;
     it->last_grant_sent = grant.sent;
     // The first grant of a leader has no lifetime and an empty floor: the
@@ -155,6 +157,9 @@
     if (grant.holder != holder_ || grant.incarnation != incarnation_ ||
         std::pair(grant.term, grant.sent) <= last_contact_)
         return;
+    // A new allocator prolongs nothing before its first grant is acknowledged.
+    if (grant.term != last_contact_.first)
+        contact_sent_ = now - settings_.idle_interval;
     last_contact_ = {grant.term, grant.sent};
     auto const until = now + grant.floor_suspension;
     for (auto const& [workspace, id] : by_name_)
@@ -371,7 +376,7 @@
     }
     if (it.request_urgent)
         return it.sent + settings_.request_interval;
-    if (it.use_unreported || it.waiting > 0)
+    if (it.use_unreported || it.waiting > 0 || it.reported_waiting > 0)
         return it.sent + settings_.report_interval;
     return it.sent + settings_.idle_interval;
 }
@@ -389,7 +394,8 @@
 bool rate_limiter::has_nothing_to_report(local_bucket const& it)
 {
     return it.answered && !it.request_urgent && !it.use_unreported &&
-           it.waiting == 0 && it.left == 0 && it.delegated == 0;
+           it.waiting == 0 && it.reported_waiting == 0 && it.left == 0 &&
+           it.delegated == 0;
 }
 
 // Returns whether at least half of the time until the next request has passed.
@@ -422,6 +428,7 @@
     it.answered = false;
     it.request_urgent = false;
     it.use_unreported = false;
+    it.reported_waiting = it.waiting;
     return {it.workspace,
             holder_,
             incarnation_,
--- a/packages/limits/src/token_allocator.cpp
+++ b/packages/limits/src/token_allocator.cpp
@@ -186,6 +186,14 @@
     return is_prolonged ? row.heard + settings_.floor_suspension : instant{};
 }
 
+bool token_allocator::is_in_contact(allocation const& it, instant now) const
+{
+    auto const found = contacts_.find(it.holder);
+    return it.reported && found != contacts_.end() &&
+           found->second.incarnation == it.incarnation &&
+           now < found->second.heard + settings_.floor_suspension;
+}
+
 std::vector<contact_grant> token_allocator::tick_contacts(instant now)
 {
     std::vector<contact_grant> out;
@@ -440,21 +448,29 @@
 
 std::int64_t token_allocator::grantable(bucket const& it) const
 {
-    // Outstanding tokens stay below the burst less all floors. When a holder
-    // loses contact, lowering the level is then enough to make room for its
-    // floor.
-    auto const max_level = it.burst -
-                           floor_total(it).burst * nanotokens_per_microtoken -
-                           it.outstanding;
+    auto const max_level = max_outstanding(it) - it.outstanding;
     return std::max<std::int64_t>(std::min(it.level, max_level), 0) /
            nanotokens_per_token;
 }
 
-bool token_allocator::allows_reserves(bucket const& it)
+// Outstanding tokens stay below the burst less all floors. When a holder loses
+// contact, lowering the level is then enough to make room for its floor.
+std::int64_t token_allocator::max_outstanding(bucket const& it) const
+{
+    return it.burst - floor_total(it).burst * nanotokens_per_microtoken;
+}
+
+// Returns how many tokens may be granted now for the reserve of one holder. At
+// least half of what may be outstanding is left for requests that wait: a token
+// in a reserve is of no use to other holders.
+std::int64_t token_allocator::reservable(bucket const& it) const
 {
     auto const holder_count = static_cast<std::int64_t>(it.allocations.size());
-    return it.burst >=
-           holder_count * min_burst_per_holder * nanotokens_per_token;
+    if (it.burst < holder_count * min_burst_per_holder * nanotokens_per_token)
+        return 0;
+    auto const room =
+        (max_outstanding(it) / 2 - it.outstanding) / nanotokens_per_token;
+    return std::clamp<std::int64_t>(room, 0, grantable(it) / reserve_divisor);
 }
 
 void token_allocator::set_outstanding(bucket& it,
@@ -590,6 +606,13 @@
         refill(it, row.floor_suspended_until);
         set_floor(it, row, row.confirmed_floor, row.granted_floor, false);
         clamp(it);
+        // A holder in contact may take the floor for suspended and would not
+        // report it.
+        if (is_in_contact(row, now))
+        {
+            it.unanswered.insert(*id);
+            changed_.insert(row.bucket);
+        }
     }
 }
 
@@ -612,9 +635,7 @@
     refill(it, now);
     if (now >= it.level_expiry)
         return;
-    auto const over_limit =
-        it.outstanding >
-        it.burst - floor_total(it).burst * nanotokens_per_microtoken;
+    auto const over_limit = it.outstanding > max_outstanding(it);
     if (over_limit && !it.recovering)
     {
         // The burst has been lowered. The surplus has to expire, and a grant
@@ -636,19 +657,17 @@
         it.queue.insert({to.order, next});
         set_demand(it, next, to, to.waiting - granted, to.reserve);
         auto const granted_reserve =
-            std::min(to.reserve, it.queue.empty() && allows_reserves(it)
-                                     ? (tokens - granted) / reserve_divisor
-                                     : 0);
+            std::min({to.reserve, it.queue.empty() ? reservable(it) : 0,
+                      (tokens - granted) / reserve_divisor});
         set_demand(it, next, to, to.waiting, to.reserve - granted_reserve);
         add_grant(it, next, granted + granted_reserve, now, grants);
     }
     for (auto const next : std::exchange(it.unanswered, {}))
     {
         auto& to = *allocations_.find(next);
-        auto const granted_reserve =
-            it.recovering || !it.queue.empty() || !allows_reserves(it)
-                ? 0
-                : std::min(to.reserve, grantable(it) / reserve_divisor);
+        auto const granted_reserve = it.recovering || !it.queue.empty()
+                                         ? 0
+                                         : std::min(to.reserve, reservable(it));
         set_demand(it, next, to, to.waiting, to.reserve - granted_reserve);
         add_grant(it, next, granted_reserve, now, grants);
     }
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -449,6 +449,64 @@
     CHECK(requests * bytes_per_request <= seconds * max_control_bytes_per_s);
 }
 
+// Guards against refusals of a workspace within its rate: the reserves of many
+// daemons that do not use theirs left nothing for requests that waited.
+TEST_CASE("reserves leave tokens for requests that wait")
+{
+    token_allocator allocator(whole_floors(), 1, at_ms(0));
+    allocator.assume_no_earlier_grants(at_ms(0));
+    std::vector<rate_limiter> limiters;
+    for (std::size_t n = 0; n != many_holders; ++n)
+    {
+        allocator.register_holder(holder_of(n), at_ms(0));
+        limiters.emplace_back(daemon_settings(), holder_of(n), 1);
+        limiters.back().add_workspace(workspace_of(0), at_ms(0));
+    }
+    allocator.configure(workspace_of(0), 150, 240, at_ms(0));
+    // Two thirds of the rate, at one host after the other, as the statements of
+    // clients that a load balancer spreads. Bursts of ten arrive at one host.
+    random_source random(1);
+    std::size_t arrived = 0;
+    std::size_t refused = 0;
+    constexpr std::uint64_t burst_interval_ms = 100;
+    constexpr std::int64_t burst = 10;
+    constexpr std::uint64_t wait_ms = 35;
+    std::size_t host = 0;
+    std::int64_t waiting = 0;
+    for (std::uint64_t ms = 0; ms != 20'000; ++ms)
+    {
+        if (ms % burst_interval_ms == 0)
+        {
+            host = random.below(many_holders);
+            waiting = burst;
+            arrived += burst;
+        }
+        if (ms % burst_interval_ms == wait_ms)
+            refused += static_cast<std::size_t>(std::exchange(waiting, 0));
+        while (waiting > 0 &&
+               limiters[host].try_consume(workspace_of(0), 1, at_ms(ms)))
+            --waiting;
+        limiters[host].set_waiting(workspace_of(0), waiting, at_ms(ms));
+        for (auto& from : limiters)
+        {
+            for (auto const& it : from.tick(at_ms(ms)))
+                allocator.receive(it, at_ms(ms));
+            if (auto const it = from.tick_contact(at_ms(ms)))
+                allocator.receive(*it, at_ms(ms));
+        }
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            for (auto& to : limiters)
+                to.receive(it, at_ms(ms));
+        for (auto const& it : allocator.tick_contacts(at_ms(ms)))
+            for (auto& to : limiters)
+                to.receive(it, at_ms(ms));
+    }
+    // The target for refusals within the rate.
+    constexpr double max_refused = 0.005;
+    CHECK(static_cast<double>(refused) <=
+          max_refused * static_cast<double>(arrived));
+}
+
 // Guards against a report for each floor in each interval: the floors of the
 // workspaces that a daemon does not use cost 5 KB/s a daemon.
 TEST_CASE("one contact report keeps all unused floors suspended")
