limits: Spread the first reports of daemons that start together

Cause: each daemon reports all workspaces and servers as soon as it knows them. 80 daemons with 84 workspaces and 24 servers send some 17,000 requests at one moment, which occupy the leader for longer than an election timeout.

Change: the first reports of what no statement waits for are sent within 0.7 s, at a moment that differs between daemons; a statement that waits is reported at once.

Tests: "first reports of unused workspaces are spread over the holders"; before, all 80 report at one moment. "reserves leave tokens for requests that wait" now begins after 1 s: the bucket of a first leader is empty, and 17 of the first 30 statements are refused for it; afterwards none is.

--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -12,11 +12,22 @@
 
 constexpr char holder_prefix[] = "thread-";
 
+// Time over which the daemons that start together spread their first reports.
+constexpr duration first_report_spread = std::chrono::milliseconds(700);
+
+limits::connection_limiter_settings connection_settings()
+{
+    limits::connection_limiter_settings out;
+    out.first_report_spread = first_report_spread;
+    return out;
+}
+
 limits::rate_limiter_settings limiter_settings()
 {
     limits::rate_limiter_settings out;
     out.min_reserve = 1;
     out.batch_reports = true;
+    out.first_report_spread = first_report_spread;
     return out;
 }
 
@@ -42,7 +53,8 @@
       send_to_leader_(std::move(send_to_leader)),
       rate_limiter_(limiter_settings(), context.settings.name, incarnation),
       thread_allocator_(limits::thread_level_settings(), 1, now),
-      connection_limiter_({}, context.settings.name, incarnation)
+      connection_limiter_(
+          connection_settings(), context.settings.name, incarnation)
 {
     // Traffic threads live as long as this process, so none of them holds a
     // grant yet.
--- a/packages/limits/include/basilreach/limits/connection_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/connection_limiter.hpp
@@ -23,6 +23,9 @@
     // full, each request would delay the answer to the others.
     duration retry_interval = std::chrono::milliseconds(20);
     duration max_retry_interval = std::chrono::seconds(1);
+    // The first requests for servers that no statement waits for are sent
+    // within this time after they were added, as those of the rate_limiter.
+    duration first_report_spread{};
     // Time between two requests for a server without urgent changes.
     duration idle_interval = std::chrono::milliseconds(1000);
 
@@ -85,6 +88,7 @@
         instant expiry;
         grant_id last_grant;
         std::uint64_t sequence = 0;
+        instant first_report_at;
         instant sent;
         // Time after which the request is sent again.
         duration retry{};
--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -37,6 +37,11 @@
     // for the first grants of a new leader.
     std::int64_t min_reserve = 0;
     duration recent_time = std::chrono::seconds(10);
+    // The first requests for workspaces that no statement waits for are sent
+    // within this time after they were added, at a moment that differs between
+    // holders. Holders that start together would otherwise occupy the leader
+    // for longer than an election timeout.
+    duration first_report_spread{};
     // Whether requests that are due soon are sent together with one that is
     // due, so that one message carries several.
     bool batch_reports = false;
@@ -136,6 +141,7 @@
         instant floor_suspended_until = never;
         instant floor_refilled_until;
         std::uint64_t sequence = 0;
+        instant first_report_at;
         instant sent;
         // Time after which the request is sent again.
         duration retry{};
--- a/packages/limits/src/connection_limiter.cpp
+++ b/packages/limits/src/connection_limiter.cpp
@@ -1,5 +1,7 @@
 #include <basilreach/limits/connection_limiter.hpp>
 
+#include <basilreach/limits/first_report.hpp>
+
 #include <algorithm>
 #include <utility>
 
@@ -21,9 +23,11 @@
     it.server = server;
     it.started = now;
     it.sent = now - settings_.idle_interval;
+    it.first_report_at =
+        now + first_report_delay(holder_, settings_.first_report_spread);
     auto const id = rows_.insert(std::move(it));
     by_name_.emplace(server, id);
-    due_.set(id, now);
+    schedule(id, *rows_.find(id));
 }
 
 void connection_limiter::remove_server(server_name const& server)
@@ -150,6 +154,8 @@
 
 instant connection_limiter::send_time(row const& it) const
 {
+    if (it.sequence == 0 && it.wanted == 0)
+        return it.first_report_at;
     // A request that states a change is sent even if an earlier one has no
     // answer yet, but not more often than those are repeated.
     if (it.request_urgent)
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -1,5 +1,7 @@
 #include <basilreach/limits/rate_limiter.hpp>
 
+#include <basilreach/limits/first_report.hpp>
+
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -60,10 +62,11 @@
     row.workspace = workspace;
     row.sent = now - settings_.idle_interval;
     row.demand_at = now;
-    row.request_urgent = true;
+    row.first_report_at =
+        now + first_report_delay(holder_, settings_.first_report_spread);
     auto const id = buckets_.insert(std::move(row));
     by_name_.emplace(workspace, id);
-    due_.set(id, now);
+    schedule(id, *buckets_.find(id));
 }
 
 void rate_limiter::remove_workspace(workspace_name const& workspace)
@@ -362,6 +365,8 @@
 
 instant rate_limiter::send_time(local_bucket const& it) const
 {
+    if (it.sequence == 0 && it.waiting == 0)
+        return it.first_report_at;
     if (!it.answered)
         return it.sent + it.retry;
     if (has_nothing_to_report(it))
@@ -401,7 +406,7 @@
 // Returns whether at least half of the time until the next request has passed.
 bool rate_limiter::is_due_soon(local_bucket const& it, instant now) const
 {
-    return it.answered && !has_nothing_to_report(it) &&
+    return it.sequence != 0 && it.answered && !has_nothing_to_report(it) &&
            it.sent + (send_time(it) - it.sent) / 2 <= now;
 }
 
