daemon: Read the messages of control hosts first

Cause: the reactor serves all links in turn. While 80 daemons start, a round takes longer than the election timeout, and the answers to a leader's heartbeats wait in it; the leader steps down although its majority answers.

Change: links over which consensus messages arrive are read every 25 ms before the others.

Ruled out: longer election timeouts, which delay the change of a leader that is lost; a thread of its own for consensus, since control state belongs to one thread.

Test: "a prioritized link is read without waiting for its turn".

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -33,6 +33,8 @@
     std::function<void(link_id, messages::message const&)> send_to_link;
     std::function<void(std::vector<link_id> const&, messages::message const&)>
         send_to_links;
+    // Messages of another control host arrive over the link.
+    std::function<void(link_id)> peer_found;
     // Answers a call of the control API.
     std::function<void(std::uint64_t id, call_answer)> answer_call;
     // The control state has changed.
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -110,6 +110,7 @@
     void answer_console_request(std::uint64_t id, messages::admin_reply reply);
     [[nodiscard]] messages::admin_reply show_metrics() const;
     void log_distribution(instant now);
+    void read_peers();
     void announce_stop();
     void start_drain(instant now);
     void advance_drain(instant now);
@@ -133,6 +134,7 @@
     bool state_changed_ = false;
     distribution_sample logged_distribution_;
     instant next_distribution_line_;
+    instant next_peer_read_;
 
     std::map<std::uint64_t, pending_console_request> console_requests_;
     deadline_queue<std::uint64_t> resends_;
--- a/packages/daemon/include/basilreach/daemon/link_table.hpp
+++ b/packages/daemon/include/basilreach/daemon/link_table.hpp
@@ -5,6 +5,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -66,6 +67,14 @@
     [[nodiscard]] message_link const*
     find(consensus::host_name const& to) const;
 
+    // Marks a link whose messages must not wait behind those of many others.
+    void prioritize(link_id it);
+
+    // Reads what has arrived over the links that are marked. The reactor alone
+    // serves all links in turn, and a round takes long while many daemons
+    // start.
+    void read_prioritized();
+
     // Closes the link to a control host that does not answer. The next message
     // to it opens another one.
     void disconnect(consensus::host_name const& to);
@@ -89,6 +98,7 @@
     client_listener listener_;
     std::map<link_id, std::unique_ptr<message_link>> links_;
     std::map<consensus::host_name, outgoing_link> outgoing_;
+    std::set<link_id> prioritized_;
     std::vector<link_id> closed_;
     link_id last_id_ = 0;
 };
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -403,9 +403,9 @@
             outputs_.send_to_host(name, messages::join_request{self_, false});
 }
 
-void control_host::on_peer_message(link_id /*from*/,
-                                   messages::message const& it)
+void control_host::on_peer_message(link_id from, messages::message const& it)
 {
+    outputs_.peer_found(from);
     if (membership_manager_)
         membership_manager_->record_contact(
             std::get<consensus::peer_message>(it).from, now_);
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -47,6 +47,10 @@
            !std::holds_alternative<control::lease_returned>(it);
 }
 
+// Interval at which messages of other control hosts are read first. Shorter
+// than a heartbeat, so that a leader learns of its majority in time.
+constexpr duration peer_read_interval = std::chrono::milliseconds(25);
+
 // Least time between two lines on how far the daemons have the control state.
 constexpr duration distribution_line_interval = std::chrono::seconds(1);
 
@@ -152,6 +156,10 @@
     {
         links_.send(to, it);
     };
+    outputs.peer_found = [this](link_id it)
+    {
+        links_.prioritize(it);
+    };
     outputs.answer_call = [this](std::uint64_t id, call_answer it)
     {
         control_api_->answer(id, std::move(it));
@@ -274,10 +282,20 @@
         if (metrics_server_)
             metrics_server_->remove_closed();
         loop_.run_once(next_deadline());
+        read_peers();
     }
     return error_;
 }
 
+void control_thread::read_peers()
+{
+    auto const now = read_clock();
+    if (!host_ || now < next_peer_read_)
+        return;
+    next_peer_read_ = now + peer_read_interval;
+    links_.read_prioritized();
+}
+
 instant control_thread::next_deadline() const
 {
     if (!local_messages_.empty() || state_changed_)
--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/link_table.cpp
@@ -150,11 +150,28 @@
     return link == links_.end() ? nullptr : link->second.get();
 }
 
+void link_table::prioritize(link_id it)
+{
+    prioritized_.insert(it);
+}
+
+void link_table::read_prioritized()
+{
+    // A message can mark another link.
+    for (auto const id : std::set(prioritized_))
+    {
+        auto const link = links_.find(id);
+        if (link != links_.end() && link->second->is_open())
+            link->second->handle_input(link->second->get_handle());
+    }
+}
+
 void link_table::remove_closed()
 {
     for (auto const id : std::exchange(closed_, {}))
     {
         links_.erase(id);
+        prioritized_.erase(id);
         ended_(id);
     }
 }
--- a/packages/daemon/test/link_test.cpp
+++ b/packages/daemon/test/link_test.cpp
@@ -102,6 +102,50 @@
     CHECK(arrived[1] == second);
 }
 
+// Guards against a leader that steps down although its majority answers: the
+// answers waited behind the messages of many daemons that started together.
+TEST_CASE("a prioritized link is read without waiting for its turn")
+{
+    event_loop loop;
+    loop.reactor().owner(ACE_OS::thr_self());
+    std::vector<messages::message> arrived;
+    link_id peer_link = 0;
+    link_table peer(loop,
+                    [&](link_id from, messages::message it)
+                    {
+                        peer_link = from;
+                        arrived.push_back(std::move(it));
+                    });
+    ACE_INET_Addr address;
+    {
+        ACE_SOCK_Acceptor any(
+            ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
+        REQUIRE(any.get_local_addr(address) == 0);
+        any.close();
+    }
+    auto const address_text =
+        "127.0.0.1:" + std::to_string(address.get_port_number());
+    REQUIRE(peer.listen(address_text));
+    event_loop other_loop;
+    link_table links(other_loop, [](link_id, messages::message const&) {});
+    consensus::host_name const host("a=" + address_text);
+    links.send(host, messages::not_leader{});
+    auto const end = read_clock() + 5s;
+    while (arrived.empty() && read_clock() < end)
+    {
+        other_loop.reactor().owner(ACE_OS::thr_self());
+        other_loop.run_once(read_clock() + 1ms);
+        loop.run_once(read_clock() + 1ms);
+    }
+    REQUIRE(arrived.size() == 1);
+    peer.read_prioritized();
+    links.send(host, messages::not_leader{});
+    peer.prioritize(peer_link);
+    while (arrived.size() < 2 && read_clock() < end)
+        peer.read_prioritized();
+    CHECK(arrived.size() == 2);
+}
+
 // Guards against a host that resumes after a suspension and takes expired
 // leases for valid, because its clock did not advance meanwhile.
 TEST_CASE("the timer of an event loop counts the time in suspension")
