--- a/packages/control/src/control_state.cpp
+++ b/packages/control/src/control_state.cpp
@@ -316,10 +316,10 @@
 {
     if (it.after > parts_.revision || it.revision <= parts_.revision)
         return false;
-    auto text = it.rules ? text_of(*it.rules) : parts_.rules_text;
+    auto const text = it.rules ? text_of(*it.rules) : parts_.rules_text;
     if (!text)
         return false;
-    rules::rule_set granted = *rules_;
+    std::optional<rules::rule_set> granted;
     if (it.rules)
     {
         auto parsed = parser_(*text);
@@ -331,11 +331,13 @@
     }
     parts_.revision = it.revision;
     parts_.withdrawn.insert(it.withdrawn.begin(), it.withdrawn.end());
-    if (it.rules || !it.withdrawn.empty())
+    if (!granted && !it.withdrawn.empty())
+        granted = *rules_;
+    if (granted)
     {
         for (auto const& digest : parts_.withdrawn)
-            granted.keys.erase(digest);
-        replace_rules(std::move(granted), *text);
+            granted->keys.erase(digest);
+        replace_rules(std::move(*granted), *text);
     }
     for (auto const& [server, entry] : it.servers)
     {
--- a/packages/daemon/src/message_link.cpp
+++ b/packages/daemon/src/message_link.cpp
@@ -241,7 +241,9 @@
 
 void message_link::log_end(link_end reason) const
 {
-    auto const error = errno;
+    bool const has_errno =
+        reason == link_end::receive_failed || reason == link_end::send_failed;
+    auto const error = has_errno ? errno : 0;
     auto const it = counts();
     LOG(INFO) << "event=link_closed peer=" << peer_
               << " cause=" << to_string(reason) << " errno=" << error
