limits: Correct a comment, and share the free address of link tests

The comment on urgent share requests said that they wait for the retry of an earlier one; they do not. Two tests of links chose a free address with the same lines; free_address() does it for both. No behaviour changes.

--- a/packages/daemon/test/link_test.cpp
+++ b/packages/daemon/test/link_test.cpp
@@ -34,6 +34,16 @@
     return false;
 }
 
+// Returns IP:PORT with a port that was free a moment ago.
+std::string free_address()
+{
+    ACE_INET_Addr address;
+    ACE_SOCK_Acceptor any(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
+    REQUIRE(any.get_local_addr(address) == 0);
+    any.close();
+    return "127.0.0.1:" + std::to_string(address.get_port_number());
+}
+
 } // namespace
 
 // Guards against a link that no longer delivers anything but stays in use,
@@ -77,15 +87,7 @@
     std::vector<messages::message> arrived;
     link_table peer(loop, [&arrived](link_id, messages::message it)
                     { arrived.push_back(std::move(it)); });
-    ACE_INET_Addr address;
-    {
-        ACE_SOCK_Acceptor any(
-            ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
-        REQUIRE(any.get_local_addr(address) == 0);
-        any.close();
-    }
-    auto const address_text =
-        "127.0.0.1:" + std::to_string(address.get_port_number());
+    auto const address_text = free_address();
     REQUIRE(peer.listen(address_text));
     link_table links(loop, [](link_id, messages::message const&) {});
     consensus::host_name const host("a=" + address_text);
@@ -116,15 +118,7 @@
                         peer_link = from;
                         arrived.push_back(std::move(it));
                     });
-    ACE_INET_Addr address;
-    {
-        ACE_SOCK_Acceptor any(
-            ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
-        REQUIRE(any.get_local_addr(address) == 0);
-        any.close();
-    }
-    auto const address_text =
-        "127.0.0.1:" + std::to_string(address.get_port_number());
+    auto const address_text = free_address();
     REQUIRE(peer.listen(address_text));
     event_loop other_loop;
     link_table links(other_loop, [](link_id, messages::message const&) {});
--- a/packages/limits/src/connection_limiter.cpp
+++ b/packages/limits/src/connection_limiter.cpp
@@ -156,8 +156,8 @@
 {
     if (it.sequence == 0 && it.wanted == 0)
         return it.first_report_at;
-    // A request that states a change is sent even if an earlier one has no
-    // answer yet, but not more often than those are repeated.
+    // A request that states a change does not wait for the answer to an earlier
+    // one.
     if (it.request_urgent)
         return it.sent + settings_.request_interval;
     if (!it.answered)
