--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -56,6 +56,9 @@
     std::function<bool()> has_rules;
     // Whether the database name is a route or the admin console.
     std::function<bool(std::string_view database)> is_known;
+    // The client's connection is refused for this reason.
+    std::function<void(std::string_view database, traffic::refusal_reason)>
+        refused;
     // The client has been authenticated. The owner opens its session, perhaps
     // in another thread: the one that serves the group of the client's route.
     std::function<void(client_connection&)> authenticated;
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -140,6 +140,8 @@
     [[nodiscard]] std::optional<client_identity>
     authenticate(std::string_view database,
                  std::optional<std::string_view> key) const;
+    void log_refused_connection(std::string_view database,
+                                traffic::refusal_reason reason);
     [[nodiscard]] std::size_t thread_of(group_name const& group) const;
     [[nodiscard]] server_observer make_observer(traffic::connection_id id);
 
--- a/packages/daemon/src/postgresql_client_connection.cpp
+++ b/packages/daemon/src/postgresql_client_connection.cpp
@@ -318,9 +318,7 @@
     database_ = database.empty() ? message.value("user") : database;
     apply_startup_options(message);
     if (!owner_->is_known(database_))
-        return fail_fatally(
-            describe_refusal(traffic::refusal_reason::unknown_route,
-                             traffic::refusal_outcome::not_run));
+        return deny(traffic::refusal_reason::unknown_route);
     if (owner_->authenticate(database_, std::nullopt))
         return finish_authentication(std::nullopt);
     phase_ = phase::password;
@@ -340,14 +338,18 @@
 {
     auto const identity = owner_->authenticate(database_, key);
     if (!identity)
-        return fail_fatally(
-            describe_refusal(traffic::refusal_reason::key_withdrawn,
-                             traffic::refusal_outcome::not_run));
+        return deny(traffic::refusal_reason::key_withdrawn);
     identity_ = *identity;
     phase_ = phase::handing_over;
     owner_->authenticated(*this);
 }
 
+void postgresql_client_connection::deny(traffic::refusal_reason reason)
+{
+    owner_->refused(database_, reason);
+    fail_fatally(describe_refusal(reason, traffic::refusal_outcome::not_run));
+}
+
 void postgresql_client_connection::begin_statement(statement it, bool is_simple)
 {
     auto const verb = traffic::classify(it.text);
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -194,6 +194,10 @@
         return database == rules::admin_console_name ||
                view_->routes.contains(route_name(database));
     };
+    owner_.refused = [this](auto database, auto reason)
+    {
+        log_refused_connection(database, reason);
+    };
     // The caller is a member function of the client, so the client is handed
     // over at the end of the tick. Handed over at once, it would be used by two
     // threads, which led to crashes.
@@ -388,6 +392,21 @@
     return identity;
 }
 
+void traffic_thread::log_refused_connection(std::string_view database,
+                                            traffic::refusal_reason reason)
+{
+    telemetry::decision_record record;
+    record.decision = decision_names[static_cast<std::size_t>(
+        traffic::decision_kind::refuse)];
+    record.outcome = "not_run";
+    record.cause = cause_names[static_cast<std::size_t>(reason)];
+    record.revision = view_->revision;
+    // A name that is no route is any text that the client sent.
+    if (route_name const name(database); view_->routes.contains(name))
+        record.route = name;
+    decisions_.push_back(std::move(record));
+}
+
 std::size_t traffic_thread::thread_of(group_name const& group) const
 {
     return std::hash<group_name>{}(group) % context_.threads.size();
--- a/packages/telemetry/include/basilreach/telemetry/decision_log.hpp
+++ b/packages/telemetry/include/basilreach/telemetry/decision_log.hpp
@@ -34,6 +34,8 @@
     char const* outcome = "";
     // For a refusal: its reason.
     char const* cause = "";
+    // For a refused connection: the revision of the control state that decided.
+    std::uint64_t revision = 0;
 
     friend bool operator==(decision_record const&,
                            decision_record const&) = default;
--- a/packages/telemetry/src/decision_log.cpp
+++ b/packages/telemetry/src/decision_log.cpp
@@ -53,6 +53,7 @@
     append_field(line, "reason", it.reason);
     append_field(line, "outcome", it.outcome);
     append_field(line, "cause", it.cause);
+    append_field(line, "revision", print_nonzero(it.revision));
     return line;
 }
 
--- a/packages/telemetry/test/decision_log_test.cpp
+++ b/packages/telemetry/test/decision_log_test.cpp
@@ -17,6 +17,19 @@
                                     "server=s1 reason=primary_for_write");
 }
 
+// Guards against a refused connection whose line does not tell by which rules
+// it was refused.
+TEST_CASE("a refused connection has the revision that decided")
+{
+    decision_record it;
+    it.decision = "refuse";
+    it.outcome = "not_run";
+    it.cause = "key_withdrawn";
+    it.revision = 791;
+    CHECK(telemetry::to_line(it) == "decision=refuse outcome=not_run "
+                                    "cause=key_withdrawn revision=791");
+}
+
 TEST_CASE("records beyond the limit are dropped and counted")
 {
     telemetry::decision_log log(0);
