--- /dev/null
+++ b/packages/daemon/test/control_host_test.cpp
@@ -0,0 +1,212 @@
+#include <basilreach/daemon/control_host.hpp>
+
+#include <doctest/doctest.h>
+
+#include <filesystem>
+#include <string>
+#include <vector>
+
+#include <daemon_process.hpp>
+
+#include <basilreach/daemon/view_builder.hpp>
+#include <basilreach/messages/codec.hpp>
+
+using namespace basilreach;
+using namespace basilreach::daemon;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+constexpr link_id daemon_link = 7;
+constexpr std::uint64_t stored_term = 3;
+
+// The state of the stored snapshot has this revision and version of the rules,
+// and the stored log has the next one.
+constexpr std::uint64_t snapshot_revision = 5;
+constexpr std::uint64_t logged_revision = snapshot_revision + 1;
+
+std::string rules_of(std::uint64_t version)
+{
+    return "workspace w rate=" + std::to_string(version) +
+           " burst=1  # asked by the test: \n";
+}
+
+control::command offer_of(std::uint64_t version)
+{
+    return {{}, "test", control::offer_rules{version, rules_of(version)}};
+}
+
+settings::daemon_settings settings_in(std::string const& directory)
+{
+    settings::daemon_settings out;
+    out.name = daemon_name("c1");
+    out.data_centre = data_centre_name("a");
+    out.roles = {settings::daemon_role::control};
+    out.data_directory = directory;
+    for (auto const* name : {"c1", "c2", "c3"})
+        out.control_hosts.push_back({daemon_name(name),
+                                     std::string("127.0.0.1:") + name[1],
+                                     data_centre_name("a")});
+    out.control_listen = out.control_hosts.front().address;
+    out.durations.election_timeout_min = 20ms;
+    out.durations.election_timeout_max = 30ms;
+    out.durations.heartbeat = 5ms;
+    return out;
+}
+
+consensus::host_name host_name_of(settings::daemon_settings const& it,
+                                  std::size_t n)
+{
+    return make_host_name(it.control_hosts[n]);
+}
+
+// Stores the state of a control host that was stopped with the latest change
+// in its log only.
+void store_state(settings::daemon_settings const& it)
+{
+    control::control_state state(make_rules_parser());
+    state.apply(snapshot_revision, offer_of(snapshot_revision));
+    storage::store_settings store;
+    store.directory = *it.data_directory;
+    auto opened = storage::store::open(store, storage::posix_file_operations());
+    REQUIRE(opened);
+    std::vector<std::string> voters;
+    for (std::size_t n = 0; n != it.control_hosts.size(); ++n)
+        voters.push_back(host_name_of(it, n).str());
+    REQUIRE(opened.value().install({snapshot_revision,
+                                    stored_term,
+                                    voters,
+                                    {},
+                                    messages::encode_parts(state.parts())}));
+    storage::write_batch batch;
+    batch.hard = {stored_term, {}};
+    batch.append.push_back(
+        {logged_revision, stored_term,
+         static_cast<std::uint8_t>(consensus::entry_kind::command),
+         messages::encode_command(offer_of(logged_revision))});
+    REQUIRE(opened.value().write(batch));
+}
+
+// A control host that has just started again, without its peers. It records
+// what it sends to daemons.
+class restarted_host
+{
+public:
+    restarted_host()
+    {
+        auto name =
+            (std::filesystem::temp_directory_path() / "control_host.XXXXXX")
+                .string();
+        REQUIRE(mkdtemp(name.data()) != nullptr);
+        directory_ = name;
+        context_.settings = settings_in(directory_);
+        context_.decisions = &decisions_;
+        choose_protocol(context_);
+        store_state(context_.settings);
+        control_host_outputs outputs;
+        outputs.send_to_host = [](auto const&, auto const&) {
+        };
+        outputs.send_to_link = [](auto, auto const&) {
+        };
+        outputs.send_to_links =
+            [this](auto const& to, messages::message const& it)
+        {
+            CHECK(to == std::vector{daemon_link});
+            updates.push_back(std::get<control::state_update>(it));
+        };
+        outputs.peer_found = [](auto) {
+        };
+        outputs.answer_call = [](auto, auto const&) {
+        };
+        outputs.state_changed = [] {
+        };
+        outputs.failed = [](auto const&)
+        {
+            FAIL("the host has failed");
+        };
+        auto opened = control_host::open(context_, loop_, std::move(outputs),
+                                         false, read_clock());
+        REQUIRE(opened);
+        host = std::move(opened.value());
+    }
+    restarted_host(restarted_host const&) = delete;
+    restarted_host& operator=(restarted_host const&) = delete;
+
+    ~restarted_host()
+    {
+        host.reset();
+        std::filesystem::remove_all(directory_);
+    }
+
+    // A daemon without a state asks for its first update.
+    void subscribe()
+    {
+        host->receive(daemon_link,
+                      messages::subscribe{daemon_name("d"), 0, 0, 0});
+    }
+
+    void receive(std::uint64_t term, consensus::peer_message_body body)
+    {
+        host->receive(daemon_link + 1, consensus::peer_message{
+                                           host_name_of(context_.settings, 1),
+                                           host_name_of(context_.settings, 0),
+                                           term, std::move(body)});
+    }
+
+    // Runs an election that this host wins with the vote of one peer.
+    void elect()
+    {
+        host->tick(host->next_deadline());
+        receive(stored_term, consensus::pre_vote_reply{stored_term + 1, true});
+        receive(stored_term + 1, consensus::vote_reply{true});
+    }
+
+    // The peer has stored the log, with the first entry of the new term.
+    void replicate()
+    {
+        receive(stored_term + 1,
+                consensus::append_reply{true, logged_revision + 1, 1});
+    }
+
+    std::vector<control::state_update> updates;
+    std::unique_ptr<control_host> host;
+
+private:
+    std::string directory_;
+    telemetry::decision_log decisions_;
+    event_loop loop_;
+    daemon_context context_;
+};
+
+} // namespace
+
+// Guards against an entry host that takes the snapshot of a restarted control
+// host for the rules in force, and refuses keys that were added since.
+TEST_CASE("a restarted control host sends no state before it leads")
+{
+    restarted_host it;
+    it.subscribe();
+    CHECK(it.updates.empty());
+    it.elect();
+    CHECK(it.updates.empty());
+    it.replicate();
+    it.host->tick(read_clock());
+    REQUIRE(it.updates.size() == 1);
+    CHECK(it.updates.front().revision == logged_revision);
+    REQUIRE(it.updates.front().rules);
+    CHECK(it.updates.front().rules->version == logged_revision);
+}
+
+// Guards against the state of a leader that was suspended: another one may have
+// been elected since, and have acknowledged changes.
+TEST_CASE("a leader that may have been replaced sends no state")
+{
+    restarted_host it;
+    it.elect();
+    it.replicate();
+    auto const elected = read_clock();
+    CHECK(eventually([&] { return read_clock() > elected + 100ms; }));
+    it.subscribe();
+    CHECK(it.updates.empty());
+}
--- a/packages/daemon/test/failure_test.cpp
+++ b/packages/daemon/test/failure_test.cpp
@@ -244,6 +244,21 @@
     CHECK(outcome == "INSERT 0 1");
 }
 
+// Guards against a definite refusal by rules that no leader has confirmed: the
+// route and the key may have been added since.
+TEST_CASE("a daemon that restarts without a leader refuses no client for good")
+{
+    deployment it;
+    CHECK(run(it.connect(0, "intake"), insert("k")) == "INSERT 0 1");
+    for (auto& daemon : it.daemons)
+        daemon.reset();
+    it.start(0);
+    auto const c = it.connect(0, "intake");
+    CHECK(std::string(PQerrorMessage(c.get()))
+              .find("the control state cannot be confirmed") !=
+          std::string::npos);
+}
+
 // Guards against a daemon that without a control lease still serves routes that
 // need a key, or no longer serves open routes.
 TEST_CASE("a daemon without control hosts serves only open routes")
