daemon: Send the control state only while it is current

What callers saw: after a loss of power, entry hosts refused valid keys with NOAUTH for up to 1.2 s.

Cause: a control host sent whatever it had applied to each daemon that subscribed, also before there was a leader. The class of fault: a read from a replica that has not confirmed the commit index.

Ruled out: lost changes (all control hosts applied revisions 792 to 891 once there was a leader) and an older update over a newer one (each process got revision 791 first, and 891 later).

Change: only the leader sends updates, while its own lease holds. A daemon that is a control host itself adopts its copy of the state once it has applied what its leader had committed at its last message. A connection is refused as unknown only while the daemon holds a control lease; otherwise it is refused as no_lease, which the protocols map to busy or 57P03. This also covers a daemon that was cut off or suspended, and PostgreSQL clients, which were refused with 3D000 by a daemon without any rules.

--- a/packages/consensus/include/basilreach/consensus/member.hpp
+++ b/packages/consensus/include/basilreach/consensus/member.hpp
@@ -106,6 +106,13 @@
     // while this host is the leader.
     [[nodiscard]] instant leader_until() const;
 
+    // Whether this host has applied all that its leader had committed when it
+    // sent its last message, the first entry of the leader's own term included:
+    // a leader does not know before what earlier leaders committed (Ongaro,
+    // "Consensus: Bridging Theory and Practice", section 6.4). False while no
+    // leader is known.
+    [[nodiscard]] bool is_caught_up() const;
+
     [[nodiscard]] std::uint64_t commit_index() const
     {
         return commit_index_;
@@ -245,6 +252,8 @@
     host_name leader_;
     std::uint64_t commit_index_ = 0;
     std::uint64_t applied_index_ = 0;
+    // The commit index of the last append of a leader.
+    std::uint64_t leader_commit_index_ = 0;
     // When a message of a leader was last received, a vote was last granted or,
     // at first, the member was created. No vote is granted for the minimum
     // election timeout after it.
--- a/packages/consensus/src/member.cpp
+++ b/packages/consensus/src/member.cpp
@@ -144,6 +144,14 @@
         out_.apply.push_back(log_.at(++applied_index_));
 }
 
+bool member::is_caught_up() const
+{
+    if (role_ == member_role::leader)
+        return applied_index_ >= first_index_of_term_;
+    return !leader_.empty() && applied_index_ >= leader_commit_index_ &&
+           log_.term_at(leader_commit_index_) == hard_.term;
+}
+
 void member::start_read_round()
 {
     if (role_ != member_role::leader || reads_.empty() ||
--- a/packages/consensus/src/replication.cpp
+++ b/packages/consensus/src/replication.cpp
@@ -175,6 +175,7 @@
 {
     auto const& request = std::get<append_request>(it.body);
     record_leader_contact(it.from);
+    leader_commit_index_ = request.commit_index;
     auto const previous = request.previous_index;
     if (previous < commit_index_)
     {
--- a/packages/consensus/test/message_test.cpp
+++ b/packages/consensus/test/message_test.cpp
@@ -42,6 +42,31 @@
 
 } // namespace
 
+// Guards against a restarted host that takes its log for current: what its
+// leader has committed may be missing, or be known to the leader only once an
+// entry of its own term is committed.
+TEST_CASE("a host is caught up once it has applied its leader's commit index")
+{
+    auto it = isolated_member(start);
+    CHECK_FALSE(it.is_caught_up());
+    // The leader has committed nothing in its term yet.
+    (void)it.receive(from_b(2, append_request{3, 1, 3, 1, {}}), after_timeout);
+    CHECK(it.commit_index() == 3);
+    CHECK_FALSE(it.is_caught_up());
+    // Entry 5 is committed too, but has not arrived.
+    log_entry const first{4, 2, entry_kind::no_op, {}};
+    (void)it.receive(from_b(2, append_request{3, 1, 5, 2, {first}}),
+                     after_timeout);
+    CHECK_FALSE(it.is_caught_up());
+    log_entry const second{5, 2, entry_kind::command, "y"};
+    (void)it.receive(from_b(2, append_request{4, 2, 5, 3, {second}}),
+                     after_timeout);
+    CHECK(it.is_caught_up());
+    // Without contact the host asks for votes, and knows no leader.
+    (void)it.tick(it.next_deadline());
+    CHECK_FALSE(it.is_caught_up());
+}
+
 // Guards leader_until(): a host that restarted, or received a message of a
 // leader, grants no vote within the minimum election timeout. It never grants
 // one to a host whose log is less up to date.
--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -52,8 +52,11 @@
     std::function<std::optional<client_identity>(
         std::string_view database, std::optional<std::string_view> key)>
         authenticate;
-    // Whether the daemon has received any rules since it started.
-    std::function<bool()> has_rules;
+    // Why authenticate() has returned nothing for a database name: the name or
+    // the key is unknown, or the daemon's rules may be outdated, so that it
+    // cannot know.
+    std::function<traffic::refusal_reason(std::string_view database)>
+        denial_reason;
     // Whether the database name is a route or the admin console.
     std::function<bool(std::string_view database)> is_known;
     // The client's connection is refused for this reason.
--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -90,6 +90,14 @@
         return *state_;
     }
 
+    // Whether a leader has confirmed the state since the process started. Until
+    // then it may lack changes that were acknowledged before the start, so
+    // nothing may be decided by it.
+    [[nodiscard]] bool has_confirmed_state() const
+    {
+        return has_confirmed_state_;
+    }
+
     [[nodiscard]] distribution_sample sample_distribution() const;
 
     // Empty when the leader is unknown.
@@ -165,6 +173,7 @@
     void handle_role_change(consensus::role_state const& role);
     void start_leading();
     void compact();
+    [[nodiscard]] bool has_current_state() const;
     void send_updates();
     void propose_initial_rules();
     void check_membership();
@@ -194,6 +203,7 @@
     // Bytes of the payloads applied since the last snapshot.
     std::size_t applied_bytes_ = 0;
     std::uint64_t last_read_id_ = 0;
+    bool has_confirmed_state_ = false;
     // Present while this host leads, if the settings have seeds.
     std::unique_ptr<control::membership_manager> membership_manager_;
     instant next_membership_check_ = never;
--- a/packages/daemon/include/basilreach/daemon/line_client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/line_client_connection.hpp
@@ -126,7 +126,7 @@
     void fail(statement_error code);
     void close_with_error(statement_error code);
     // Refuses the client's connection.
-    void deny(std::string_view database, traffic::refusal_reason reason);
+    void deny(std::string_view database);
     void leave_transaction(traffic::transaction_status status);
     void append_ready(std::optional<log_position> position);
     void write();
--- a/packages/daemon/include/basilreach/daemon/postgresql_client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/postgresql_client_connection.hpp
@@ -149,7 +149,7 @@
     [[nodiscard]] bool describe_waiting_portal();
     void finish_authentication(std::optional<std::string_view> key);
     // Refuses the client's connection.
-    void deny(traffic::refusal_reason reason);
+    void deny();
     void apply_startup_options(pgwire::startup_message const& it);
     void begin_statement(statement it, bool is_simple);
     void answer_variable(std::string const& text);
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -140,6 +140,9 @@
     [[nodiscard]] std::optional<client_identity>
     authenticate(std::string_view database,
                  std::optional<std::string_view> key) const;
+    [[nodiscard]] bool is_known(std::string_view database) const;
+    [[nodiscard]] traffic::refusal_reason
+    denial_reason(std::string_view database) const;
     void log_refused_connection(std::string_view database,
                                 traffic::refusal_reason reason);
     [[nodiscard]] std::size_t thread_of(group_name const& group) const;
@@ -153,6 +156,8 @@
     client_owner owner_;
     traffic::engine engine_;
     traffic::control_view_ptr view_;
+    // The end of the daemon's control lease.
+    instant lease_until_{};
     std::unordered_map<std::uint64_t, std::unique_ptr<client_connection>>
         clients_;
     // Clients that have not been handed over to the thread of their group,
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -412,8 +412,18 @@
     run_step(member_->receive(std::get<consensus::peer_message>(it), now_));
 }
 
+// Whether no other host can have acknowledged a change that the state lacks.
+bool control_host::has_current_state() const
+{
+    return leader_ && now_ < member_->leader_until();
+}
+
+// Sends updates only while the state is current. A daemon takes what it gets
+// for the state in force, and refuses clients by it.
 void control_host::send_updates()
 {
+    if (!has_current_state())
+        return;
     for (auto const& it : feed_.collect_updates(*state_))
         outputs_.send_to_links(it.links, it.update);
 }
@@ -563,6 +573,11 @@
         apply(it);
     for (auto const& it : step.reads)
         answer_read(it);
+    if (!has_confirmed_state_ && member_->is_caught_up())
+    {
+        has_confirmed_state_ = true;
+        outputs_.state_changed();
+    }
     if (!has_commands)
         return;
     if (limits_)
@@ -764,6 +779,7 @@
     promotion_client_->tick(now);
     if (!leader_)
         return;
+    send_updates();
     for (auto& it : std::exchange(leader_inputs_, {}))
         leader_->receive(std::move(it));
     for (auto const& it : leader_->tick(now))
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -185,7 +185,6 @@
         return error_;
     }
     host_ = std::move(host.value());
-    lease_->update_state(host_->state());
     return error_;
 }
 
@@ -262,7 +261,8 @@
         switch_control_host(now);
         if (host_)
             host_->tick(now);
-        if (std::exchange(state_changed_, false))
+        if (std::exchange(state_changed_, false) &&
+            host_->has_confirmed_state())
             lease_->update_state(host_->state());
         deliver_local_messages();
         // Only the entry role needs a lease, rate tokens and connection shares.
--- a/packages/daemon/src/line_client_connection.cpp
+++ b/packages/daemon/src/line_client_connection.cpp
@@ -134,26 +134,20 @@
     if (phase_ != phase::startup)
         return close_with_error(statement_error::malformed);
     auto const& start = std::get<session_start>(it);
-    // Before it has received rules, a daemon that has just started cannot know
-    // that a route does not exist.
-    if (!owner_->has_rules())
-        return deny(start.database, traffic::refusal_reason::no_lease);
-    if (!owner_->is_known(start.database))
-        return deny(start.database, traffic::refusal_reason::unknown_route);
     auto identity = owner_->authenticate(
         start.database, start.key.empty()
                             ? std::nullopt
                             : std::optional<std::string_view>(start.key));
     if (!identity || identity->is_admin)
-        return deny(start.database, traffic::refusal_reason::key_withdrawn);
+        return deny(start.database);
     identity_ = std::move(*identity);
     phase_ = phase::handing_over;
     owner_->authenticated(*this);
 }
 
-void line_client_connection::deny(std::string_view database,
-                                  traffic::refusal_reason reason)
+void line_client_connection::deny(std::string_view database)
 {
+    auto const reason = owner_->denial_reason(database);
     owner_->refused(database, reason);
     close_with_error(
         to_statement_error(reason, traffic::refusal_outcome::not_run));
--- a/packages/daemon/src/postgresql_client_connection.cpp
+++ b/packages/daemon/src/postgresql_client_connection.cpp
@@ -318,7 +318,7 @@
     database_ = database.empty() ? message.value("user") : database;
     apply_startup_options(message);
     if (!owner_->is_known(database_))
-        return deny(traffic::refusal_reason::unknown_route);
+        return deny();
     if (owner_->authenticate(database_, std::nullopt))
         return finish_authentication(std::nullopt);
     phase_ = phase::password;
@@ -338,14 +338,15 @@
 {
     auto const identity = owner_->authenticate(database_, key);
     if (!identity)
-        return deny(traffic::refusal_reason::key_withdrawn);
+        return deny();
     identity_ = *identity;
     phase_ = phase::handing_over;
     owner_->authenticated(*this);
 }
 
-void postgresql_client_connection::deny(traffic::refusal_reason reason)
+void postgresql_client_connection::deny()
 {
+    auto const reason = owner_->denial_reason(database_);
     owner_->refused(database_, reason);
     fail_fatally(describe_refusal(reason, traffic::refusal_outcome::not_run));
 }
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -185,14 +185,13 @@
     {
         return authenticate(database, key);
     };
-    owner_.has_rules = [this]
+    owner_.denial_reason = [this](auto database)
     {
-        return view_->has_rules;
+        return denial_reason(database);
     };
     owner_.is_known = [this](std::string_view database)
     {
-        return database == rules::admin_console_name ||
-               view_->routes.contains(route_name(database));
+        return is_known(database);
     };
     owner_.refused = [this](auto database, auto reason)
     {
@@ -300,6 +299,8 @@
     auto& event = std::get<traffic::event>(it);
     if (auto const* change = std::get_if<traffic::control_changed>(&event))
         view_ = change->view;
+    if (auto const* lease = std::get_if<traffic::lease_changed>(&event))
+        lease_until_ = lease->valid_until;
     engine_.push(std::move(event));
 }
 
@@ -392,6 +393,25 @@
     return identity;
 }
 
+bool traffic_thread::is_known(std::string_view database) const
+{
+    return database == rules::admin_console_name ||
+           view_->routes.contains(route_name(database));
+}
+
+traffic::refusal_reason
+traffic_thread::denial_reason(std::string_view database) const
+{
+    // Every change in force is known to a daemon that holds a lease. Without
+    // one, a route or a key that is unknown here may have been added.
+    bool const has_current_rules =
+        view_->has_rules && read_clock() < lease_until_;
+    if (!has_current_rules && database != rules::admin_console_name)
+        return traffic::refusal_reason::no_lease;
+    return is_known(database) ? traffic::refusal_reason::key_withdrawn
+                              : traffic::refusal_reason::unknown_route;
+}
+
 void traffic_thread::log_refused_connection(std::string_view database,
                                             traffic::refusal_reason reason)
 {
--- a/packages/daemon/test/control_host_test.cpp
+++ b/packages/daemon/test/control_host_test.cpp
@@ -29,7 +29,7 @@
 std::string rules_of(std::uint64_t version)
 {
     return "workspace w rate=" + std::to_string(version) +
-           " burst=1  # asked by the test: \n";
+           " burst=1  # asked by the test: w\n";
 }
 
 control::command offer_of(std::uint64_t version)
