consensus: Apply a bounded part of the committed entries in a step

What callers saw: after a loss of power, statements were refused for 0.8 s longer than the first election takes.

Cause: a step applied all that was committed. Its lease of 0.29 s ended, and it stepped down at 94.963, 0.4 s after its election. The next one led from 95.388.

Ruled out: a slow disk (syncs of 1 ms) and lost votes (both peers had answered).

Change: a step applies entries of at most 64 KiB together, and next_deadline() is due while committed entries wait, so that messages and timers are handled in between. The new test got 100 entries of 20 KB in one step before.

--- a/packages/consensus/include/basilreach/consensus/member.hpp
+++ b/packages/consensus/include/basilreach/consensus/member.hpp
@@ -44,6 +44,9 @@
     // proposed meanwhile are sent together in a later append.
     std::size_t max_appends_in_flight = 2;
     std::size_t max_uncommitted = 10'000;
+    // Limit of the payloads that one step applies, except that a step applies
+    // one entry of any size. Between steps the caller can send heartbeats.
+    std::size_t max_apply_bytes = std::size_t{64} << 10U;
     std::size_t snapshot_chunk_bytes = std::size_t{256} << 10U;
     // A learner that lags by at most this many entries can become a voter.
     std::uint64_t catch_up_entries = 64;
@@ -94,7 +97,8 @@
     // The time at which tick() must be called, or never.
     [[nodiscard]] instant next_deadline() const
     {
-        return deadlines_.next();
+        return applied_index_ < commit_index_ ? instant::min()
+                                              : deadlines_.next();
     }
 
     [[nodiscard]] role_state state() const
--- a/packages/consensus/src/member.cpp
+++ b/packages/consensus/src/member.cpp
@@ -140,8 +140,12 @@
 
 void member::apply_committed()
 {
-    while (applied_index_ < commit_index_)
+    std::size_t bytes = 0;
+    while (applied_index_ < commit_index_ && bytes < settings_.max_apply_bytes)
+    {
         out_.apply.push_back(log_.at(++applied_index_));
+        bytes += out_.apply.back().payload.size();
+    }
 }
 
 bool member::is_caught_up() const
--- a/packages/consensus/test/message_test.cpp
+++ b/packages/consensus/test/message_test.cpp
@@ -67,6 +67,37 @@
     CHECK_FALSE(it.is_caught_up());
 }
 
+// Guards against a leader that sends no heartbeat while it applies a long log:
+// after a loss of power the first leader stepped down because of that.
+TEST_CASE("a step applies a bounded part of what is committed")
+{
+    constexpr std::size_t payload_bytes = 20'000;
+    constexpr std::uint64_t entries = 100;
+    auto it = isolated_member(start);
+    append_request request{3, 1, 3 + entries, 1, {}};
+    for (std::uint64_t n = 1; n <= entries; ++n)
+        request.entries.push_back(
+            {3 + n, 2, entry_kind::command, std::string(payload_bytes, 'x')});
+    auto step = it.receive(from_b(2, request), after_timeout);
+    std::uint64_t applied = 0;
+    for (std::size_t steps = 0; applied != 3 + entries && steps != entries;
+         ++steps)
+    {
+        std::size_t bytes = 0;
+        for (auto const& entry : step.apply)
+        {
+            CHECK(entry.index == ++applied);
+            bytes += entry.payload.size();
+        }
+        CHECK(bytes <= member_settings{}.max_apply_bytes + payload_bytes);
+        bool const is_done = applied == 3 + entries;
+        CHECK((it.next_deadline() <= after_timeout) == !is_done);
+        if (!is_done)
+            step = it.tick(after_timeout);
+    }
+    CHECK(applied == 3 + entries);
+}
+
 // Guards leader_until(): a host that restarted, or received a message of a
 // leader, grants no vote within the minimum election timeout. It never grants
 // one to a host whose log is less up to date.
