traffic: Refuse a statement without tokens truly when control is lost

What callers saw: after a loss of power, until there is a leader, statements were refused as over their workspace's rate, of which nothing was used up. An engineer on call looked for a limit.

Cause: the wait for a token knew only one reason. Tokens come from the leader, so without a control lease the reason is no_lease (57P03, or busy in the line protocol). The test case failed before with rate_exceeded.

--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -76,8 +76,10 @@
     if (request == nullptr ||
         request->state != request_state::waiting_rate_token)
         return;
+    // Without a lease there is no contact to the leader, which grants tokens.
     refuse_request(s, id, refusal_outcome::not_run,
-                   refusal_reason::rate_exceeded);
+                   s.has_lease() ? refusal_reason::rate_exceeded
+                                 : refusal_reason::no_lease);
 }
 
 void expire_connection(state& s, row_id id)
--- a/packages/traffic/test/rate_tokens_test.cpp
+++ b/packages/traffic/test/rate_tokens_test.cpp
@@ -103,6 +103,35 @@
     CHECK(f.last_request->waiting == 0);
 }
 
+// Guards against an untrue refusal: without contact to the leader no tokens
+// come, although the rate is not used up.
+TEST_CASE("a statement that gets no token without a lease is not over its rate")
+{
+    auto const refusal_of_waiting_statement = [](instant lease_end)
+    {
+        auto settings = fixture::make_settings();
+        settings.serves_without_lease = true;
+        engine it(settings);
+        it.push(control_changed{std::make_shared<control_view>(make_view())});
+        it.push(lease_changed{lease_end});
+        session_opened session;
+        session.session = session_id{1};
+        session.route = route_name("r");
+        session.workspace = workspace_name("w");
+        session.key = key_digest{1};
+        it.push(session);
+        it.push(statement_received{session_id{1}, statement_verb::other});
+        (void)it.tick(instant{1s});
+        for (auto const& action : it.tick(instant{1s} + settings.token_wait))
+            if (auto const* refusal = std::get_if<refuse>(&action))
+                return std::optional(refusal->reason);
+        return std::optional<refusal_reason>();
+    };
+    CHECK(refusal_of_waiting_statement(instant{10s}) ==
+          refusal_reason::rate_exceeded);
+    CHECK(refusal_of_waiting_statement(instant{}) == refusal_reason::no_lease);
+}
+
 TEST_CASE("a statement whose session has ended waits for no rate token")
 {
     fixture f;
