daemon: Order the processes of a daemon by their links, not by their clocks

Cause: a daemon's incarnation is its start time by the time of day. The leader's allocators of rate tokens and connections drop requests of a lower incarnation as late ones of an earlier process. Entry hosts that start while their time of day is ahead, and start again after it was set back, are therefore never answered while that leader leads: they get no tokens and no connections. The class of fault: an order of events taken from the time of day.

Ruled out: leadership (one leader throughout) and leases (the entry hosts held them; leases belong to an incarnation but do not compare it).

Change: the leader numbers the processes of a daemon as it hears of them, and the allocators compare these numbers. What guards against late messages is the link: messages over an older link of a daemon than its latest one are dropped, since an earlier process can only use its own links. Elsewhere the time of day only makes names unique; the incarnations of servers are set by the servers themselves.

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -166,6 +166,7 @@
     void run_call(std::uint64_t id, deregister_server const& it);
     void commit_call(std::uint64_t id,
                      std::optional<control::command_body> const& it);
+    [[nodiscard]] bool record_link(daemon_name const& daemon, link_id link);
     void run_step(consensus::step_result step);
     bool persist(consensus::step_result const& step);
     void install_snapshot(consensus::snapshot const& it);
@@ -211,6 +212,7 @@
     instant next_join_request_;
 
     update_feed feed_;
+    // The latest link of each daemon.
     std::map<daemon_name, link_id> daemon_links_;
     // By index and term of the proposed entry.
     std::map<std::pair<std::uint64_t, std::uint64_t>, requester>
--- a/packages/daemon/include/basilreach/daemon/limit_leader.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <optional>
 
 #include <basilreach/control/control_state.hpp>
 #include <basilreach/limits/rate_tolerance.hpp>
@@ -34,9 +35,12 @@
     // Adds, changes and removes limits and holders as in the control state.
     void configure(control::control_state const& state, instant now);
 
-    void receive(limits::token_request const& it, instant now);
-    void receive(limits::contact_report const& it, instant now);
-    void receive(limits::share_request const& it, instant now);
+    // Handle messages of daemons. An incarnation other than the last one of its
+    // daemon is taken for a later process: the caller leaves out what an
+    // earlier one has sent.
+    void receive(limits::token_request it, instant now);
+    void receive(limits::contact_report it, instant now);
+    void receive(limits::share_request it, instant now);
 
     // Sends the grants that are due. No other host can lead before
     // `leader_until`.
@@ -45,6 +49,19 @@
     [[nodiscard]] instant next_deadline() const;
 
 private:
+    // A daemon's latest process, in the order in which this leader heard of
+    // them. Incarnations have no order: they are start times, and the time of
+    // day can be set back.
+    struct process
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t number = 0;
+    };
+
+    [[nodiscard]] std::uint64_t number_of(daemon_name const& daemon,
+                                          std::uint64_t incarnation);
+    [[nodiscard]] std::optional<std::uint64_t>
+    incarnation_of(daemon_name const& daemon, std::uint64_t number) const;
     void configure_servers(control::control_state const& state, instant now);
     void configure_daemons(control::control_state const& state, instant now);
 
@@ -56,6 +73,7 @@
     // Limits of the servers that are configured in share_allocator_.
     std::map<server_name, rules::server_limit_rule> servers_;
     std::set<daemon_name> daemons_;
+    std::map<daemon_name, process> processes_;
 };
 
 } // namespace basilreach::daemon
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -309,13 +309,25 @@
     return true;
 }
 
+// Records the link over which a daemon is answered. Returns false for a link
+// that is older than the daemon's latest one: what arrives over it is late, and
+// may have been sent by an earlier process.
+bool control_host::record_link(daemon_name const& daemon, link_id link)
+{
+    auto& latest = daemon_links_.try_emplace(daemon, link).first->second;
+    if (link < latest)
+        return false;
+    latest = link;
+    return true;
+}
+
 void control_host::on_lease_renewal(link_id from, messages::message const& it)
 {
     if (redirect(from))
         return;
     auto const& renewal = std::get<control::lease_renewal>(it);
-    daemon_links_[renewal.daemon] = from;
-    leader_inputs_.emplace_back(renewal);
+    if (record_link(renewal.daemon, from))
+        leader_inputs_.emplace_back(renewal);
 }
 
 void control_host::on_lease_returned(link_id /*from*/,
@@ -339,9 +351,8 @@
 void control_host::on_token_request(link_id from, messages::message const& it)
 {
     auto const& batch = std::get<messages::token_requests>(it);
-    if (!limits_)
+    if (!limits_ || !record_link(batch.holder, from))
         return;
-    daemon_links_[batch.holder] = from;
     for (auto request : batch.requests)
     {
         messages::copy_batch_fields(batch, request);
@@ -354,9 +365,8 @@
 void control_host::on_share_request(link_id from, messages::message const& it)
 {
     auto const& request = std::get<limits::share_request>(it);
-    if (!limits_)
+    if (!limits_ || !record_link(request.holder, from))
         return;
-    daemon_links_[request.holder] = from;
     limits_->receive(request, now_);
 }
 
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -95,6 +95,7 @@
             ++it;
             continue;
         }
+        processes_.erase(*it);
         token_allocator_.remove_holder(*it, now);
         share_allocator_.remove_holder(*it, now);
         it = daemons_.erase(it);
@@ -127,18 +128,43 @@
     servers_ = std::move(wanted);
 }
 
-void limit_leader::receive(limits::token_request const& it, instant now)
+// Returns the number that stands for the process in the allocators, which need
+// an order.
+std::uint64_t limit_leader::number_of(daemon_name const& daemon,
+                                      std::uint64_t incarnation)
 {
+    auto& latest = processes_[daemon];
+    if (latest.number == 0 || latest.incarnation != incarnation)
+        latest = {incarnation, latest.number + 1};
+    return latest.number;
+}
+
+// Returns nothing for an earlier process, which accepts no grants any more.
+std::optional<std::uint64_t>
+limit_leader::incarnation_of(daemon_name const& daemon,
+                             std::uint64_t number) const
+{
+    auto const found = processes_.find(daemon);
+    if (found == processes_.end() || found->second.number != number)
+        return std::nullopt;
+    return found->second.incarnation;
+}
+
+void limit_leader::receive(limits::token_request it, instant now)
+{
+    it.incarnation = number_of(it.holder, it.incarnation);
     token_allocator_.receive(it, now);
 }
 
-void limit_leader::receive(limits::contact_report const& it, instant now)
+void limit_leader::receive(limits::contact_report it, instant now)
 {
+    it.incarnation = number_of(it.holder, it.incarnation);
     token_allocator_.receive(it, now);
 }
 
-void limit_leader::receive(limits::share_request const& it, instant now)
+void limit_leader::receive(limits::share_request it, instant now)
 {
+    it.incarnation = number_of(it.holder, it.incarnation);
     share_allocator_.receive(it, now);
 }
 
@@ -147,26 +173,34 @@
     token_allocator_.set_leader_until(leader_until);
     share_allocator_.set_leader_until(leader_until);
     std::map<daemon_name, messages::token_grants> batches;
-    for (auto& it : token_allocator_.tick(now))
+    // Returns the batch that the grant belongs to, or null.
+    auto const find_batch = [&](auto& grant) -> messages::token_grants*
     {
-        auto& batch = batches[it.holder];
-        batch.holder = it.holder;
-        batch.incarnation = it.incarnation;
-        batch.sent = it.sent;
-        batch.grants.push_back(std::move(it));
-    }
+        auto const incarnation =
+            incarnation_of(grant.holder, grant.incarnation);
+        if (!incarnation)
+            return nullptr;
+        grant.incarnation = *incarnation;
+        auto& batch = batches[grant.holder];
+        batch.holder = grant.holder;
+        batch.incarnation = grant.incarnation;
+        batch.sent = grant.sent;
+        return &batch;
+    };
+    for (auto& it : token_allocator_.tick(now))
+        if (auto* const batch = find_batch(it))
+            batch->grants.push_back(std::move(it));
     for (auto& it : token_allocator_.tick_contacts(now))
-    {
-        auto& batch = batches[it.holder];
-        batch.holder = it.holder;
-        batch.incarnation = it.incarnation;
-        batch.sent = it.sent;
-        batch.contact = std::move(it);
-    }
+        if (auto* const batch = find_batch(it))
+            batch->contact = std::move(it);
     for (auto const& [holder, batch] : batches)
         send_(holder, batch);
-    for (auto const& it : share_allocator_.tick(now))
-        send_(it.holder, it);
+    for (auto& it : share_allocator_.tick(now))
+        if (auto const incarnation = incarnation_of(it.holder, it.incarnation))
+        {
+            it.incarnation = *incarnation;
+            send_(it.holder, it);
+        }
 }
 
 instant limit_leader::next_deadline() const
--- a/packages/limits/include/basilreach/limits/token_messages.hpp
+++ b/packages/limits/include/basilreach/limits/token_messages.hpp
@@ -29,7 +29,8 @@
 {
     workspace_name workspace;
     daemon_name holder;
-    // Greater after each restart of the holder.
+    // Another after each restart of the holder. To the allocator, the later of
+    // two processes has the greater one.
     std::uint64_t incarnation = 0;
     // Greater in each request of an incarnation.
     std::uint64_t sequence = 0;
