traffic: Refuse a statement whose transaction has just been lost

Cause: connections were reset at 1.87 s. The loss of the connection and the next statement of the client reached the engine in one tick. The engine forgot the transaction and told the client's connection, which had already submitted the statement; the engine took it for one without a transaction. Sessions of other groups end with their transaction, and is_ending covers the same moment.

Change: the client's connection says whether the statement continues a transaction that is open at a server, as far as it knows. If the engine has none, the statement is refused as not run. The new test case failed before: the statement was sent.

--- a/packages/daemon/src/line_client_connection.cpp
+++ b/packages/daemon/src/line_client_connection.cpp
@@ -260,7 +260,9 @@
 {
     phase_ = phase::busy;
     submitted_at_ = read_clock();
-    owner_->submit(*this, verb, opening_);
+    owner_->submit(*this, verb,
+                   has_server_transaction_ ? transaction_opening::opened
+                                           : opening_);
 }
 
 void line_client_connection::store_answer(
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -70,8 +70,10 @@
 {
     session_id session;
     statement_verb verb = statement_verb::other;
-    // Set if the statement is the first of a transaction that has not been
-    // opened at a server yet.
+    // Whether the statement belongs to a transaction that is open at a server,
+    // as far as the client's connection knows, or is the first one of a
+    // transaction that is not. Protocols that end a session with its lost
+    // transaction need not set it.
     transaction_opening opens = transaction_opening::none;
 
     friend bool operator==(statement_received const&,
--- a/packages/traffic/include/basilreach/traffic/statement.hpp
+++ b/packages/traffic/include/basilreach/traffic/statement.hpp
@@ -33,7 +33,9 @@
 {
     none,
     read_write,
-    read_only
+    read_only,
+    // An earlier statement has opened the transaction at a server.
+    opened
 };
 
 // Classifies a statement by its first keywords.
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -98,7 +98,8 @@
     row.number = ++s.last_request_number;
     row.session = *id;
     row.verb = it.verb;
-    row.opens = it.opens;
+    bool const is_continued = it.opens == transaction_opening::opened;
+    row.opens = is_continued ? transaction_opening::none : it.opens;
     row.arrived_at = s.now;
     auto const route = s.view->routes.find(session->route);
     auto const timeout =
@@ -108,6 +109,10 @@
     auto const request = s.requests.insert(std::move(row));
     session->request = request;
     s.timers.set({detail::timer_kind::request, request}, deadline);
+    // The transaction was lost, and the client has not been notified yet.
+    if (is_continued && !session->in_transaction)
+        return detail::refuse_request(s, request, refusal_outcome::not_run,
+                                      refusal_reason::transaction_lost);
     s.to_admit.push_back(request);
 }
 
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -487,6 +487,26 @@
     CHECK_FALSE(f.find<end_session>().has_value());
 }
 
+// Guards against a statement that runs outside its transaction: its connection
+// was reset while the statement arrived.
+TEST_CASE("a statement that arrives as its transaction is lost does not run")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const opening =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    f.answer(opening, {3, 10}, true, transaction_status::in_transaction);
+    f.it->push(connection_failed{opening.connection});
+    f.it->push(statement_received{session_id{1}, statement_verb::write,
+                                  transaction_opening::opened});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    CHECK(f.find<abort_transaction>().has_value());
+    REQUIRE(f.find<refuse>().has_value());
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::not_run);
+    CHECK(f.find<refuse>()->reason == refusal_reason::transaction_lost);
+}
+
 TEST_CASE("a statement ends at its route's timeout")
 {
     fixture f;
