daemon: Batch what a leader does for many daemons

Cause: each registration and report was proposed, synced, replicated and distributed on its own: 195 daemons that start together cost 195 syncs and up to 195 x 195 state updates, each answered by a request and a renewal. A host that had been elected but had not applied its first entry named itself as the leader to redirected daemons.

Change: commands are queued and proposed once a tick, in batches of 256 at most. The update feed pauses 0.5 ms for each update sent, so that later changes are merged: with 9 daemons 4.5 ms, with 195 about 0.1 s, below the 250 ms in which a change is to be in force.

Tests, which fail without the change: 200 daemons are registered by one append; commands of one batch are answered one by one; changes in quick succession reach 200 subscribers as at most 2,000 updates a second. The fixture of the feed's tests lets the pause pass before it collects; its checks are the same.

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -125,6 +125,14 @@
         bool is_call = false;
     };
 
+    // A command that waits to be proposed, and who is told if it is refused.
+    struct queued_command
+    {
+        consensus::entry_payload payload;
+        std::optional<requester> from;
+        messages::admin_reply refusal;
+    };
+
     struct pending_read
     {
         requester from;
@@ -168,6 +176,13 @@
                      std::optional<control::command_body> const& it);
     [[nodiscard]] bool record_link(daemon_name const& daemon, link_id link);
     void run_step(consensus::step_result step);
+    void queue_command(control::command const& it);
+    void queue_command(control::command const& it,
+                       requester const& from,
+                       messages::admin_reply refusal);
+    void propose_queued();
+    void propose_batch(std::vector<queued_command> batch);
+    void refuse(requester const& to, messages::admin_reply reply);
     bool persist(consensus::step_result const& step);
     void install_snapshot(consensus::snapshot const& it);
     void apply(consensus::log_entry const& entry);
@@ -176,6 +191,7 @@
     void compact();
     [[nodiscard]] bool has_current_state() const;
     void send_updates();
+    [[nodiscard]] instant next_update() const;
     void propose_initial_rules();
     void check_membership();
     void request_to_join();
@@ -218,6 +234,9 @@
     std::map<std::pair<std::uint64_t, std::uint64_t>, requester>
         pending_proposals_;
     std::map<std::uint64_t, pending_read> pending_reads_;
+    // Commands for the next tick. Those of one tick are synced, sent and
+    // distributed together.
+    std::vector<queued_command> queued_commands_;
     std::vector<control::leader_input> leader_inputs_;
 };
 
--- a/packages/daemon/include/basilreach/daemon/update_feed.hpp
+++ b/packages/daemon/include/basilreach/daemon/update_feed.hpp
@@ -58,9 +58,15 @@
     // The link has ended.
     void remove(link_id link);
 
-    // Returns the updates that subscribers wait for.
+    // Returns the updates that subscribers wait for, at most once in the time
+    // that the control host needs to send the last ones and to handle the
+    // answers. Changes that are made meanwhile reach a subscriber as one.
     [[nodiscard]] std::vector<outgoing_update>
-    collect_updates(control::control_state const& state);
+    collect_updates(control::control_state const& state, instant now);
+
+    // Returns when collect_updates() must be called again.
+    [[nodiscard]] instant
+    next_deadline(control::control_state const& state) const;
 
     [[nodiscard]] update_counts const& counts() const
     {
@@ -83,6 +89,8 @@
         std::string text;
     };
 
+    [[nodiscard]] bool
+    is_update_awaited(control::control_state const& state) const;
     [[nodiscard]] std::string_view text_of(std::uint64_t version) const;
 
     std::deque<retained_rules> retained_;
@@ -90,6 +98,8 @@
     std::map<link_id, subscriber> subscribers_;
     // Subscribers without an update on its way.
     std::map<position, std::set<link_id>> waiting_;
+    // Before this time no further updates are sent.
+    instant next_collection_;
     update_counts counts_;
 };
 
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -33,6 +33,11 @@
 // Interval at which the leader checks whether the membership should change.
 constexpr duration membership_check_interval = std::chrono::milliseconds(200);
 
+// Limits of the commands that are proposed together, which keep a batch below
+// the size of one append message.
+constexpr std::size_t max_batch_commands = 256;
+constexpr std::size_t max_batch_bytes = std::size_t{256} << 10U;
+
 // Interval at which a host that knows no leader asks to join.
 constexpr duration join_request_interval = std::chrono::milliseconds(500);
 
@@ -304,6 +309,10 @@
 {
     if (leader_)
         return false;
+    // A host that has been elected leads once it has applied the first entry of
+    // its term. The daemon repeats its request.
+    if (leader_name() == self_)
+        return true;
     outputs_.send_to_link(
         from, messages::not_leader{daemon_name(leader_name().str())});
     return true;
@@ -428,13 +437,18 @@
     return leader_ && now_ < member_->leader_until();
 }
 
+instant control_host::next_update() const
+{
+    return has_current_state() ? feed_.next_deadline(*state_) : never;
+}
+
 // Sends updates only while the state is current. A daemon takes what it gets
 // for the state in force, and refuses clients by it.
 void control_host::send_updates()
 {
     if (!has_current_state())
         return;
-    for (auto const& it : feed_.collect_updates(*state_))
+    for (auto const& it : feed_.collect_updates(*state_, now_))
         outputs_.send_to_links(it.links, it.update);
 }
 
@@ -468,12 +482,10 @@
         return answer(to,
                       make_error("42601", admin::to_string(parsed.error())));
     if (auto const entry = to_control_command(parsed.value()))
-    {
-        return run_step_for(
-            to, member_->propose(messages::encode_command(*entry), now_),
+        return queue_command(
+            *entry, to,
             make_error("57P03",
                        "the control host cannot accept the change now"));
-    }
     if (auto const* add = std::get_if<admin::add_control_host>(&parsed.value()))
         return run_step_for(
             to,
@@ -597,6 +609,70 @@
     compact();
 }
 
+void control_host::queue_command(control::command const& it)
+{
+    queued_commands_.push_back({messages::encode_command(it), {}, {}});
+}
+
+void control_host::queue_command(control::command const& it,
+                                 requester const& from,
+                                 messages::admin_reply refusal)
+{
+    queued_commands_.push_back(
+        {messages::encode_command(it), from, std::move(refusal)});
+}
+
+// Proposes the queued commands in batches. With a step for each command, the
+// registration of 195 daemons took a leader of 0.3 cores longer than an
+// election timeout: each was synced alone and distributed to all daemons.
+void control_host::propose_queued()
+{
+    std::vector<queued_command> batch;
+    std::size_t bytes = 0;
+    for (auto& it : std::exchange(queued_commands_, {}))
+    {
+        bool const is_full = batch.size() == max_batch_commands ||
+                             bytes + it.payload.size() > max_batch_bytes;
+        if (!batch.empty() && is_full)
+        {
+            propose_batch(std::exchange(batch, {}));
+            bytes = 0;
+        }
+        bytes += it.payload.size();
+        batch.push_back(std::move(it));
+    }
+    if (!batch.empty())
+        propose_batch(std::move(batch));
+}
+
+void control_host::propose_batch(std::vector<queued_command> batch)
+{
+    std::vector<consensus::entry_payload> payloads;
+    payloads.reserve(batch.size());
+    for (auto& it : batch)
+        payloads.push_back(std::move(it.payload));
+    auto step = member_->propose(std::move(payloads), now_);
+    for (std::size_t n = 0; n != batch.size(); ++n)
+    {
+        if (!batch[n].from)
+            continue;
+        if (step.accepted)
+            pending_proposals_[{step.accepted->index + n,
+                                step.accepted->term}] = *batch[n].from;
+        else
+            refuse(*batch[n].from, std::move(batch[n].refusal));
+    }
+    run_step(std::move(step));
+}
+
+void control_host::refuse(requester const& to, messages::admin_reply reply)
+{
+    if (to.is_call)
+        outputs_.answer_call(to.id, {call_outcome::unavailable, {}, {}});
+    else
+        answer(to, std::move(reply));
+}
+
 void control_host::install_snapshot(consensus::snapshot const& it)
 {
     auto const parts = messages::decode_parts(it.state);
@@ -724,7 +800,7 @@
     auto const text = read_file(*context_.settings.initial_rules_file);
     control::command it{control::change_id(rules::change_id_of(0, text)),
                         "initial_rules_file", control::apply_rules{0, text}};
-    run_step(member_->propose(messages::encode_command(it), now_));
+    queue_command(it);
 }
 
 void control_host::compact()
@@ -787,6 +863,8 @@
     if (next_join_request_ <= now)
         request_to_join();
     promotion_client_->tick(now);
+    // Commands that arrived before this host lost its leadership are refused.
+    propose_queued();
     if (!leader_)
         return;
     send_updates();
@@ -801,15 +879,15 @@
     }
     if (monitor_)
         for (auto const& it : monitor_->tick(now))
-            run_step(member_->propose(
-                messages::encode_command({{}, "monitor", it}), now_));
+            queue_command({{}, "monitor", it});
+    propose_queued();
     if (limits_)
         limits_->tick(member_->leader_until(), now);
 }
 
 instant control_host::next_deadline() const
 {
-    if (leader_ && !leader_inputs_.empty())
+    if (!queued_commands_.empty() || (leader_ && !leader_inputs_.empty()))
         return instant::min();
     auto const own =
         std::min({member_->next_deadline(), next_membership_check_,
@@ -817,13 +895,12 @@
     if (!leader_)
         return own;
     return std::min({own, leader_->next_deadline(), limits_->next_deadline(),
-                     monitor_->next_deadline()});
+                     monitor_->next_deadline(), next_update()});
 }
 
 void control_host::on_propose(control::leader_output const& it)
 {
-    run_step(member_->propose(
-        messages::encode_command(std::get<control::propose>(it).entry), now_));
+    queue_command(std::get<control::propose>(it).entry);
 }
 
 void control_host::on_lease_grant(control::leader_output const& it)
--- a/packages/daemon/src/control_host_calls.cpp
+++ b/packages/daemon/src/control_host_calls.cpp
@@ -53,14 +53,7 @@
 {
     if (!it)
         return outputs_.answer_call(id, {});
-    auto step =
-        member_->propose(messages::encode_command({{}, "call", *it}), now_);
-    if (step.accepted)
-        pending_proposals_[{step.accepted->index, step.accepted->term}] = {
-            0, id, true};
-    else
-        outputs_.answer_call(id, {call_outcome::unavailable, {}, {}});
-    run_step(std::move(step));
+    queue_command({{}, "call", *it}, {0, id, true}, {});
 }
 
 } // namespace basilreach::daemon
--- a/packages/daemon/src/update_feed.cpp
+++ b/packages/daemon/src/update_feed.cpp
@@ -5,6 +5,17 @@
 namespace basilreach::daemon
 {
 
+namespace
+{
+
+// Time that the control host is given for one update: the subscriber answers it
+// with a request for the next one and a confirmation. Without a pause, changes
+// in quick succession were sent to all daemons one by one, and the leader had
+// no time left for its heartbeats.
+constexpr duration time_per_update = std::chrono::microseconds(500);
+
+} // namespace
+
 void update_feed::record(control::control_state const& state)
 {
     auto const& parts = state.parts();
@@ -48,17 +59,21 @@
 }
 
 std::vector<outgoing_update>
-update_feed::collect_updates(control::control_state const& state)
+update_feed::collect_updates(control::control_state const& state, instant now)
 {
     std::vector<outgoing_update> out;
-    while (!waiting_.empty() &&
-           waiting_.begin()->first.first < state.revision())
+    if (now < next_collection_)
+        return out;
+    while (is_update_awaited(state))
     {
         auto const [has, links] = *waiting_.begin();
         waiting_.erase(waiting_.begin());
         out.push_back(
             {state.changes_after(has.first, has.second, text_of(has.second)),
              {links.begin(), links.end()}});
+        next_collection_ =
+            std::max(next_collection_, now) +
+            time_per_update * static_cast<duration::rep>(links.size());
         counts_.updates += links.size();
         if (has.first == 0)
             counts_.snapshots += links.size();
@@ -66,6 +81,17 @@
     return out;
 }
 
+bool update_feed::is_update_awaited(control::control_state const& state) const
+{
+    return !waiting_.empty() &&
+           waiting_.begin()->first.first < state.revision();
+}
+
+instant update_feed::next_deadline(control::control_state const& state) const
+{
+    return is_update_awaited(state) ? next_collection_ : never;
+}
+
 std::string_view update_feed::text_of(std::uint64_t version) const
 {
     auto const found = std::find_if(retained_.begin(), retained_.end(),
--- a/packages/daemon/test/control_host_test.cpp
+++ b/packages/daemon/test/control_host_test.cpp
@@ -112,7 +112,11 @@
         choose_protocol(context_);
         store_state(context_.settings);
         control_host_outputs outputs;
-        outputs.send_to_host = [](auto const&, auto const&) {
+        outputs.send_to_host =
+            [this](auto const& to, messages::message const& it)
+        {
+            if (to == host_name_of(context_.settings, 1))
+                sent_to_peer.push_back(std::get<consensus::peer_message>(it));
         };
         outputs.send_to_link = [this](link_id to, messages::message const& it)
         {
@@ -127,7 +131,10 @@
         };
         outputs.peer_found = [](auto) {
         };
-        outputs.answer_call = [](auto, auto const&) {
+        outputs.answer_call =
+            [this](std::uint64_t id, call_answer const& answer)
+        {
+            called.emplace_back(id, answer.outcome);
         };
         outputs.state_changed = [] {
         };
@@ -201,6 +208,10 @@
 
     std::vector<std::pair<link_id, std::uint64_t>> answered;
     std::vector<control::state_update> updates;
+    // Answered calls of the control API.
+    std::vector<std::pair<std::uint64_t, call_outcome>> called;
+    // Messages to the first peer.
+    std::vector<consensus::peer_message> sent_to_peer;
     std::unique_ptr<control_host> host;
 
 private:
@@ -264,3 +275,60 @@
     CHECK(it.request_tokens(second_link, second_start) ==
           answers{{second_link, second_start}});
 }
+
+// Guards against a leader that loses its term while many daemons start: each
+// registration was synced, sent to the other control hosts and distributed on
+// its own.
+TEST_CASE("daemons that start together are registered together")
+{
+    constexpr std::size_t daemons = 200;
+    restarted_host it;
+    it.elect();
+    it.replicate();
+    it.host->tick(read_clock());
+    it.sent_to_peer.clear();
+    for (std::size_t n = 0; n != daemons; ++n)
+    {
+        control::lease_renewal renewal;
+        renewal.daemon = daemon_name("daemon-" + std::to_string(n));
+        renewal.data_centre = data_centre_name("a");
+        renewal.incarnation = 1;
+        it.host->receive(daemon_link + 2 + n, renewal);
+    }
+    it.host->tick(read_clock());
+    std::vector<std::size_t> entries;
+    for (auto const& message : it.sent_to_peer)
+        if (auto const* request =
+                std::get_if<consensus::append_request>(&message.body);
+            request != nullptr && !request->entries.empty())
+            entries.push_back(request->entries.size());
+    CHECK(entries == std::vector{daemons});
+}
+
+// Guards against the answer to one command of a batch that is given to the
+// sender of another one.
+TEST_CASE("commands that are proposed together are answered one by one")
+{
+    restarted_host it;
+    it.elect();
+    it.replicate();
+    it.host->tick(read_clock());
+    constexpr std::uint64_t first_call = 11;
+    constexpr std::uint64_t second_call = 12;
+    it.host->call(first_call, put_rules{logged_revision + 1, rules_of(1)},
+                  read_clock());
+    it.host->call(second_call, put_rules{logged_revision + 2, "no rules"},
+                  read_clock());
+    it.host->call(second_call, put_rules{logged_revision + 2, rules_of(2)},
+                  read_clock());
+    using calls = std::vector<std::pair<std::uint64_t, call_outcome>>;
+    CHECK(it.called == calls{{second_call, call_outcome::invalid}});
+    it.called.clear();
+    it.host->tick(read_clock());
+    CHECK(it.called.empty());
+    it.receive(stored_term + 1,
+               consensus::append_reply{true, logged_revision + 3, 2});
+    CHECK(it.called == calls{{first_call, call_outcome::done},
+                             {second_call, call_outcome::done}});
+    CHECK(it.host->state().parts().rules_version == logged_revision + 2);
+}
--- a/packages/daemon/test/update_feed_test.cpp
+++ b/packages/daemon/test/update_feed_test.cpp
@@ -2,10 +2,13 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include <basilreach/daemon/view_builder.hpp>
 
 using namespace basilreach;
 using namespace basilreach::daemon;
+using namespace std::chrono_literals;
 
 namespace
 {
@@ -52,10 +55,12 @@
                               copy.parts().rules_version, handled});
     }
 
-    // Returns the update that is sent over the link, if there is one.
+    // Returns the update that is sent over the link, if there is one, after the
+    // pause that follows earlier updates.
     std::optional<control::state_update> collect(link_id link = first_link)
     {
-        for (auto const& it : feed.collect_updates(state))
+        now += 10ms;
+        for (auto const& it : feed.collect_updates(state, now))
             if (it.links == std::vector{link})
                 return it.update;
         return std::nullopt;
@@ -83,6 +88,7 @@
     update_feed feed;
     control::control_state copy{make_rules_parser()};
     std::uint64_t handled = 0;
+    instant now;
 };
 
 } // namespace
@@ -248,5 +254,47 @@
     f.ask();
     f.feed.remove(first_link);
     f.announce(1);
-    CHECK(f.feed.collect_updates(f.state).empty());
+    CHECK(f.feed.collect_updates(f.state, f.now).empty());
+}
+
+// Guards against a leader that has no time for its heartbeats while many
+// daemons start: each registration was sent to all earlier daemons at once, and
+// each of them answered it.
+TEST_CASE("changes in quick succession reach many subscribers as few updates")
+{
+    constexpr std::size_t daemons = 200;
+    constexpr std::uint64_t changes = 200;
+    constexpr auto round_trip = 3ms;
+    constexpr auto end = instant(1s);
+    fixture f;
+    std::map<link_id, messages::subscribe> subscribers;
+    std::multimap<instant, link_id> requests;
+    for (link_id link = 1; link <= daemons; ++link)
+        requests.emplace(instant(), link);
+    std::size_t updates = 0;
+    std::uint64_t revision = 0;
+    for (; f.now < end; f.now += 1ms)
+    {
+        if (revision != changes)
+            f.announce(++revision);
+        while (!requests.empty() && requests.begin()->first <= f.now)
+        {
+            auto const link = requests.begin()->second;
+            f.feed.subscribe(link, subscribers[link]);
+            requests.erase(requests.begin());
+        }
+        for (auto const& it : f.feed.collect_updates(f.state, f.now))
+            for (auto const link : it.links)
+            {
+                ++updates;
+                auto& has = subscribers[link];
+                has.revision = it.update.revision;
+                ++has.updates_handled;
+                requests.emplace(f.now + round_trip, link);
+            }
+    }
+    for (auto const& [link, has] : subscribers)
+        CHECK(has.revision == changes);
+    // A leader of 0.3 cores handles some 2,000 updates a second.
+    CHECK(updates <= 2000 + daemons);
 }
