--- a/packages/control/include/basilreach/control/contact_monitor.hpp
+++ b/packages/control/include/basilreach/control/contact_monitor.hpp
@@ -50,6 +50,10 @@
     // slow link, and the answers wait behind it.
     void record_progress(instant at);
 
+    // The host has answered that it knows no leader. It will name the next one,
+    // so no other host is tried before the grant timeout.
+    void record_no_leader();
+
     // Messages now go to the host that another one named as the leader.
     void record_redirect(instant now);
 
--- a/packages/control/include/basilreach/control/lease.hpp
+++ b/packages/control/include/basilreach/control/lease.hpp
@@ -18,8 +18,13 @@
     // it.
     duration lease = std::chrono::seconds{3};
     duration renewal = std::chrono::milliseconds{500};
-    // Interval of the renewals of a daemon without a valid lease.
+    // Interval of the renewals of a daemon without a valid lease, and to a
+    // control host that has not answered yet.
     duration retry = std::chrono::milliseconds{100};
+    // Least time between two renewals. Two control hosts that each take the
+    // other for the leader would otherwise send a daemon back and forth without
+    // a pause.
+    duration min_interval = std::chrono::milliseconds{20};
 
     friend bool operator==(lease_settings const&,
                            lease_settings const&) = default;
--- a/packages/control/include/basilreach/control/lease_holder.hpp
+++ b/packages/control/include/basilreach/control/lease_holder.hpp
@@ -61,11 +61,19 @@
                            stop_requested const&) = default;
 };
 
+// Renewals now go to another control host.
+struct leader_changed
+{
+    friend bool operator==(leader_changed const&,
+                           leader_changed const&) = default;
+};
+
 using holder_input = std::variant<grant_lease,
                                   state_offered,
                                   state_adopted,
                                   write_acknowledged,
                                   group_serving,
+                                  leader_changed,
                                   stop_requested>;
 
 // The traffic threads must adopt the state of this revision.
@@ -148,6 +156,7 @@
     void on_adopted(holder_input const& it);
     void on_acknowledged(holder_input const& it);
     void on_serving(holder_input const& it);
+    void on_leader_changed(holder_input const& it);
     void on_stop(holder_input const& it);
     void send_due_renewal(instant now);
 
@@ -163,6 +172,9 @@
     // Send times of unanswered renewals whose lease would not yet have ended.
     std::set<instant> sent_renewals_;
     instant next_renewal_;
+    instant last_renewal_ = instant::min();
+    // Whether the presumed leader has answered a renewal.
+    bool is_answered_ = false;
     instant valid_until_ = instant::min();
     std::map<group_name, log_position> acknowledged_;
     bool stopped_ = false;
--- a/packages/control/src/contact_monitor.cpp
+++ b/packages/control/src/contact_monitor.cpp
@@ -58,16 +58,21 @@
     last_progress_ = std::max(last_progress_, at);
 }
 
+void contact_monitor::record_no_leader()
+{
+    unanswered_since_.reset();
+    is_in_contact_ = false;
+}
+
 void contact_monitor::record_redirect(instant now)
 {
     presumed_since_ = now;
-    unanswered_since_.reset();
+    record_no_leader();
 }
 
 void contact_monitor::record_switch(instant now, std::size_t known_hosts)
 {
     record_redirect(now);
-    is_in_contact_ = false;
     if (++switches_ % std::max<std::size_t>(known_hosts, 1) == 0 &&
         answer_timeout() < settings_.max_answer_timeout)
         ++doublings_;
--- a/packages/control/src/lease_holder.cpp
+++ b/packages/control/src/lease_holder.cpp
@@ -10,7 +10,8 @@
 lease_holder::handler const lease_holder::handlers[] = {
     &lease_holder::on_grant,   &lease_holder::on_offer,
     &lease_holder::on_adopted, &lease_holder::on_acknowledged,
-    &lease_holder::on_serving, &lease_holder::on_stop};
+    &lease_holder::on_serving, &lease_holder::on_leader_changed,
+    &lease_holder::on_stop};
 
 lease_holder::lease_holder(daemon_name daemon,
                            data_centre_name data_centre,
@@ -54,6 +55,7 @@
         grant.incarnation != incarnation_ ||
         sent_renewals_.erase(grant.echo) == 0)
         return;
+    is_answered_ = true;
     // Grants may arrive in a different order than the renewals were sent.
     if (grant.echo + grant.lease <= valid_until_ || grant.lease.count() <= 0)
         return;
@@ -105,6 +107,14 @@
     acknowledged_.erase(std::get<group_serving>(it).group);
 }
 
+void lease_holder::on_leader_changed(holder_input const&)
+{
+    is_answered_ = false;
+    if (last_renewal_ != instant::min())
+        next_renewal_ =
+            std::min(next_renewal_, last_renewal_ + settings_.min_interval);
+}
+
 void lease_holder::on_stop(holder_input const&)
 {
     if (stopped_)
@@ -123,10 +133,12 @@
     sent_renewals_.erase(sent_renewals_.begin(),
                          sent_renewals_.upper_bound(now - settings_.lease));
     sent_renewals_.insert(now);
+    last_renewal_ = now;
     out_.emplace_back(lease_renewal{daemon_, data_centre_, incarnation_, now,
                                     confirmed_revision_, acknowledged_});
     next_renewal_ =
-        now + (valid_until_ > now ? settings_.renewal : settings_.retry);
+        now + (valid_until_ > now && is_answered_ ? settings_.renewal
+                                                  : settings_.retry);
 }
 
 } // namespace basilreach::control
--- a/packages/control/test/contact_monitor_test.cpp
+++ b/packages/control/test/contact_monitor_test.cpp
@@ -80,3 +80,33 @@
     }
     CHECK(deadlines.size() > daemons / 4);
 }
+
+// Guards against requests for tokens and connections to a control host that was
+// only named as the leader.
+TEST_CASE("a daemon is in contact once the presumed leader has answered")
+{
+    contact_monitor it({}, 1, start);
+    CHECK(!it.is_in_contact());
+    it.record_grant(start);
+    CHECK(it.is_in_contact());
+    it.record_redirect(start + 1ms);
+    CHECK(!it.is_in_contact());
+    it.record_grant(start + 2ms);
+    CHECK(it.is_in_contact());
+    it.record_switch(start + 3ms, known_hosts);
+    CHECK(!it.is_in_contact());
+}
+
+// Guards against daemons that go from one control host to the next while none
+// leads, and make each of them accept new connections all the time.
+TEST_CASE("a host that knows no leader is not given up at once")
+{
+    contact_monitor it({}, 1, start);
+    it.record_grant(start);
+    it.record_message(start);
+    it.record_no_leader();
+    CHECK(!it.is_in_contact());
+    CHECK(it.deadline() >= start + 900ms);
+    it.record_message(start + 100ms);
+    CHECK(it.deadline() < start + 430ms);
+}
--- a/packages/control/test/lease_test.cpp
+++ b/packages/control/test/lease_test.cpp
@@ -65,6 +65,36 @@
     CHECK(holder.valid_until() == at(3100));
 }
 
+// Guards against a daemon that learns of a new leader, and asks it for nothing
+// before its next regular renewal.
+TEST_CASE("a daemon renews its lease soon after a change of leader")
+{
+    auto const is_renewed = [](std::vector<holder_output> const& it)
+    {
+        return std::any_of(
+            it.begin(), it.end(),
+            [](holder_output const& out)
+            { return std::holds_alternative<lease_renewal>(out); });
+    };
+    auto holder = make_holder();
+    CHECK(is_renewed(holder.tick(at(0))));
+    holder.receive(grant_for(0));
+    holder.tick(at(5));
+    CHECK(is_renewed(holder.tick(at(100))));
+    holder.receive(grant_for(100));
+    holder.tick(at(105));
+    CHECK(holder.next_deadline() == at(600));
+    holder.receive(leader_changed{});
+    holder.tick(at(110));
+    CHECK(holder.next_deadline() == at(120));
+    CHECK(is_renewed(holder.tick(at(120))));
+    // The lease is valid, but this control host has not answered yet.
+    CHECK(holder.next_deadline() == at(220));
+    holder.receive(grant_for(120));
+    CHECK(is_renewed(holder.tick(at(220))));
+    CHECK(holder.next_deadline() == at(720));
+}
+
 // Guards against a daemon that returns to an older state, and against a
 // confirmation before all traffic threads have adopted the state.
 TEST_CASE("a revision is confirmed once all threads have adopted it")
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -96,6 +96,7 @@
     [[nodiscard]] bool open_metrics();
     [[nodiscard]] traffic_metrics sum_metrics() const;
     [[nodiscard]] metrics_sample sample_metrics() const;
+    [[nodiscard]] bool is_in_contact() const;
     [[nodiscard]] bool is_ready() const;
     [[nodiscard]] bool has_entry_role() const;
     void receive(link_id from, messages::message& it);
--- a/packages/daemon/include/basilreach/daemon/limit_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -45,11 +45,19 @@
     // States that messages now go to another control host.
     void change_allocator(instant now);
 
+    // States whether the presumed leader has answered a lease renewal. Nothing
+    // is requested before: while no host leads, the requests of all daemons
+    // would keep the control hosts from electing one.
+    void set_contact(bool is_in_contact);
+
     void tick(instant now);
 
     [[nodiscard]] instant next_deadline() const;
 
 private:
+    void configure_workspaces(rules::rule_set const& all, instant now);
+    void configure_servers(control::control_state const& state, instant now);
+    void send_requests(instant now);
     void post_share_changes(instant now);
 
     daemon_context const& context_;
@@ -58,6 +66,7 @@
     limits::rate_limiter rate_limiter_;
     limits::token_allocator thread_allocator_;
     limits::connection_limiter connection_limiter_;
+    bool is_in_contact_ = false;
     // Revision of the last control state that was passed to configure().
     std::optional<std::uint64_t> configured_revision_;
     std::set<workspace_name> workspaces_;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -193,6 +193,13 @@
     return context_.settings.roles.contains(settings::daemon_role::entry);
 }
 
+// Whether the presumed leader answers. A control host knows its leader from the
+// consensus group.
+bool control_thread::is_in_contact() const
+{
+    return host_ ? !host_->leader_name().empty() : contact_.is_in_contact();
+}
+
 bool control_thread::is_ready() const
 {
     return drain_ == drain_phase::none &&
@@ -245,7 +252,7 @@
             lease_->state().revision(),
             is_ready(),
             host_ && host_->leader_name() == host_->self(),
-            host_ ? !host_->leader_name().empty() : contact_.is_in_contact(),
+            is_in_contact(),
             links_.sum_counts(),
             host_ ? host_->sample_distribution().sent : update_counts{}};
 }
@@ -269,6 +276,7 @@
         {
             lease_->tick(now);
             limits_->configure(lease_->state(), now);
+            limits_->set_contact(is_in_contact());
             limits_->tick(now);
         }
         deliver_local_messages();
@@ -409,7 +417,12 @@
 {
     auto const& leader = std::get<messages::not_leader>(it).leader;
     consensus::host_name const name(leader.str());
-    if (host_ || name.empty())
+    if (host_)
+        return;
+    if (name.empty())
+        return contact_.record_no_leader();
+    // Each of several unanswered messages is redirected.
+    if (name == presumed_leader())
         return;
     auto const found =
         std::find(known_hosts_.begin(), known_hosts_.end(), name);
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -103,6 +103,7 @@
 void lease_client::leader_changed()
 {
     is_subscribed_ = false;
+    holder_.receive(control::leader_changed{});
 }
 
 void lease_client::update_state(control::control_state const& state)
@@ -154,10 +155,8 @@
 void lease_client::on_lease_renewal(control::holder_output const& it)
 {
     send_to_leader_(std::get<control::lease_renewal>(it));
-    // A daemon without any state subscribes in any case: it gets no grant
-    // before it has the leader's state, and learns the leader's revision only
-    // from a grant.
-    if (state_.revision() < leader_revision_ || state_.revision() == 0)
+    // The last request for an update may have been lost.
+    if (is_subscribed_ && state_.revision() < leader_revision_)
         subscribe();
 }
 
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -1,7 +1,9 @@
 #include <basilreach/daemon/limit_client.hpp>
 
 #include <utility>
+#include <vector>
 
+#include <basilreach/limits/first_report.hpp>
 #include <basilreach/limits/token_transfer.hpp>
 
 namespace basilreach::daemon
@@ -12,25 +14,31 @@
 
 constexpr char holder_prefix[] = "thread-";
 
-// Time over which the daemons that start together spread their first reports.
-constexpr duration first_report_spread = std::chrono::milliseconds(700);
-
-limits::connection_limiter_settings connection_settings()
-{
-    limits::connection_limiter_settings out;
-    out.first_report_spread = first_report_spread;
-    return out;
-}
+// Interval at which a daemon without floors asks whether a workspace has one.
+constexpr duration contact_interval = std::chrono::seconds(2);
 
 limits::rate_limiter_settings limiter_settings()
 {
     limits::rate_limiter_settings out;
     out.min_reserve = 1;
+    out.contact_interval = contact_interval;
     out.batch_reports = true;
-    out.first_report_spread = first_report_spread;
     return out;
 }
 
+// Whether the server itself refuses connections beyond its limit. The leader
+// then needs no report of a daemon that has no connections.
+bool is_limit_checked_by_server(control::control_state const& state,
+                                server_name const& server)
+{
+    auto const& limits = state.rules()->server_limits;
+    auto const* const entry = state.find(server);
+    auto const found =
+        entry == nullptr ? limits.end() : limits.find(entry->group);
+    return found != limits.end() &&
+           found->second.checked_by == rules::position_check::server;
+}
+
 // Returns the thread that token_holder_name() was called with.
 std::size_t thread_index_of(daemon_name const& holder)
 {
@@ -53,8 +61,7 @@
       send_to_leader_(std::move(send_to_leader)),
       rate_limiter_(limiter_settings(), context.settings.name, incarnation),
       thread_allocator_(limits::thread_level_settings(), 1, now),
-      connection_limiter_(
-          connection_settings(), context.settings.name, incarnation)
+      connection_limiter_({}, context.settings.name, incarnation)
 {
     // Traffic threads live as long as this process, so none of them holds a
     // grant yet.
@@ -70,11 +77,22 @@
     if (std::exchange(configured_revision_, state.revision()) ==
         state.revision())
         return;
-    auto const& rules = state.rules()->workspaces;
-    for (auto const& [name, it] : rules)
+    configure_workspaces(*state.rules(), now);
+    configure_servers(state, now);
+}
+
+void limit_client::configure_workspaces(rules::rule_set const& all, instant now)
+{
+    auto const& rules = all.workspaces;
+    if (workspaces_.empty())
+        rate_limiter_.set_first_contact(
+            now + limits::first_report_delay(context_.settings.name, 0,
+                                             rules.size()));
+    for (auto const& [name, rule] : rules)
         if (workspaces_.insert(name).second)
         {
-            rate_limiter_.add_workspace(name, now);
+            // The leader asks for the reports that it needs.
+            rate_limiter_.add_workspace(name, now, never);
             thread_allocator_.configure(name, 0, limits::thread_level_burst,
                                         now);
         }
@@ -88,10 +106,23 @@
         rate_limiter_.remove_workspace(*it);
         it = workspaces_.erase(it);
     }
+}
+
+void limit_client::configure_servers(control::control_state const& state,
+                                     instant now)
+{
     auto const& servers = state.parts().servers;
+    std::vector<server_name> added;
     for (auto const& [name, it] : servers)
         if (!it.is_removed && known_shares_.emplace(name, 0).second)
-            connection_limiter_.add_server(name, now);
+            added.push_back(name);
+    for (std::size_t n = 0; n != added.size(); ++n)
+        connection_limiter_.add_server(
+            added[n], now,
+            is_limit_checked_by_server(state, added[n])
+                ? never
+                : now + limits::first_report_delay(context_.settings.name, n,
+                                                   added.size()));
     for (auto it = known_shares_.begin(); it != known_shares_.end();)
     {
         auto const known = servers.find(it->first);
@@ -137,12 +168,24 @@
     connection_limiter_.change_allocator(now);
 }
 
+void limit_client::set_contact(bool is_in_contact)
+{
+    is_in_contact_ = is_in_contact;
+}
+
 void limit_client::tick(instant now)
 {
     for (auto const& it : workspaces_)
         limits::transfer_tokens(rate_limiter_, thread_allocator_, it, now);
     for (auto const& it : thread_allocator_.tick(now))
         context_.threads[thread_index_of(it.holder)]->post(traffic::event(it));
+    if (is_in_contact_)
+        send_requests(now);
+    post_share_changes(now);
+}
+
+void limit_client::send_requests(instant now)
+{
     auto requests = rate_limiter_.tick(now);
     auto const contact = rate_limiter_.tick_contact(now);
     if (!requests.empty() || contact)
@@ -151,7 +194,6 @@
                                                  std::move(requests), contact});
     for (auto const& it : connection_limiter_.tick(now))
         send_to_leader_(it);
-    post_share_changes(now);
 }
 
 void limit_client::post_share_changes(instant now)
@@ -172,9 +214,10 @@
 
 instant limit_client::next_deadline() const
 {
-    auto next = std::min({rate_limiter_.next_deadline(),
-                          thread_allocator_.next_deadline(),
-                          connection_limiter_.next_deadline()});
+    auto next = thread_allocator_.next_deadline();
+    if (is_in_contact_)
+        next = std::min({next, rate_limiter_.next_deadline(),
+                         connection_limiter_.next_deadline()});
     for (auto const& [name, share] : known_shares_)
         if (share > 0 && connection_limiter_.share(
                              name, connection_limiter_.expiry(name)) < share)
--- a/packages/limits/include/basilreach/limits/connection_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/connection_limiter.hpp
@@ -23,11 +23,11 @@
     // full, each request would delay the answer to the others.
     duration retry_interval = std::chrono::milliseconds(20);
     duration max_retry_interval = std::chrono::seconds(1);
-    // The first requests for servers that no statement waits for are sent
-    // within this time after they were added, as those of the rate_limiter.
-    duration first_report_spread{};
     // Time between two requests for a server without urgent changes.
     duration idle_interval = std::chrono::milliseconds(1000);
+    // Time after which a holder without a share states that it wants none any
+    // more. The allocator would take a connection from another holder for it.
+    duration withdrawal_interval = std::chrono::milliseconds(50);
 
     friend auto operator<=>(connection_limiter_settings const&,
                             connection_limiter_settings const&) = default;
@@ -43,8 +43,11 @@
                        daemon_name holder,
                        std::uint64_t incarnation);
 
-    // Adds or removes a server.
-    void add_server(server_name const& server, instant now);
+    // Adds or removes a server. Its first request is sent at the given time, or
+    // as soon as a statement waits.
+    void add_server(server_name const& server,
+                    instant now,
+                    instant first_report_at = {});
     void remove_server(server_name const& server);
 
     // Records the number of connections that are open, opening or not confirmed
@@ -85,6 +88,8 @@
         std::uint32_t base = 0;
         std::uint32_t open = 0;
         std::uint32_t wanted = 0;
+        // What the last request stated.
+        std::uint32_t reported_wanted = 0;
         instant expiry;
         grant_id last_grant;
         std::uint64_t sequence = 0;
--- a/packages/limits/include/basilreach/limits/contact_messages.hpp
+++ b/packages/limits/include/basilreach/limits/contact_messages.hpp
@@ -3,6 +3,7 @@
 
 #include <compare>
 #include <cstdint>
+#include <vector>
 
 #include <basilreach/base/instant.hpp>
 #include <basilreach/base/name.hpp>
@@ -26,7 +27,8 @@
 };
 
 // The answer to a contact report. It prolongs the suspension of each floor that
-// is suspended when it arrives and whose last grant was of this term.
+// is suspended when it arrives and whose last grant was of this term, and asks
+// for the reports without which the holder gets no floor.
 struct contact_grant
 {
     daemon_name holder;
@@ -36,6 +38,8 @@
     instant sent;
     // How long the floors are suspended after this grant arrives.
     duration floor_suspension{};
+    // Workspaces with a floor that the holder has not reported in this term.
+    std::vector<workspace_name> unreported;
 
     friend auto operator<=>(contact_grant const&,
                             contact_grant const&) = default;
--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -37,11 +37,10 @@
     // for the first grants of a new leader.
     std::int64_t min_reserve = 0;
     duration recent_time = std::chrono::seconds(10);
-    // The first requests for workspaces that no statement waits for are sent
-    // within this time after they were added, at a moment that differs between
-    // holders. Holders that start together would otherwise occupy the leader
-    // for longer than an election timeout.
-    duration first_report_spread{};
+    // Interval of the contact reports of a holder without floors, with which it
+    // learns which workspaces the allocator wants reported. Zero for no such
+    // reports.
+    duration contact_interval{};
     // Whether requests that are due soon are sent together with one that is
     // due, so that one message carries several.
     bool batch_reports = false;
@@ -62,10 +61,17 @@
                  daemon_name holder,
                  std::uint64_t incarnation);
 
-    // Adds or removes a workspace.
-    void add_workspace(workspace_name const& workspace, instant now);
+    // Adds or removes a workspace. Its first request is sent at the given time,
+    // or as soon as a statement waits or the allocator asks for it.
+    void add_workspace(workspace_name const& workspace,
+                       instant now,
+                       instant first_report_at = {});
     void remove_workspace(workspace_name const& workspace);
 
+    // Sets when the first contact report is sent, if the settings have an
+    // interval for contact reports.
+    void set_first_contact(instant it);
+
     // Consumes tokens; returns false and consumes none if too few are left.
     bool try_consume(workspace_name const& workspace,
                      std::int64_t tokens,
@@ -168,6 +174,7 @@
     [[nodiscard]] static bool is_urgent(local_bucket const& it);
     [[nodiscard]] static bool has_nothing_to_report(local_bucket const& it);
     [[nodiscard]] instant next_contact() const;
+    void request_reports(contact_grant const& grant, instant now);
     [[nodiscard]] bool is_due_soon(local_bucket const& it, instant now) const;
     void schedule(row_id id, local_bucket const& it);
     token_request make_request(local_bucket& it, instant now) const;
@@ -182,6 +189,7 @@
     // Whether a workspace has a floor, which contact keeps suspended.
     bool has_floor_ = false;
     instant contact_sent_;
+    instant first_contact_ = never;
     // Term and sending time of the last contact grant.
     std::pair<std::uint64_t, instant> last_contact_;
 };
--- a/packages/limits/include/basilreach/limits/share_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/share_allocator.hpp
@@ -105,7 +105,9 @@
         // Sum of `share` over the allocations.
         std::uint32_t shares = 0;
         bool recovering = true;
-        std::set<daemon_name> unreported;
+        // Holders whose connections of earlier terms are known or closed.
+        std::size_t settled = 0;
+        // Allocations of the holders that have sent a request.
         std::map<daemon_name, row_id> allocations;
         // Allocations that want more than their share, by share and then in the
         // order in which they began to.
@@ -141,6 +143,8 @@
         instant echo;
         instant expiry;
         bool reported = false;
+        // Whether the connections of earlier terms are known or closed.
+        bool is_settled = false;
         // The last granted share. The acknowledged and unacknowledged earlier
         // ones may still be in force.
         std::uint32_t share = 0;
@@ -160,7 +164,8 @@
         instant held_since = never;
     };
 
-    void add_allocation(row_id id, daemon_name const& holder);
+    row_id find_or_add_allocation(row_id id, daemon_name const& holder);
+    void keep_earlier_bases(row_id id, instant now);
     void update_derived(server& it, row_id id, allocation& to, instant now);
     void update_order(server& it, row_id id, allocation& to);
     void set_share(server& it, row_id id, std::uint32_t share, instant now);
--- a/packages/limits/include/basilreach/limits/token_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/token_allocator.hpp
@@ -110,6 +110,12 @@
     // that were not granted yet.
     [[nodiscard]] std::int64_t reserve(workspace_name const& workspace) const;
 
+    // Returns the number of pairs of workspace and holder that are tracked.
+    [[nodiscard]] std::size_t allocations() const
+    {
+        return allocations_.size();
+    }
+
     // Processes what is due and returns the grants to send.
     std::vector<token_grant> tick(instant now);
 
@@ -142,7 +148,9 @@
         instant recovery_end;
         // When the level expires; set for the threads of a daemon only.
         instant level_expiry = never;
-        std::set<daemon_name> unreported;
+        // Holders that have reported to this term.
+        std::size_t reported = 0;
+        // Allocations of the holders that have sent a request.
         std::map<daemon_name, row_id> allocations;
         // Allocations that wait for tokens, in order of service.
         std::set<std::pair<std::uint64_t, row_id>> queue;
@@ -209,10 +217,13 @@
 
     bucket* find(workspace_name const& workspace);
     [[nodiscard]] bucket const* find(workspace_name const& workspace) const;
-    void add_allocation(row_id id, daemon_name const& holder, instant now);
+    row_id
+    find_or_add_allocation(row_id id, daemon_name const& holder, instant now);
     void drop_allocation(row_id id);
     void refill(bucket& it, instant now) const;
     void clamp(bucket& it) const;
+    [[nodiscard]] bool has_unreported_holder(bucket const& it) const;
+    [[nodiscard]] std::int64_t holder_count() const;
     [[nodiscard]] rate_floor floor_total(bucket const& it) const;
     [[nodiscard]] rate_floor reserved_floors(bucket const& it) const;
     [[nodiscard]] std::int64_t grantable(bucket const& it) const;
@@ -240,6 +251,8 @@
 
     [[nodiscard]] static duration acknowledged_suspension(allocation const& it);
     duration update_suspension(bucket const& it, allocation& to) const;
+    [[nodiscard]] std::vector<workspace_name>
+    unreported_floors(daemon_name const& holder) const;
     void advance(instant now);
     void expire_allocations(instant now);
     void resume_floors(instant now);
--- a/packages/limits/src/connection_limiter.cpp
+++ b/packages/limits/src/connection_limiter.cpp
@@ -1,7 +1,5 @@
 #include <basilreach/limits/connection_limiter.hpp>
 
-#include <basilreach/limits/first_report.hpp>
-
 #include <algorithm>
 #include <utility>
 
@@ -15,7 +13,9 @@
 {
 }
 
-void connection_limiter::add_server(server_name const& server, instant now)
+void connection_limiter::add_server(server_name const& server,
+                                    instant now,
+                                    instant first_report_at)
 {
     if (by_name_.contains(server))
         return;
@@ -23,8 +23,7 @@
     it.server = server;
     it.started = now;
     it.sent = now - settings_.idle_interval;
-    it.first_report_at =
-        now + first_report_delay(holder_, settings_.first_report_spread);
+    it.first_report_at = first_report_at;
     auto const id = rows_.insert(std::move(it));
     by_name_.emplace(server, id);
     schedule(id, *rows_.find(id));
@@ -133,6 +132,7 @@
             it.sent = now;
             it.answered = false;
             it.request_urgent = false;
+            it.reported_wanted = it.wanted;
             requests.push_back({it.server, holder_, incarnation_, ++it.sequence,
                                 now, it.started, it.last_grant,
                                 share(it.server, now), it.open, it.wanted});
@@ -162,8 +162,12 @@
         return it.sent + settings_.request_interval;
     if (!it.answered)
         return it.sent + it.retry;
-    return has_nothing_to_report(it) ? never
-                                     : it.sent + settings_.idle_interval;
+    if (has_nothing_to_report(it))
+        return never;
+    bool const is_withdrawn =
+        it.share == 0 && it.wanted == 0 && it.reported_wanted > 0;
+    return it.sent + (is_withdrawn ? settings_.withdrawal_interval
+                                   : settings_.idle_interval);
 }
 
 // Returns whether the allocator needs to know nothing of this holder: it has no
@@ -172,7 +176,7 @@
 bool connection_limiter::has_nothing_to_report(row const& it)
 {
     return it.answered && !it.request_urgent && it.share == 0 && it.open == 0 &&
-           it.wanted == 0;
+           it.wanted == 0 && it.reported_wanted == 0;
 }
 
 } // namespace basilreach::limits
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -1,7 +1,5 @@
 #include <basilreach/limits/rate_limiter.hpp>
 
-#include <basilreach/limits/first_report.hpp>
-
 #include <algorithm>
 #include <cmath>
 #include <utility>
@@ -54,7 +52,9 @@
 {
 }
 
-void rate_limiter::add_workspace(workspace_name const& workspace, instant now)
+void rate_limiter::add_workspace(workspace_name const& workspace,
+                                 instant now,
+                                 instant first_report_at)
 {
     if (by_name_.contains(workspace))
         return;
@@ -62,8 +62,7 @@
     row.workspace = workspace;
     row.sent = now - settings_.idle_interval;
     row.demand_at = now;
-    row.first_report_at =
-        now + first_report_delay(holder_, settings_.first_report_spread);
+    row.first_report_at = first_report_at;
     auto const id = buckets_.insert(std::move(row));
     by_name_.emplace(workspace, id);
     schedule(id, *buckets_.find(id));
@@ -79,6 +78,11 @@
     by_name_.erase(it);
 }
 
+void rate_limiter::set_first_contact(instant it)
+{
+    first_contact_ = it;
+}
+
 bool rate_limiter::try_consume(workspace_name const& workspace,
                                std::int64_t tokens,
                                instant now)
@@ -164,6 +168,7 @@
     if (grant.term != last_contact_.first)
         contact_sent_ = now - settings_.idle_interval;
     last_contact_ = {grant.term, grant.sent};
+    request_reports(grant, now);
     auto const until = now + grant.floor_suspension;
     for (auto const& [workspace, id] : by_name_)
     {
@@ -180,6 +185,21 @@
     }
 }
 
+// Sends the reports that the allocator asks for, in the next batch.
+void rate_limiter::request_reports(contact_grant const& grant, instant now)
+{
+    for (auto const& workspace : grant.unreported)
+    {
+        auto* const it = find(workspace);
+        // A request that is not answered yet will be sent again.
+        if (it == nullptr || !it->answered)
+            continue;
+        it->first_report_at = now;
+        it->request_urgent = true;
+        schedule(by_name_.at(workspace), *it);
+    }
+}
+
 void rate_limiter::change_allocator(instant now)
 {
     contact_sent_ = now - settings_.idle_interval;
@@ -286,7 +306,11 @@
 
 instant rate_limiter::next_contact() const
 {
-    return has_floor_ ? contact_sent_ + settings_.idle_interval : never;
+    if (has_floor_)
+        return contact_sent_ + settings_.idle_interval;
+    if (settings_.contact_interval == duration{})
+        return never;
+    return std::max(first_contact_, contact_sent_ + settings_.contact_interval);
 }
 
 instant rate_limiter::next_deadline() const
--- a/packages/limits/src/share_allocator.cpp
+++ b/packages/limits/src/share_allocator.cpp
@@ -60,8 +60,6 @@
                        started_ + settings_.server_checked_recovery_time)
             : recovery_end_;
     recoveries_.set(id, std::max(recovery_end, now));
-    for (auto const& holder : holders_)
-        add_allocation(id, holder);
 }
 
 void share_allocator::remove_server(server_name const& name)
@@ -84,10 +82,7 @@
 void share_allocator::register_holder(daemon_name const& holder,
                                       instant /*now*/)
 {
-    if (!holders_.insert(holder).second)
-        return;
-    for (auto const& [name, id] : by_name_)
-        add_allocation(id, holder);
+    holders_.insert(holder);
 }
 
 void share_allocator::remove_holder(daemon_name const& holder, instant now)
@@ -97,20 +92,22 @@
     for (auto const& [name, id] : by_name_)
     {
         auto& it = *servers_.find(id);
+        changed_.insert(id);
         auto const found = it.allocations.find(holder);
+        if (found == it.allocations.end())
+            continue;
         auto& row = *allocations_.find(found->second);
+        it.settled -= row.is_settled ? 1 : 0;
         row.acknowledged_share = row.open = row.wanted = row.abandoned = 0;
         row.unacknowledged.clear();
         set_share(it, found->second, 0, now);
         it.by_share.erase({0, found->second});
         it.held.erase({row.held_since, found->second});
-        it.unreported.erase(holder);
         it.unanswered.erase(found->second);
         expiries_.erase(found->second);
         abandoned_expiries_.erase(found->second);
         allocations_.erase(found->second);
         it.allocations.erase(found);
-        changed_.insert(id);
     }
 }
 
@@ -122,21 +119,20 @@
 void share_allocator::receive(share_request const& request, instant now)
 {
     auto const found_server = by_name_.find(request.server);
-    if (found_server == by_name_.end())
+    if (found_server == by_name_.end() || !holders_.contains(request.holder))
         return;
     expire_allocations(now);
+    auto const id =
+        find_or_add_allocation(found_server->second, request.holder);
     auto& it = *servers_.find(found_server->second);
-    auto const found_allocation = it.allocations.find(request.holder);
-    if (found_allocation == it.allocations.end())
-        return;
-    auto& from = *allocations_.find(found_allocation->second);
+    auto& from = *allocations_.find(id);
     if (request.incarnation < from.incarnation ||
         (request.incarnation == from.incarnation &&
          request.sequence <= from.sequence))
         return;
     if (request.incarnation > from.incarnation)
     {
-        handle_restart(it, found_allocation->second, from, now);
+        handle_restart(it, id, from, now);
         from.incarnation = request.incarnation;
     }
     from.sequence = request.sequence;
@@ -144,9 +140,9 @@
     from.wanted = request.wanted;
     if (request.last_grant.term == term_ &&
         request.last_grant.number >= from.first_valid_grant)
-        apply_report(it, found_allocation->second, from, request, now);
-    update_derived(it, found_allocation->second, from, now);
-    it.unanswered.insert(found_allocation->second);
+        apply_report(it, id, from, request, now);
+    update_derived(it, id, from, now);
+    it.unanswered.insert(id);
     changed_.insert(found_server->second);
 }
 
@@ -203,8 +199,11 @@
             with_clock_margin(settings_.lifetime) + settings_.lost_host_hold;
         if (it.check == limit_check::server ||
             request.sent - request.started >= with_clock_margin(abandoned_for))
-            it.unreported.erase(from.holder);
-        if (it.unreported.empty())
+        {
+            from.is_settled = true;
+            ++it.settled;
+        }
+        if (it.settled == holders_.size())
             recoveries_.set(by_name_.at(it.name), instant{});
     }
 }
@@ -230,16 +229,20 @@
                      recoveries_.next(), reclaims_.next()});
 }
 
-void share_allocator::add_allocation(row_id id, daemon_name const& holder)
+row_id share_allocator::find_or_add_allocation(row_id id,
+                                               daemon_name const& holder)
 {
     auto& it = *servers_.find(id);
+    auto const found = it.allocations.find(holder);
+    if (found != it.allocations.end())
+        return found->second;
     allocation row;
     row.server = id;
     row.holder = holder;
     auto const added = allocations_.insert(std::move(row));
     it.allocations.emplace(holder, added);
-    it.unreported.insert(holder);
     it.by_share.insert({0, added});
+    return added;
 }
 
 std::uint32_t share_allocator::grantable_limit(std::uint32_t limit,
@@ -252,7 +255,7 @@
 
 std::uint32_t share_allocator::base_share(server const& it) const
 {
-    return it.allocations.size() <= it.limit ? 1 : 0;
+    return holders_.size() <= it.limit ? 1 : 0;
 }
 
 // Recomputes the values derived from the fields of an allocation.
@@ -355,22 +358,29 @@
 {
     while (auto const id = recoveries_.pop_due(now))
     {
-        auto& it = *servers_.find(*id);
-        it.recovering = false;
-        // Holders that have not reported keep the base that an earlier term
-        // granted.
-        for (auto const& holder : it.unreported)
-        {
-            auto const allocation_id = it.allocations.at(holder);
-            auto& row = *allocations_.find(allocation_id);
-            if (!row.reported && !no_earlier_grants_)
-                row.acknowledged_share = 1;
-            update_derived(it, allocation_id, row, now);
-        }
+        servers_.find(*id)->recovering = false;
+        // A server that checks its limit refuses a connection beyond it.
+        if (servers_.find(*id)->check == limit_check::leader)
+            keep_earlier_bases(*id, now);
         changed_.insert(*id);
     }
 }
 
+// Holders that have not reported keep the base that an earlier term granted.
+void share_allocator::keep_earlier_bases(row_id id, instant now)
+{
+    for (auto const& holder : holders_)
+    {
+        auto const allocation_id = find_or_add_allocation(id, holder);
+        auto& row = *allocations_.find(allocation_id);
+        if (row.is_settled)
+            continue;
+        if (!row.reported && !no_earlier_grants_)
+            row.acknowledged_share = 1;
+        update_derived(*servers_.find(id), allocation_id, row, now);
+    }
+}
+
 void share_allocator::allocate(row_id id,
                                instant now,
                                std::vector<share_grant>& grants)
@@ -428,7 +438,9 @@
     }
     auto const next_rotation =
         wanted > 0 && has_holder_without_share(it) ? rotate(it, now) : never;
-    auto const largest = *it.by_share.rbegin();
+    auto const largest = it.by_share.empty()
+                             ? std::pair<std::uint32_t, row_id>{}
+                             : *it.by_share.rbegin();
     bool const uneven =
         !it.unsatisfied.empty() &&
         largest.first > std::get<0>(*it.unsatisfied.begin()) + 1;
--- a/packages/limits/src/token_allocator.cpp
+++ b/packages/limits/src/token_allocator.cpp
@@ -75,16 +75,12 @@
     auto const id = buckets_.insert(std::move(row));
     by_name_.emplace(workspace, id);
     recoveries_.set(id, buckets_.find(id)->recovery_end);
-    for (auto const& holder : holders_)
-        add_allocation(id, holder, now);
 }
 
-void token_allocator::register_holder(daemon_name const& holder, instant now)
+void token_allocator::register_holder(daemon_name const& holder,
+                                      instant /*now*/)
 {
-    if (!holders_.insert(holder).second)
-        return;
-    for (auto const& [workspace, id] : by_name_)
-        add_allocation(id, holder, now);
+    holders_.insert(holder);
 }
 
 void token_allocator::remove_holder(daemon_name const& holder, instant now)
@@ -97,23 +93,23 @@
     {
         auto& it = *buckets_.find(id);
         refill(it, now);
-        it.unreported.erase(holder);
+        changed_.insert(id);
         auto const found = it.allocations.find(holder);
+        if (found == it.allocations.end())
+            continue;
+        it.reported -= allocations_.find(found->second)->reported ? 1 : 0;
         drop_allocation(found->second);
         it.allocations.erase(found);
-        changed_.insert(id);
     }
 }
 
 void token_allocator::receive(token_request const& request, instant now)
 {
     auto* const it = find(request.workspace);
-    if (it == nullptr)
-        return;
-    auto const found = it->allocations.find(request.holder);
-    if (found == it->allocations.end())
+    if (it == nullptr || !holders_.contains(request.holder))
         return;
-    auto const id = found->second;
+    auto const id = find_or_add_allocation(by_name_.at(request.workspace),
+                                           request.holder, now);
     auto& from = *allocations_.find(id);
     if (request.incarnation < from.incarnation ||
         (request.incarnation == from.incarnation &&
@@ -135,7 +131,11 @@
     from.echo = request.sent;
     from.is_busy = now < from.received_at + settings_.busy_interval;
     from.received_at = now;
-    if (request.last_grant.term == term_)
+    // Nothing was granted to a process before its first request, so that it
+    // holds nothing of an earlier term. Other requests count only once they
+    // acknowledge a grant of this term: the holder then drops earlier grants.
+    bool const is_first = request.sequence == 1 && !from.reported;
+    if (request.last_grant.term == term_ || is_first)
         apply_report(*it, from, request, now);
     if (from.reported)
     {
@@ -201,7 +201,27 @@
         return out;
     for (auto const& holder : std::exchange(unanswered_contacts_, {}))
         out.push_back({holder, contacts_.at(holder).incarnation, term_, now,
-                       with_clock_margin(settings_.floor_suspension)});
+                       with_clock_margin(settings_.floor_suspension),
+                       unreported_floors(holder)});
+    return out;
+}
+
+// Returns the workspaces of which the holder gets a floor once it has reported
+// them.
+std::vector<workspace_name>
+token_allocator::unreported_floors(daemon_name const& holder) const
+{
+    std::vector<workspace_name> out;
+    for (auto const& [workspace, id] : by_name_)
+    {
+        auto const& it = *buckets_.find(id);
+        if (floor_total(it) == rate_floor{})
+            continue;
+        auto const found = it.allocations.find(holder);
+        if (found == it.allocations.end() ||
+            !allocations_.find(found->second)->reported)
+            out.push_back(workspace);
+    }
     return out;
 }
 
@@ -243,10 +263,12 @@
     auto const granted_floor =
         from.reported ? from.granted_floor : request.floor;
     if (!from.reported)
+    {
         from.reported_at = now;
+        ++it.reported;
+    }
     from.reported = true;
-    it.unreported.erase(from.holder);
-    if (it.unreported.empty())
+    if (!has_unreported_holder(it))
     {
         it.earlier_floors = {};
         recoveries_.set(by_name_.at(it.workspace), now);
@@ -356,17 +378,24 @@
     return it == by_name_.end() ? nullptr : buckets_.find(it->second);
 }
 
-void token_allocator::add_allocation(row_id id,
-                                     daemon_name const& holder,
-                                     instant now)
+// Holders that use a workspace get a row with their first request. Rows for all
+// pairs of holder and workspace occupied a new leader for longer than an
+// election timeout.
+row_id token_allocator::find_or_add_allocation(row_id id,
+                                               daemon_name const& holder,
+                                               instant now)
 {
     auto& it = *buckets_.find(id);
+    auto const found = it.allocations.find(holder);
+    if (found != it.allocations.end())
+        return found->second;
     allocation row;
     row.bucket = id;
     row.holder = holder;
     row.expiry = it.recovering ? it.recovery_end : now;
-    it.allocations.emplace(holder, allocations_.insert(std::move(row)));
-    it.unreported.insert(holder);
+    auto const added = allocations_.insert(std::move(row));
+    it.allocations.emplace(holder, added);
+    return added;
 }
 
 void token_allocator::drop_allocation(row_id id)
@@ -414,6 +443,16 @@
     it.level = std::max<std::int64_t>(std::min(it.level, max_level), 0);
 }
 
+bool token_allocator::has_unreported_holder(bucket const& it) const
+{
+    return it.reported < holders_.size();
+}
+
+std::int64_t token_allocator::holder_count() const
+{
+    return static_cast<std::int64_t>(holders_.size());
+}
+
 rate_floor token_allocator::floor_total(bucket const& it) const
 {
     rate_floor const all{it.rate * settings_.floor_rate_per_mille *
@@ -422,8 +461,7 @@
                              settings_.floor_burst_per_mille};
     // A floor that cannot hold one token is not granted, so nothing is reserved
     // for it: a holder that never reports would keep the whole rate.
-    auto const holder_count = static_cast<std::int64_t>(it.allocations.size());
-    if (all.burst < holder_count * microtokens_per_token)
+    if (all.burst < holder_count() * microtokens_per_token)
         return {};
     // If the floors left less than one whole token of the burst, nothing could
     // be granted. The holders then have no floor.
@@ -435,7 +473,7 @@
 rate_floor token_allocator::reserved_floors(bucket const& it) const
 {
     auto sum = it.active_floors;
-    if (!it.unreported.empty())
+    if (has_unreported_holder(it))
     {
         auto const all = component_max(floor_total(it), it.earlier_floors);
         sum.rate +=
@@ -465,8 +503,7 @@
 // in a reserve is of no use to other holders.
 std::int64_t token_allocator::reservable(bucket const& it) const
 {
-    auto const holder_count = static_cast<std::int64_t>(it.allocations.size());
-    if (it.burst < holder_count * min_burst_per_holder * nanotokens_per_token)
+    if (it.burst < holder_count() * min_burst_per_holder * nanotokens_per_token)
         return 0;
     auto const room =
         (max_outstanding(it) / 2 - it.outstanding) / nanotokens_per_token;
@@ -524,8 +561,8 @@
                                        allocation const& to) const
 {
     auto const all = floor_total(it);
-    auto const holder_count = static_cast<std::int64_t>(it.allocations.size());
-    rate_floor const next{all.rate / holder_count, all.burst / holder_count};
+    rate_floor const next{all.rate / holder_count(),
+                          all.burst / holder_count()};
     // The floor changes again only after the holder has confirmed the last
     // change, so that the greater of two floors covers what it may use.
     if (to.confirmed_floor != to.granted_floor)
@@ -538,7 +575,7 @@
                        next.burst > to.granted_floor.burst;
     // Holders that have not reported may still have floors of a time with fewer
     // holders, which were greater.
-    if (grows && (!it.unreported.empty() || sum_rate > all.rate ||
+    if (grows && (has_unreported_holder(it) || sum_rate > all.rate ||
                   sum_burst > all.burst))
         return to.granted_floor;
     return next;
@@ -633,8 +670,6 @@
 {
     auto& it = *buckets_.find(id);
     refill(it, now);
-    if (now >= it.level_expiry)
-        return;
     auto const over_limit = it.outstanding > max_outstanding(it);
     if (over_limit && !it.recovering)
     {
@@ -702,9 +737,9 @@
     // Their expiry is not renewed, as this term waits only until they expire.
     auto const max_lifetime =
         to.is_busy ? settings_.busy_lifetime : settings_.lifetime;
-    auto const lifetime = to.reported
-                              ? std::min(max_lifetime, it.level_expiry - now)
-                              : duration{};
+    auto const lifetime = to.reported ? std::clamp(it.level_expiry - now,
+                                                   duration{}, max_lifetime)
+                                      : duration{};
     if (to.reported)
     {
         to.expiry = std::max(to.expiry, now + with_clock_margin(lifetime));
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -1,5 +1,7 @@
+#include <basilreach/limits/first_report.hpp>
 #include <basilreach/limits/rate_limiter.hpp>
 #include <basilreach/limits/token_allocator.hpp>
+#include <basilreach/limits/token_transfer.hpp>
 
 #include <doctest/doctest.h>
 
@@ -8,16 +10,24 @@
 
 #include <filesystem>
 #include <fstream>
+#include <map>
+#include <set>
 #include <sstream>
 
 using basilreach::daemon_name;
 using basilreach::instant;
 using basilreach::workspace_name;
+using basilreach::limits::first_report_delay;
+using basilreach::limits::first_report_time_per_row;
+using basilreach::limits::first_reports_per_group;
 using basilreach::limits::rate_limiter;
 using basilreach::limits::rate_limiter_settings;
+using basilreach::limits::thread_level_burst;
+using basilreach::limits::thread_level_settings;
 using basilreach::limits::token_allocator;
 using basilreach::limits::token_allocator_settings;
 using basilreach::limits::token_grant;
+using basilreach::limits::transfer_tokens;
 using basilreach::limits::replay::configure_rule;
 using basilreach::limits::replay::count_over_rate;
 using basilreach::limits::replay::fault_rule;
@@ -414,15 +424,17 @@
 // one moment: the leader was busy for longer than an election timeout.
 TEST_CASE("first reports of unused workspaces are spread over the holders")
 {
-    rate_limiter_settings settings = daemon_settings();
-    settings.first_report_spread = std::chrono::milliseconds(700);
+    rate_limiter_settings const settings = daemon_settings();
     std::map<std::uint64_t, std::size_t> holders_by_time;
     constexpr std::uint64_t slice_ms = 70;
     for (std::size_t n = 0; n != many_holders; ++n)
     {
         rate_limiter limiter(settings, holder_of(n), 1);
         for (std::size_t k = 0; k != many_workspaces; ++k)
-            limiter.add_workspace(workspace_of(k), at_ms(0));
+            limiter.add_workspace(
+                workspace_of(k), at_ms(0),
+                at_ms(0) +
+                    first_report_delay(holder_of(n), k, many_workspaces));
         std::uint64_t ms = 0;
         while (limiter.tick(at_ms(ms)).empty() && ms < 1000)
             ++ms;
@@ -435,11 +447,47 @@
     }
     // A statement that waits is reported at once.
     rate_limiter limiter(settings, holder_of(1), 1);
-    limiter.add_workspace(workspace_of(0), at_ms(0));
+    limiter.add_workspace(workspace_of(0), at_ms(0), at_ms(1000));
     limiter.set_waiting(workspace_of(0), 1, at_ms(1));
     CHECK(limiter.tick(at_ms(2)).size() == 1);
 }
 
+// Guards against a leader that gets the product of daemons and workspaces as
+// reports within a second of a start.
+TEST_CASE("first reports grow with the holders and not with the workspaces")
+{
+    constexpr std::size_t rows = 10 * first_reports_per_group;
+    constexpr auto row_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<std::chrono::milliseconds>(
+            first_report_time_per_row)
+            .count());
+    constexpr std::uint64_t group_ms = row_ms * first_reports_per_group;
+    rate_limiter limiter(daemon_settings(), holder_of(1), 1);
+    for (std::size_t n = 0; n != rows; ++n)
+        limiter.add_workspace(workspace_of(n), at_ms(0),
+                              at_ms(0) +
+                                  first_report_delay(holder_of(1), n, rows));
+    std::set<workspace_name> reported;
+    for (std::uint64_t ms = 0; ms != 10'000; ++ms)
+    {
+        for (auto const& it : limiter.tick(at_ms(ms)))
+            reported.insert(it.workspace);
+        CHECK(reported.size() <= first_reports_per_group * (ms / group_ms + 1));
+    }
+    CHECK(reported.size() == rows);
+}
+
+// Guards against a new leader that grants no tokens for most of a second,
+// because the holders of a few workspaces delay their first reports as if there
+// were many.
+TEST_CASE("few workspaces are reported soon")
+{
+    constexpr std::int64_t rows = 8;
+    for (std::size_t n = 0; n != many_holders; ++n)
+        CHECK(first_report_delay(holder_of(n), rows - 1, rows) <=
+              rows * first_report_time_per_row);
+}
+
 // Guards against daemons that fill their links with requests as soon as an
 // answer takes longer than the retry interval: each further request then delays
 // the answers more, and no answer arrives in time any more.
@@ -455,6 +503,70 @@
     CHECK(requests * bytes_per_request <= seconds * max_unanswered_bytes_per_s);
 }
 
+// Guards against a new leader that is busy for longer than an election timeout
+// with rows for all pairs of workspace and holder, most of which are not used.
+TEST_CASE("a leader tracks only the workspaces that a holder reports")
+{
+    auto allocator = allocator_of_many(many_workspaces);
+    CHECK(allocator.allocations() == 0);
+    rate_limiter limiter(daemon_settings(), holder_of(0), 1);
+    limiter.add_workspace(workspace_of(0), at_ms(0));
+    limiter.set_waiting(workspace_of(0), 1, at_ms(0));
+    for (auto const& it : limiter.tick(at_ms(0)))
+        allocator.receive(it, at_ms(0));
+    CHECK(allocator.allocations() == 1);
+    allocator.remove_holder(holder_of(1), at_ms(1));
+    CHECK(allocator.allocations() == 1);
+    allocator.remove_holder(holder_of(0), at_ms(1));
+    CHECK(allocator.allocations() == 0);
+}
+
+// Guards against a second round trip to the leader for the first statement of a
+// workspace at a daemon. Where daemons are many, most statements are that.
+TEST_CASE("the first request of a holder is granted tokens")
+{
+    auto allocator = allocator_of_many(1);
+    (void)allocator.tick(at_ms(0));
+    rate_limiter limiter(daemon_settings(), holder_of(0), 1);
+    limiter.add_workspace(workspace_of(0), at_ms(0), basilreach::never);
+    limiter.set_waiting(workspace_of(0), 1, at_ms(1000));
+    for (auto const& it : limiter.tick(at_ms(1000)))
+        allocator.receive(it, at_ms(1003));
+    for (auto const& it : allocator.tick(at_ms(1003)))
+        limiter.receive(it, at_ms(1006));
+    CHECK(limiter.try_consume(workspace_of(0), 1, at_ms(1006)));
+}
+
+// Guards against a statement that waits in vain: its thread got no answer
+// before its daemon had tokens, and the daemon asked for none before the thread
+// had an answer.
+TEST_CASE("a daemon without tokens asks for those that its threads wait for")
+{
+    rate_limiter daemon_limiter(daemon_settings(), holder_of(0), 1);
+    daemon_limiter.add_workspace(workspace_of(0), at_ms(0), basilreach::never);
+    token_allocator allocator(thread_level_settings(), 1, at_ms(0));
+    allocator.assume_no_earlier_grants(at_ms(0));
+    allocator.register_holder(daemon_name("thread-0"), at_ms(0));
+    allocator.configure(workspace_of(0), 0, thread_level_burst, at_ms(0));
+    rate_limiter thread_limiter({}, daemon_name("thread-0"), 1);
+    thread_limiter.add_workspace(workspace_of(0), at_ms(0));
+    std::int64_t stated = 0;
+    for (std::uint64_t ms = 0; ms != 1000; ++ms)
+    {
+        if (ms == 900)
+            thread_limiter.set_waiting(workspace_of(0), 1, at_ms(ms));
+        for (auto const& it : thread_limiter.tick(at_ms(ms)))
+            allocator.receive(it, at_ms(ms));
+        transfer_tokens(daemon_limiter, allocator, workspace_of(0), at_ms(ms));
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            thread_limiter.receive(it, at_ms(ms));
+        for (auto const& it : daemon_limiter.tick(at_ms(ms)))
+            stated = it.waiting;
+        if (ms == 905)
+            CHECK(stated == 1);
+    }
+}
+
 // Guards against control traffic that grows with the product of daemons and
 // workspaces, although each daemon uses few of them at a time.
 TEST_CASE("workspaces that a daemon does not use cost no control traffic")
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -255,6 +255,70 @@
     CHECK(longest_wait <= max_wait_ms);
 }
 
+// Guards against a new leader that grants no connections: it counted one for
+// each daemon that had reported nothing, and daemons do not report servers that
+// they do not use.
+TEST_CASE("a new leader grants connections although few holders report")
+{
+    share_allocator allocator({}, 2, at_ms(0));
+    for (std::size_t n = 0; n != many_holders; ++n)
+        allocator.register_holder(daemon_name("entry-" + std::to_string(n)),
+                                  at_ms(0));
+    allocator.configure(server_of(0), 23, at_ms(0), limit_check::server);
+    connection_limiter limiter({}, daemon_name("entry-0"), 1);
+    limiter.add_server(server_of(0), at_ms(0));
+    limiter.report_use(server_of(0), 0, 1, at_ms(0));
+    for (std::uint64_t ms = 0; ms != 1000; ++ms)
+    {
+        for (auto const& it : limiter.tick(at_ms(ms)))
+            allocator.receive(it, at_ms(ms));
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            limiter.receive(it, at_ms(ms));
+    }
+    CHECK(limiter.share(server_of(0), at_ms(1000)) == 1);
+}
+
+// Guards against connections that rotate to holders that want none any more: a
+// holder became silent without saying so, and kept what it got for a second.
+TEST_CASE("a holder states that it wants no connection any more")
+{
+    share_allocator allocator({}, 1, at_ms(0));
+    allocator.assume_no_earlier_grants(at_ms(0));
+    for (std::size_t n = 0; n != many_holders; ++n)
+        allocator.register_holder(daemon_name("entry-" + std::to_string(n)),
+                                  at_ms(0));
+    // One connection is grantable, and the first holder keeps it.
+    allocator.configure(server_of(0), 2, at_ms(0), limit_check::server);
+    std::deque<connection_limiter> limiters;
+    for (std::size_t n = 0; n != 2; ++n)
+    {
+        limiters.emplace_back(basilreach::limits::connection_limiter_settings{},
+                              daemon_name("entry-" + std::to_string(n)), 1);
+        limiters[n].add_server(server_of(0), at_ms(0));
+    }
+    std::uint32_t stated = 0;
+    for (std::uint64_t ms = 0; ms != 100; ++ms)
+    {
+        auto const share = limiters[0].share(server_of(0), at_ms(ms));
+        limiters[0].report_use(server_of(0), share, 1, at_ms(ms));
+        bool const wants = ms >= 10 && ms < 20;
+        limiters[1].report_use(server_of(0), 0, wants ? 1 : 0, at_ms(ms));
+        for (auto& from : limiters)
+            for (auto const& it : from.tick(at_ms(ms)))
+            {
+                allocator.receive(it, at_ms(ms));
+                if (&from == &limiters[1])
+                    stated = it.wanted;
+            }
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            for (auto& to : limiters)
+                to.receive(it, at_ms(ms));
+        if (ms == 15)
+            CHECK(stated == 1);
+    }
+    CHECK(stated == 0);
+}
+
 // Guards against daemons that fill their links with requests as soon as an
 // answer takes longer than the retry interval.
 TEST_CASE("unanswered share requests leave most of a small link free")
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -111,6 +111,22 @@
     out = duration(in);
 }
 
+template <class Tag>
+void encode_field(std::vector<name<Tag>> const& in,
+                  std::vector<std::string>& out)
+{
+    for (auto const& it : in)
+        out.push_back(it.str());
+}
+
+template <class Tag>
+void decode_field(std::vector<std::string> const& in,
+                  std::vector<name<Tag>>& out)
+{
+    for (auto const& it : in)
+        out.emplace_back(it);
+}
+
 void encode_field(rules::key_digest const& in, std::vector<std::uint8_t>& out)
 {
     out.assign(in.begin(), in.end());
@@ -437,7 +453,9 @@
     d(v.incarnation, w.incarnation);
     d(v.sequence, w.sequence);
     d(v.sent, w.sent);
+    d(v.started, w.started);
     d(v.last_grant, w.heard);
+    d(v.share, w.share);
     d(v.open, w.open);
     d(v.wanted, w.wanted);
 }
@@ -623,6 +641,7 @@
 {
     d(v.term, w.term);
     d(v.floor_suspension, w.floor_suspension);
+    d(v.unreported, w.unreported);
 }
 
 void map_fields(to_wire d, token_requests const& v, wire::token_requestsT& w)
--- a/tools/measure_daemon_program/control_fleet.cpp
+++ b/tools/measure_daemon_program/control_fleet.cpp
@@ -120,6 +120,7 @@
             row.presumed_leader =
                 static_cast<std::size_t>(found - names_.begin());
         row.presumed_since = daemon::read_clock();
+        row.lease->leader_changed();
     }
     changed_.insert(n);
 }
