traffic: Open connections while statements wait

Change: a statement that waits for a token or a position is counted as expected at the servers to which it will probably go, if they have no connection of its workspace; one connection for each workspace is opened meanwhile. A statement that is refused or goes elsewhere is not expected any more.

Tests, which fail without the change: a connection is opened while a statement waits for a rate token, and is not wanted any more once it is refused; a read that waits for a position opens both of its connections.

--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -98,6 +98,8 @@
     connection_id connection;
     bool at_primary = false;
     std::optional<row_id> queue_entry;
+    // Servers that count this request among their expected ones.
+    std::vector<server_row_id> expected_at;
     // Servers to which this read is not routed again, except as the primary:
     // no connection could be opened, or the server rejected the statement
     // without running it.
@@ -153,6 +155,9 @@
     // Fair queue, by workspace, of statements that wait for a connection. Held
     // by pointer because a row can move while its queue must not.
     std::unique_ptr<limits::fair_queue<request_row_id>> queue;
+    // Statements that are likely to be sent to this server once they have a
+    // rate token or a position. Connections for them are opened meanwhile.
+    std::vector<request_row_id> expected;
     std::uint32_t opening = 0;
     // Statements sent to the server and not answered.
     std::uint32_t outstanding = 0;
@@ -324,6 +329,14 @@
 // Routes the statements that wait for a connection to a server again.
 void reroute_queued(state& s, server_row_id id);
 
+// Counts a statement that waits for a rate token or for a position among the
+// expected ones of the servers to which it will probably be sent, if they have
+// no connection of its workspace.
+void expect_connections(state& s, request_row_id id);
+
+// Removes a statement from the expected ones of all servers.
+void withdraw_expectations(state& s, request_row_id id);
+
 // Starts to open a connection to a server. In a server-checked group the
 // connection serves only the given workspace.
 void start_connection(state& s,
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -81,6 +81,7 @@
     request.state = request_state::waiting_rate_token;
     record_decision(s, id, decision_kind::wait,
                     decision_reason::tokens_missing);
+    expect_connections(s, id);
     return false;
 }
 
@@ -114,12 +115,12 @@
         return refuse_request(s, id, refusal_outcome::not_run,
                               refusal_reason::unknown_route);
     request->group = group->second;
-    if (!consume_rate_token(s, id, *request, session))
-        return;
-    s.timers.erase({timer_kind::token_wait, id});
     request->is_read = declares_read(*request, session, route->second);
     request->max_age = route->second.max_age;
     request->reads = route->second.reads;
+    if (!consume_rate_token(s, id, *request, session))
+        return;
+    s.timers.erase({timer_kind::token_wait, id});
     request->state = request_state::arrived;
     s.to_route.push_back(id);
 }
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -357,7 +357,7 @@
         auto const busy = open - server->idle.size() - server->opening;
         auto const wanted = static_cast<std::uint32_t>(
             busy + recently_used(s, *server) +
-            std::max(server->queue->size(),
+            std::max(server->queue->size() + server->expected.size(),
                      connections_for_polling(s, *server)));
         if (open == server->reported_open && wanted == server->reported_wanted)
             continue;
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -354,6 +354,7 @@
 
 void remove_request(state& s, request_row_id id)
 {
+    withdraw_expectations(s, id);
     auto const& request = *s.requests.find(id);
     for (auto const kind : {timer_kind::request, timer_kind::read_try,
                             timer_kind::position_wait, timer_kind::token_wait})
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -254,6 +254,7 @@
                               entry.error() == limits::queue_refusal::queue_full
                                   ? refusal_reason::queue_full
                                   : refusal_reason::deadline);
+    withdraw_expectations(s, id);
     request.server = server_id;
     request.at_primary = at_primary;
     request.state = request_state::queued;
@@ -263,6 +264,7 @@
 
 void wait_for_primary(state& s, request_row_id id, request_row& request)
 {
+    withdraw_expectations(s, id);
     auto* group = s.groups.find(request.group);
     if (group->waiting_primary.size() >= s.settings.queue_limit)
         return refuse_request(s, id, refusal_outcome::not_run,
@@ -370,6 +372,22 @@
     request_sample(s, *group);
     record_decision(s, id, decision_kind::wait,
                     decision_reason::position_not_reached);
+    expect_connections(s, id);
+}
+
+void expect_connection(state& s,
+                       request_row_id id,
+                       request_row& request,
+                       server_row_id server_id)
+{
+    auto* server = s.servers.find(server_id);
+    auto const& workspace = s.sessions.find(request.session)->workspace;
+    if (!accepts_statements(*server) ||
+        count_connections(s, *server, workspace).all > 0)
+        return;
+    server->expected.push_back(id);
+    request.expected_at.push_back(server_id);
+    s.to_dispatch.push_back(server_id);
 }
 
 // Routes a read in a server-checked group.
@@ -478,6 +496,40 @@
         route(s, id);
 }
 
+// Opening a connection takes longer than the answer of the leader or of the
+// primary for which the statement waits.
+void expect_connections(state& s, request_row_id id)
+{
+    withdraw_expectations(s, id);
+    auto& request = *s.requests.find(id);
+    auto const& session = *s.sessions.find(request.session);
+    if (!is_server_checked(s, request) || session.in_transaction)
+        return;
+    auto const& group = *s.groups.find(request.group);
+    if (!group.primary || group.primary_refused_until > s.now)
+        return;
+    bool const has_replicas = request.is_read && request.max_age &&
+                              request.reads != rules::read_guarantee::latest;
+    bool const needs_primary =
+        !has_replicas || (!required_position(group, request, session) &&
+                          s.servers.find(*group.primary)->connections.empty());
+    if (needs_primary)
+        expect_connection(s, id, request, *group.primary);
+    auto const server = has_replicas ? choose_server(s, request) : std::nullopt;
+    if (server && (!needs_primary || server != group.primary))
+        expect_connection(s, id, request, *server);
+}
+
+void withdraw_expectations(state& s, request_row_id id)
+{
+    auto& request = *s.requests.find(id);
+    for (auto const server : std::exchange(request.expected_at, {}))
+    {
+        std::erase(s.servers.find(server)->expected, id);
+        s.to_report.push_back(server);
+    }
+}
+
 bool is_server_checked(state const& s, request_row const& request)
 {
     auto const* group = s.groups.find(request.group);
--- a/packages/traffic/src/workspace_dispatch.cpp
+++ b/packages/traffic/src/workspace_dispatch.cpp
@@ -99,6 +99,17 @@
     server.queue->for_each_workspace(
         [&waiting](workspace_name const& workspace, std::size_t n)
         { waiting.emplace_back(workspace, n); });
+    // One connection serves the first of the expected statements of a
+    // workspace; whether the others will be sent here is less certain.
+    for (auto const it : server.expected)
+    {
+        auto const& workspace =
+            s.sessions.find(s.requests.find(it)->session)->workspace;
+        if (std::none_of(waiting.begin(), waiting.end(),
+                         [&](auto const& row)
+                         { return row.first == workspace; }))
+            waiting.emplace_back(workspace, 1);
+    }
     for (auto const& [workspace, n] : waiting)
     {
         auto const count = count_connections(s, server, workspace);
@@ -146,7 +157,8 @@
     query_primary_if_needed(s, id, server);
     send_to_idle_connections(s, server);
     s.to_report.push_back(id);
-    if (server.queue->empty() || server.is_removed || server.is_leaving)
+    bool const is_needed = !server.queue->empty() || !server.expected.empty();
+    if (!is_needed || server.is_removed || server.is_leaving)
         return;
     auto retry_at = s.now < server.next_open ? server.next_open
                                              : open_for_waiting(s, id, server);
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -5,6 +5,8 @@
 #include <doctest/doctest.h>
 
 #include <map>
+#include <set>
+#include <string>
 
 using namespace basilreach;
 using namespace basilreach::traffic;
@@ -47,11 +49,11 @@
 
 struct fixture
 {
-    explicit fixture(std::uint32_t connections = 2)
+    explicit fixture(std::uint32_t connections = 2, bool has_limits = false)
     {
         engine_settings settings;
         settings.data_centre = data_centre_name("b");
-        settings.limits_enabled = false;
+        settings.limits_enabled = has_limits;
         settings.serves_without_lease = true;
         settings.initial_connections = connections;
         it.emplace(settings);
@@ -604,3 +606,53 @@
     f.run();
     CHECK(f.find<server_reachability>().has_value());
 }
+
+// Guards against statements that wait one after the other for a rate token and
+// for a connection: where daemons are many, most statements need both, and an
+// opening takes longer than most statements.
+TEST_CASE("a connection is opened while a statement waits for a rate token")
+{
+    fixture f(2, true);
+    f.open_session(1, "intake");
+    f.it->push(statement_received{session_id{1}, statement_verb::write,
+                                  transaction_opening::none});
+    f.run();
+    auto const open = f.find<open_connection>();
+    REQUIRE(open);
+    CHECK(open->server == server_name("s1"));
+    CHECK(open->workspace == workspace_name("w"));
+    CHECK(!f.find<send_statement>());
+    // The statements that follow share the connection.
+    f.open_session(2, "intake");
+    f.it->push(statement_received{session_id{2}, statement_verb::write,
+                                  transaction_opening::none});
+    f.run();
+    CHECK(!f.find<open_connection>());
+    // The statements are refused, and the connection is not wanted for them any
+    // more.
+    f.now += 2s;
+    f.run();
+    CHECK(f.find<refuse>());
+    auto const used = f.find<connections_used>();
+    REQUIRE(used);
+    CHECK(used->open == 1);
+    CHECK(used->wanted == 0);
+}
+
+// Guards against a read that opens two connections one after the other: to the
+// primary for its position, and then to the replica.
+TEST_CASE("a read that waits for a position opens both of its connections")
+{
+    fixture f;
+    f.open_session(1, "lookup");
+    f.it->push(statement_received{session_id{1}, statement_verb::read,
+                                  transaction_opening::none});
+    f.run();
+    std::set<std::string> servers;
+    for (auto const& [id, open] : f.opened)
+        servers.insert(open.server.str());
+    CHECK(servers == std::set<std::string>{"s1", "s2"});
+    auto const query = f.find<query_position>();
+    REQUIRE(query);
+    CHECK(f.opened.at(query->connection).server == server_name("s1"));
+}
