limits: Give every daemon its floors soon after a start

Since workspaces are reported on request, a daemon whose first contact report arrived before its registration got no answer and reported again only after 2 s; one that had reported a workspace before the others got no floor and did not report it again while it was idle. Without control hosts its open routes were then refused as over their rate.

Change: an unanswered contact report is repeated after 350 ms. The answer lists the workspaces of which the floor changes with the next report, and says whether the daemon lacks floors; contact is then every 350 ms, too.

Test, which fails without the change: every holder has its floors soon after a start.

--- a/packages/limits/include/basilreach/limits/contact_messages.hpp
+++ b/packages/limits/include/basilreach/limits/contact_messages.hpp
@@ -28,7 +28,7 @@
 
 // The answer to a contact report. It prolongs the suspension of each floor that
 // is suspended when it arrives and whose last grant was of this term, and asks
-// for the reports without which the holder gets no floor.
+// for the reports without which the holder does not get its floors.
 struct contact_grant
 {
     daemon_name holder;
@@ -38,8 +38,11 @@
     instant sent;
     // How long the floors are suspended after this grant arrives.
     duration floor_suspension{};
-    // Workspaces with a floor that the holder has not reported in this term.
+    // Workspaces of which the holder's floor changes with its next report.
     std::vector<workspace_name> unreported;
+    // Whether the holder lacks a floor that it will get, at the latest once all
+    // holders have reported.
+    bool lacks_floors = false;
 
     friend auto operator<=>(contact_grant const&,
                             contact_grant const&) = default;
--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -186,8 +186,13 @@
     std::map<workspace_name, row_id> by_name_;
     deadline_queue<row_id> due_;
     instant last_batch_sent_;
-    // Whether a workspace has a floor, which contact keeps suspended.
+    // Whether a workspace has a floor, which contact keeps suspended, or will
+    // get one.
     bool has_floor_ = false;
+    bool lacks_floors_ = false;
+    // Whether the last contact report was answered. The allocator answers none
+    // of a holder that is not registered yet.
+    bool is_contact_answered_ = true;
     instant contact_sent_;
     instant first_contact_ = never;
     // Term and sending time of the last contact grant.
--- a/packages/limits/include/basilreach/limits/token_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/token_allocator.hpp
@@ -251,8 +251,7 @@
 
     [[nodiscard]] static duration acknowledged_suspension(allocation const& it);
     duration update_suspension(bucket const& it, allocation& to) const;
-    [[nodiscard]] std::vector<workspace_name>
-    unreported_floors(daemon_name const& holder) const;
+    void add_missing_floors(contact_grant& to) const;
     void advance(instant now);
     void expire_allocations(instant now);
     void resume_floors(instant now);
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -168,6 +168,7 @@
     if (grant.term != last_contact_.first)
         contact_sent_ = now - settings_.idle_interval;
     last_contact_ = {grant.term, grant.sent};
+    is_contact_answered_ = true;
     request_reports(grant, now);
     auto const until = now + grant.floor_suspension;
     for (auto const& [workspace, id] : by_name_)
@@ -188,6 +189,7 @@
 // Sends the reports that the allocator asks for, in the next batch.
 void rate_limiter::request_reports(contact_grant const& grant, instant now)
 {
+    lacks_floors_ = grant.lacks_floors;
     for (auto const& workspace : grant.unreported)
     {
         auto* const it = find(workspace);
@@ -300,13 +302,14 @@
     if (now < next_contact())
         return std::nullopt;
     contact_sent_ = now;
+    is_contact_answered_ = false;
     return contact_report{holder_, incarnation_, last_contact_.first,
                           last_contact_.second};
 }
 
 instant rate_limiter::next_contact() const
 {
-    if (has_floor_)
+    if (has_floor_ || lacks_floors_ || !is_contact_answered_)
         return contact_sent_ + settings_.idle_interval;
     if (settings_.contact_interval == duration{})
         return never;
--- a/packages/limits/src/token_allocator.cpp
+++ b/packages/limits/src/token_allocator.cpp
@@ -200,29 +200,38 @@
     if (now >= leader_until_)
         return out;
     for (auto const& holder : std::exchange(unanswered_contacts_, {}))
-        out.push_back({holder, contacts_.at(holder).incarnation, term_, now,
+    {
+        out.push_back({holder,
+                       contacts_.at(holder).incarnation,
+                       term_,
+                       now,
                        with_clock_margin(settings_.floor_suspension),
-                       unreported_floors(holder)});
+                       {},
+                       false});
+        add_missing_floors(out.back());
+    }
     return out;
 }
 
-// Returns the workspaces of which the holder gets a floor once it has reported
-// them.
-std::vector<workspace_name>
-token_allocator::unreported_floors(daemon_name const& holder) const
+// A holder that reported a workspace before others did got no floor, and would
+// not report it again while it is not used.
+void token_allocator::add_missing_floors(contact_grant& to) const
 {
-    std::vector<workspace_name> out;
     for (auto const& [workspace, id] : by_name_)
     {
         auto const& it = *buckets_.find(id);
         if (floor_total(it) == rate_floor{})
             continue;
-        auto const found = it.allocations.find(holder);
-        if (found == it.allocations.end() ||
-            !allocations_.find(found->second)->reported)
-            out.push_back(workspace);
+        auto const found = it.allocations.find(to.holder);
+        auto const* const row = found == it.allocations.end()
+                                    ? nullptr
+                                    : allocations_.find(found->second);
+        if (row == nullptr || !row->reported ||
+            next_floor(it, *row) != row->granted_floor)
+            to.unreported.push_back(workspace);
+        if (row == nullptr || row->granted_floor == rate_floor{})
+            to.lacks_floors = true;
     }
-    return out;
 }
 
 void token_allocator::apply_report(bucket& it,
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -697,6 +697,59 @@
     CHECK(limiter.available(workspace_of(0), at_ms(cut_ms + 2000)) > 0);
 }
 
+// Guards against a holder without floors: it had reported its workspaces before
+// the others did, got no floors, and did not report again while it was idle. A
+// daemon that lost contact then refused the statements of open routes.
+TEST_CASE("every holder has its floors soon after a start")
+{
+    constexpr std::size_t holders = 3;
+    constexpr std::size_t workspaces = 4;
+    constexpr std::uint64_t start_ms = 10'000;
+    token_allocator allocator(whole_floors(), 1, at_ms(0));
+    allocator.assume_no_earlier_grants(at_ms(0));
+    for (std::size_t n = 0; n != workspaces; ++n)
+        allocator.configure(workspace_of(n), 40, 60, at_ms(0));
+    auto settings = daemon_settings();
+    settings.contact_interval = std::chrono::seconds(2);
+    std::deque<rate_limiter> limiters;
+    for (std::size_t n = 0; n != holders; ++n)
+    {
+        limiters.emplace_back(settings, holder_of(n), 1);
+        for (std::size_t k = 0; k != workspaces; ++k)
+            limiters.back().add_workspace(workspace_of(k), at_ms(0),
+                                          basilreach::never);
+        limiters.back().set_first_contact(at_ms(start_ms + 100 * n));
+    }
+    constexpr std::uint64_t settled_ms = start_ms + 2000;
+    for (std::uint64_t ms = start_ms; ms != settled_ms; ++ms)
+    {
+        // Holders are registered after their first contact reports.
+        if (ms == start_ms + 250)
+            for (std::size_t n = 0; n != holders; ++n)
+                allocator.register_holder(holder_of(n), at_ms(ms));
+        for (auto& from : limiters)
+        {
+            for (auto const& it : from.tick(at_ms(ms)))
+                allocator.receive(it, at_ms(ms));
+            if (auto const it = from.tick_contact(at_ms(ms)))
+                allocator.receive(*it, at_ms(ms));
+        }
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            for (auto& to : limiters)
+                to.receive(it, at_ms(ms));
+        for (auto const& it : allocator.tick_contacts(at_ms(ms)))
+            for (auto& to : limiters)
+                to.receive(it, at_ms(ms));
+    }
+    // Without contact the floors are used.
+    for (auto& it : limiters)
+        for (std::size_t n = 0; n != workspaces; ++n)
+        {
+            (void)it.available(workspace_of(n), at_ms(settled_ms + 2000));
+            CHECK(it.available(workspace_of(n), at_ms(settled_ms + 4000)) > 0);
+        }
+}
+
 // Guards against a workspace without any tokens: a registered daemon that is
 // down never reports, and the floors reserved for it were the whole rate,
 // although the floors of so many daemons hold less than a token each and are
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -642,6 +642,7 @@
     d(v.term, w.term);
     d(v.floor_suspension, w.floor_suspension);
     d(v.unreported, w.unreported);
+    d(v.lacks_floors, w.lacks_floors);
 }
 
 void map_fields(to_wire d, token_requests const& v, wire::token_requestsT& w)
