tests: Share what two tests of limits and of links say twice

rate_test has one function that delivers the messages between holders and the allocator, and link_test one that names the control host at an acceptor. No check, bound or figure has changed.

--- a/packages/daemon/test/link_test.cpp
+++ b/packages/daemon/test/link_test.cpp
@@ -36,6 +36,15 @@
     return false;
 }
 
+// Returns the name of a control host that listens where the acceptor does.
+consensus::host_name host_at(ACE_SOCK_Acceptor const& it)
+{
+    ACE_INET_Addr address;
+    REQUIRE(it.get_local_addr(address) == 0);
+    return consensus::host_name("a=127.0.0.1:" +
+                                std::to_string(address.get_port_number()));
+}
+
 // Returns IP:PORT with a port that was free a moment ago.
 std::string free_address()
 {
@@ -55,10 +64,7 @@
     event_loop loop;
     link_table links(loop, [](link_id, messages::message const&) {});
     ACE_SOCK_Acceptor peer(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
-    ACE_INET_Addr address;
-    REQUIRE(peer.get_local_addr(address) == 0);
-    consensus::host_name const host("a=127.0.0.1:" +
-                                    std::to_string(address.get_port_number()));
+    auto const host = host_at(peer);
     links.send(host, messages::not_leader{});
     ACE_SOCK_Stream first;
     REQUIRE(wait_for_connection(loop, peer, first));
@@ -111,10 +117,7 @@
     event_loop loop;
     link_table links(loop, [](link_id, messages::message const&) {});
     ACE_SOCK_Acceptor peer(ACE_INET_Addr(static_cast<u_short>(0), "127.0.0.1"));
-    ACE_INET_Addr address;
-    REQUIRE(peer.get_local_addr(address) == 0);
-    consensus::host_name const host("a=127.0.0.1:" +
-                                    std::to_string(address.get_port_number()));
+    auto const host = host_at(peer);
     std::string frame;
     messages::append_frame(frame, messages::encode(messages::not_leader{}));
     links.send(host, messages::not_leader{});
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -405,6 +405,26 @@
     return settings;
 }
 
+// Delivers all messages between the holders and the allocator at once.
+void exchange_messages(std::vector<rate_limiter>& limiters,
+                       token_allocator& allocator,
+                       std::uint64_t ms)
+{
+    for (auto& from : limiters)
+    {
+        for (auto const& it : from.tick(at_ms(ms)))
+            allocator.receive(it, at_ms(ms));
+        if (auto const it = from.tick_contact(at_ms(ms)))
+            allocator.receive(*it, at_ms(ms));
+    }
+    for (auto const& it : allocator.tick(at_ms(ms)))
+        for (auto& to : limiters)
+            to.receive(it, at_ms(ms));
+    for (auto const& it : allocator.tick_contacts(at_ms(ms)))
+        for (auto& to : limiters)
+            to.receive(it, at_ms(ms));
+}
+
 // An allocator for many holders, with limits so low that an equal part of the
 // burst is less than one token.
 token_allocator allocator_of_many(std::size_t workspaces)
@@ -634,19 +654,7 @@
                limiters[host].try_consume(workspace_of(0), 1, at_ms(ms)))
             --waiting;
         limiters[host].set_waiting(workspace_of(0), waiting, at_ms(ms));
-        for (auto& from : limiters)
-        {
-            for (auto const& it : from.tick(at_ms(ms)))
-                allocator.receive(it, at_ms(ms));
-            if (auto const it = from.tick_contact(at_ms(ms)))
-                allocator.receive(*it, at_ms(ms));
-        }
-        for (auto const& it : allocator.tick(at_ms(ms)))
-            for (auto& to : limiters)
-                to.receive(it, at_ms(ms));
-        for (auto const& it : allocator.tick_contacts(at_ms(ms)))
-            for (auto& to : limiters)
-                to.receive(it, at_ms(ms));
+        exchange_messages(limiters, allocator, ms);
     }
     // The target for refusals within the rate.
     constexpr double max_refused = 0.005;
@@ -711,7 +719,7 @@
         allocator.configure(workspace_of(n), 40, 60, at_ms(0));
     auto settings = daemon_settings();
     settings.contact_interval = std::chrono::seconds(2);
-    std::deque<rate_limiter> limiters;
+    std::vector<rate_limiter> limiters;
     for (std::size_t n = 0; n != holders; ++n)
     {
         limiters.emplace_back(settings, holder_of(n), 1);
@@ -727,19 +735,7 @@
         if (ms == start_ms + 250)
             for (std::size_t n = 0; n != holders; ++n)
                 allocator.register_holder(holder_of(n), at_ms(ms));
-        for (auto& from : limiters)
-        {
-            for (auto const& it : from.tick(at_ms(ms)))
-                allocator.receive(it, at_ms(ms));
-            if (auto const it = from.tick_contact(at_ms(ms)))
-                allocator.receive(*it, at_ms(ms));
-        }
-        for (auto const& it : allocator.tick(at_ms(ms)))
-            for (auto& to : limiters)
-                to.receive(it, at_ms(ms));
-        for (auto const& it : allocator.tick_contacts(at_ms(ms)))
-            for (auto& to : limiters)
-                to.receive(it, at_ms(ms));
+        exchange_messages(limiters, allocator, ms);
     }
     // Without contact the floors are used.
     for (auto& it : limiters)
