Replace review case 4 by transactions without a statement

COMMIT takes no rate token, since a transaction pays at its first statement. In an empty transaction it is the first statement that reaches a server, so a tenant runs any number of them.

--- a/review/4/case.cpp
+++ b/review/4/case.cpp
@@ -1,6 +1,9 @@
-// A log that nobody reads for a while. The standard output of one entry
-// machine's process is a pipe. Its reader stalls, as a log collector may; then
-// a key is withdrawn while a client with this key has a transaction open.
+// Transactions without a statement between BEGIN and COMMIT. One tenant sends
+// several times its rate of them, through two entry machines.
+#include <algorithm>
+#include <atomic>
+#include <cstdlib>
+
 #include "scenario.hpp"
 
 namespace
@@ -8,75 +11,94 @@
 
 using namespace review;
 
-constexpr char withdrawn_key[] = "j8pjbvk9m68k7b2ex5wa";
-constexpr double config_apply_ms = 3000;
-constexpr int filling_statements = 1500;
+constexpr double rate_per_s = 20;
+constexpr double burst = 20;
+constexpr double window_ms = 5000;
+constexpr double overage = 0.1;
+constexpr double slack = 20;
+constexpr double load_ms = 15'000;
+constexpr std::size_t session_count = 12;
 
-json desired_state(int version, bool has_second_tenant)
+// Runs transactions at the rate, and returns how many succeeded.
+int run_transactions(client_session& session, double per_s, bool is_empty)
 {
-    auto out = make_desired_state(
-        version, json::array({make_route("booking", "primary", "svca")}),
-        {"svca"});
-    if (has_second_tenant)
-        out["tenants"].push_back({{"name", "second"},
-                                  {"api_keys", {withdrawn_key}},
-                                  {"priority", 1},
-                                  {"rate_per_s", 500},
-                                  {"burst", 500}});
+    int out = 0;
+    auto const end = now_ms() + load_ms;
+    while (session.is_open() && now_ms() < end)
+    {
+        auto const next = now_ms() + 1000 / per_s;
+        if (!session.run("BEGIN").is_success())
+            break;
+        if (!is_empty && !session.run("READ item").is_success())
+            (void)session.run("ROLLBACK");
+        else
+            out += session.run("COMMIT").is_success() ? 1 : 0;
+        sleep_ms(std::max(next - now_ms(), 0.0));
+    }
     return out;
 }
 
+// Returns the most times that lie in one window.
+std::size_t most_in_window(std::vector<double> times)
+{
+    std::sort(times.begin(), times.end());
+    std::size_t most = 0;
+    std::size_t first = 0;
+    for (std::size_t n = 0; n != times.size(); ++n)
+    {
+        while (times[n] - times[first] >= window_ms)
+            ++first;
+        most = std::max(most, n - first + 1);
+    }
+    return most;
+}
+
 verdict run(std::string const& work_directory, bool has_trouble, record& log)
 {
     group_settings group;
     group.name = "svca";
     group.server_ips.resize(3);
-    group.work_ms = 2;
     scenario s(work_directory, 2, {group}, log);
-    s.machines->collect_log("front-0");
-    if (!s.start(desired_state(7, true), {"booking"}))
-        return verdict::cannot_run;
-    if (has_trouble)
-        s.machines->stall_log(true);
-    auto const filler = s.open_session("filler", 0, "booking");
-    int refused = 0;
-    for (int n = 0; n != filling_statements && refused < 20; ++n)
-        refused += filler->run("READ item").is_success() ? 0 : 1;
-    log.report("statements refused while the log filled: " +
-               std::to_string(refused));
-
-    client_session client("second", s.machines->front_address(0), "booking",
-                          withdrawn_key, log);
-    if (!client.is_open() || !client.run("BEGIN").is_success() ||
-        !client.run("WRITE item 0").is_success())
+    auto state = make_desired_state(
+        7, json::array({make_route("booking", "primary", "svca")}), {"svca"});
+    state["tenants"][0]["rate_per_s"] = rate_per_s;
+    state["tenants"][0]["burst"] = burst;
+    if (!s.start(state, {"booking"}))
         return verdict::cannot_run;
-    if (!s.machines->put(desired_state(9, false)))
+    sleep_ms(2000);
+    // With TROUBLE=read each transaction has one statement.
+    auto const* const trouble = std::getenv("TROUBLE");
+    bool const is_empty = trouble == nullptr || std::string(trouble) != "read";
+    double const times_rate = has_trouble ? 5 : 0.5;
+    std::atomic<int> succeeded = 0;
+    std::vector<std::thread> threads;
+    for (std::size_t n = 0; n != session_count; ++n)
+        threads.emplace_back(
+            [&, n]
+            {
+                auto const session =
+                    s.open_session("c" + std::to_string(n), n % 2, "booking");
+                succeeded += run_transactions(
+                    *session, times_rate * rate_per_s / session_count,
+                    is_empty);
+            });
+    for (auto& it : threads)
+        it.join();
+    std::vector<double> times;
+    for (auto const& [id, trace] : s.groups[0]->statements())
+        if (trace.text == "COMMIT")
+            times.push_back(trace.begun_ms);
+    auto const most = most_in_window(times);
+    auto const allowed =
+        (rate_per_s * window_ms / 1000 + burst) * (1 + overage) + slack;
+    log.report("transactions: succeeded=" + std::to_string(succeeded) +
+               " run=" + std::to_string(times.size()) +
+               ", most in 5 s: " + std::to_string(most) + ", allowed " +
+               std::to_string(static_cast<int>(allowed)));
+    if (succeeded == 0)
         return verdict::cannot_run;
-    auto const confirmed_ms = now_ms();
-    int runs = 0;
-    for (int n = 1; n != 9 && client.is_open(); ++n)
-    {
-        sleep_ms(1000);
-        auto const it = client.run("READ item");
-        if (it.sent_ms < confirmed_ms + config_apply_ms ||
-            !s.groups[0]->statements().contains(it.id))
-            continue;
-        ++runs;
-        log.report("id=" + it.id + " sent " +
-                   std::to_string(static_cast<int>(it.sent_ms - confirmed_ms)) +
-                   " ms after the confirmation, with a key that was dropped, "
-                   "was run by a server");
-    }
-    auto const later = s.open_session("later", 0, "booking");
-    auto const it = later->run("READ item");
-    log.report("a statement of another tenant at the same machine: " +
-               (it.is_success() ? "served" : "error " + it.error));
-    log.report(
-        "readiness of the machine: " +
-        std::to_string(send_http_request(s.machines->readiness_address(0),
-                                         "GET", "/readiness", {}, 1000)
-                           .status));
-    return runs == 0 ? verdict::held : verdict::broken;
+    return static_cast<double>(most) <= allowed ? verdict::held
+                                                : verdict::broken;
 }
 
 } // namespace
--- a/review/common/deployment.cpp
+++ b/review/common/deployment.cpp
@@ -11,7 +11,6 @@
 #include <arpa/inet.h>
 #include <fcntl.h>
 #include <netinet/in.h>
-#include <poll.h>
 #include <sys/prctl.h>
 #include <sys/socket.h>
 #include <sys/wait.h>
@@ -173,9 +172,6 @@
 
 deployment::~deployment()
 {
-    is_stopping_ = true;
-    if (collector_.joinable())
-        collector_.join();
     for (auto* machines : {&controls_, &entries_})
         for (auto& it : *machines)
             if (it.pid > 0)
@@ -226,10 +222,6 @@
     auto const log_file = work_directory_ + '/' + it.name + ".log";
     auto const argument = "--settings=" + settings_file;
     auto const variable = "BASILREACH_SETTINGS=" + settings_file;
-    std::array<int, 2> pipe{-1, -1};
-    bool const is_collected = it.name == collected_;
-    if (is_collected && pipe2(pipe.data(), O_CLOEXEC) != 0)
-        return false;
     auto const parent = getpid();
     it.pid = fork();
     if (it.pid == 0)
@@ -238,9 +230,7 @@
         if (getppid() != parent)
             _exit(1);
         int const out =
-            is_collected
-                ? pipe[1]
-                : open(log_file.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
+            open(log_file.c_str(), O_CREAT | O_APPEND | O_WRONLY, 0600);
         dup2(out, STDOUT_FILENO);
         dup2(out, STDERR_FILENO);
         std::array<char const*, 3> const arguments{"target/basilreachd",
@@ -251,49 +241,10 @@
                const_cast<char**>(variables.data()));
         _exit(1);
     }
-    if (is_collected)
-    {
-        close(pipe[1]);
-        collector_ = std::thread([this, handle = pipe[0], log_file]
-                                 { read_log(handle, log_file); });
-    }
     log_.write("start " + it.name + " ip=" + it.ip);
     return it.pid > 0;
 }
 
-void deployment::collect_log(std::string const& name)
-{
-    collected_ = name;
-}
-
-void deployment::stall_log(bool is_stalled)
-{
-    is_log_stalled_ = is_stalled;
-    log_.write(is_stalled ? "nobody reads the log of " + collected_
-                          : "the log of " + collected_ + " is read again");
-}
-
-void deployment::read_log(int handle, std::string const& log_file)
-{
-    std::ofstream file(log_file);
-    std::array<char, 4096> buf{};
-    constexpr double pause_ms = 20;
-    while (!is_stopping_)
-    {
-        pollfd ready{handle, POLLIN, 0};
-        if (is_log_stalled_ || poll(&ready, 1, static_cast<int>(pause_ms)) <= 0)
-        {
-            sleep_ms(pause_ms);
-            continue;
-        }
-        auto const n = read(handle, buf.data(), buf.size());
-        if (n <= 0)
-            break;
-        file.write(buf.data(), n);
-    }
-    close(handle);
-}
-
 bool deployment::start()
 {
     for (auto* machines : {&controls_, &entries_})
--- a/review/common/deployment.hpp
+++ b/review/common/deployment.hpp
@@ -1,9 +1,7 @@
 #ifndef BASILREACH_REVIEW_COMMON_DEPLOYMENT_HPP
 #define BASILREACH_REVIEW_COMMON_DEPLOYMENT_HPP
 
-#include <atomic>
 #include <string>
-#include <thread>
 #include <vector>
 
 #include <nlohmann/json.hpp>
@@ -52,13 +50,6 @@
     bool put(json const& desired_state);
     [[nodiscard]] bool wait_until_ready() const;
 
-    // Before start(): the output of the machine's process goes through a pipe
-    // whose reader writes it to the log file.
-    void collect_log(std::string const& name);
-
-    // From now on the reader of the pipe reads nothing, or reads on.
-    void stall_log(bool is_stalled);
-
     // Sends SIGTERM to the process of a machine. After the grace period it is
     // killed.
     void terminate(std::string const& name);
@@ -95,7 +86,6 @@
 
 private:
     bool start(machine& it);
-    void read_log(int handle, std::string const& log_file);
     [[nodiscard]] json settings_of(machine const& it) const;
     void write_settings(machine const& it) const;
     [[nodiscard]] std::string settings_file(machine const& it) const;
@@ -109,10 +99,6 @@
     // Control machines that were replaced.
     std::vector<machine> removed_controls_;
     int last_control_ip_ = 0;
-    std::string collected_;
-    std::atomic<bool> is_log_stalled_ = false;
-    std::atomic<bool> is_stopping_ = false;
-    std::thread collector_;
     std::vector<machine> entries_;
 };
 
