--- a/review/5/case.cpp
+++ b/review/5/case.cpp
@@ -13,7 +13,7 @@
 using namespace review;
 
 constexpr std::size_t service_count = 3;
-constexpr std::size_t session_count = 60;
+constexpr std::size_t session_count = 90;
 constexpr int statements_per_transaction = 12;
 constexpr double pause_ms = 300;
 constexpr double work_ms = 45;
