Read TROUBLE in the run scripts of the review

The scripts passed it on unseen. They now also exit with 2 when a program is missing or ends by a signal, and end the program when they are ended.

--- a/review/1/run.sh
+++ b/review/1/run.sh
@@ -1,4 +1,15 @@
 #!/usr/bin/env bash
-# Runs the case; see claim.txt. Exits with 1 if the rule was broken.
+# Runs the case of claim.txt and writes record.txt. Exits with 1 if the rule was
+# broken, 0 if it held, and 2 if the case could not run.
+# TROUBLE=0 leaves out the disruption; TROUBLE=lag leaves out the change of the route only.
 cd "$(dirname "$0")/../.." || exit 2
-exec target/review/case_1 review/1
+export TROUBLE="${TROUBLE:-1}"
+program=target/review/case_1
+[ -x "$program" ] && [ -x target/basilreachd ] || exit 2
+"$program" review/1 &
+pid=$!
+trap 'kill "$pid" 2> /dev/null' INT TERM
+wait "$pid"
+status=$?
+[ "$status" -le 2 ] || status=2
+exit "$status"
