traffic: Keep a transaction in its group when its route moves

Cause: a request took its group from its route for each statement again. An answer in the transaction came from the old group's primary, and its position was recorded as one of the new group's primary.

Ruled out: samples that are too old, and replicas that ignore the required position.

The same cause in two places: a session had one position for all groups, and a statement in a transaction took the timeout of the route's newest rule.

Change: the group and the timeout are part of the transaction. Positions of sessions are kept by group, and enter and leave the engine with their group.

Conclusion: the mistake of comparing positions of two groups can't be written any more where positions enter and leave the engine.

--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -70,7 +70,7 @@
                        traffic::statement_verb,
                        traffic::transaction_opening)>
         submit;
-    std::function<void(client_connection&, log_position)>
+    std::function<void(client_connection&, group_positions const&)>
         session_token_presented;
     // Submits a command of the admin console.
     std::function<void(client_connection&, std::string)> submit_console_request;
@@ -96,8 +96,8 @@
     virtual void start_session(std::uint64_t session) = 0;
 
     // Sends the stored answer to the client. The position, if there is one, is
-    // the session's new position.
-    virtual void relay(std::optional<log_position> position) = 0;
+    // the session's new position in its group.
+    virtual void relay(std::optional<group_position> const& position) = 0;
 
     // Answers the current statement with an error.
     virtual void refuse(traffic::refuse const& it) = 0;
@@ -125,10 +125,8 @@
     // The client's id of the current statement, or empty.
     [[nodiscard]] virtual std::string const& request_label() const = 0;
 
-    // The position that the client's session token states for the route's
-    // group.
-    [[nodiscard]] virtual std::optional<log_position>
-    presented_position() const = 0;
+    // The positions in the client's session token.
+    [[nodiscard]] virtual group_positions presented_positions() const = 0;
 
     // Whether the client declared all its transactions read-only.
     [[nodiscard]] virtual bool is_read_only() const = 0;
--- a/packages/daemon/include/basilreach/daemon/postgresql_client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/postgresql_client_connection.hpp
@@ -40,14 +40,13 @@
     void attach(client_owner const& owner) override;
     void detach() override;
     void start_session(std::uint64_t session) override;
-    void relay(std::optional<log_position> position) override;
+    void relay(std::optional<group_position> const& position) override;
     void refuse(traffic::refuse const& it) override;
     void end(traffic::refusal_reason reason) override;
     void abort_transaction() override;
     void send_console_reply(messages::admin_reply const& reply) override;
     void store_answer(std::unique_ptr<answer_payload> answer) override;
-    [[nodiscard]] std::optional<log_position>
-    presented_position() const override;
+    [[nodiscard]] group_positions presented_positions() const override;
 
     [[nodiscard]] std::uint64_t session() const override
     {
--- a/packages/daemon/src/line_client_connection.cpp
+++ b/packages/daemon/src/line_client_connection.cpp
@@ -79,9 +79,9 @@
     process();
 }
 
-std::optional<log_position> line_client_connection::presented_position() const
+group_positions line_client_connection::presented_positions() const
 {
-    return std::nullopt;
+    return {};
 }
 
 int line_client_connection::handle_input(ACE_HANDLE /*handle*/)
@@ -280,7 +280,8 @@
         is_read_only_transaction_ = false;
 }
 
-void line_client_connection::relay(std::optional<log_position> position)
+void line_client_connection::relay(
+    std::optional<group_position> const& position)
 {
     if (phase_ == phase::closing || !answer_)
         return;
@@ -310,7 +311,7 @@
                               ? transaction_status::failed_transaction
                               : transaction_status::idle);
     phase_ = phase::ready;
-    append_ready(position ? position : answer->ready.position);
+    append_ready(position ? position->position : answer->ready.position);
     write();
     process();
 }
--- a/packages/daemon/src/postgresql_client_connection.cpp
+++ b/packages/daemon/src/postgresql_client_connection.cpp
@@ -182,13 +182,9 @@
     process({});
 }
 
-std::optional<log_position>
-postgresql_client_connection::presented_position() const
+group_positions postgresql_client_connection::presented_positions() const
 {
-    auto const it = session_token_.positions.find(identity_.group);
-    if (it == session_token_.positions.end())
-        return std::nullopt;
-    return it->second;
+    return session_token_.positions;
 }
 
 int postgresql_client_connection::handle_input(ACE_HANDLE /*handle*/)
@@ -541,10 +537,7 @@
     if (!token)
         return;
     for (auto const& [group, position] : token.value().positions)
-    {
-        auto& known = session_token_.positions[group];
-        known = std::max(known, position);
-    }
+        advance_position(session_token_.positions, group, position);
 }
 
 void postgresql_client_connection::answer_variable(std::string const& text)
@@ -556,8 +549,7 @@
     if (it->is_set)
     {
         set_variable(it->name, it->value);
-        if (auto const position = presented_position())
-            owner_->session_token_presented(*this, *position);
+        owner_->session_token_presented(*this, session_token_.positions);
         return complete("SET");
     }
     auto const value = it->name == "basilreach.token"
@@ -608,7 +600,8 @@
     end(traffic::refusal_reason::transaction_lost);
 }
 
-void postgresql_client_connection::relay(std::optional<log_position> position)
+void postgresql_client_connection::relay(
+    std::optional<group_position> const& position)
 {
     if (phase_ == phase::closing)
         return;
@@ -616,7 +609,7 @@
     status_ = to_ready_status(answer_.status);
     if (position)
     {
-        session_token_.positions[identity_.group] = *position;
+        session_token_.positions[position->group] = position->position;
         pgwire::append_parameter_status(
             out_, "basilreach.token",
             traffic::print_session_token(session_token_));
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -211,10 +211,10 @@
             traffic::session_id{it.session()}, verb, opens});
     };
     owner_.session_token_presented =
-        [this](client_connection& it, log_position position)
+        [this](client_connection& it, group_positions const& positions)
     {
         engine_.push(traffic::session_token_presented{
-            traffic::session_id{it.session()}, position});
+            traffic::session_id{it.session()}, positions});
     };
     owner_.submit_console_request =
         [this](client_connection& it, std::string text)
@@ -458,7 +458,7 @@
     event.route = identity.route;
     event.workspace = identity.workspace;
     event.key = identity.key;
-    event.position = client.presented_position();
+    event.positions = client.presented_positions();
     event.read_only = client.is_read_only();
     engine_.push(event);
 }
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -83,8 +83,8 @@
 struct relay_answer
 {
     session_id session;
-    // The session's new position, when it changed.
-    std::optional<log_position> position;
+    // The session's new position in one group, when it changed.
+    std::optional<group_position> position;
     bool is_read = false;
 
     friend bool operator==(relay_answer const&, relay_answer const&) = default;
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -33,6 +33,11 @@
 struct transaction
 {
     connection_id connection;
+    // The group, and the time that each statement may take. They stay as they
+    // were when the transaction began: a change of the route applies from the
+    // next transaction on.
+    group_row_id group;
+    duration timeout{};
     // The group's term when the transaction began.
     std::uint64_t term = 0;
     bool at_primary = false;
@@ -49,7 +54,7 @@
     bool read_only = false;
     bool is_ending = false;
     std::optional<refusal_reason> end_reason;
-    std::optional<log_position> position;
+    group_positions positions;
     bool has_written = false;
     std::optional<transaction> in_transaction;
     std::optional<request_row_id> request;
@@ -88,6 +93,8 @@
     std::optional<std::chrono::nanoseconds> max_age;
     rules::read_guarantee reads = rules::read_guarantee::session;
     instant arrived_at;
+    // Time that the statement may take from its arrival.
+    duration timeout{};
     instant deadline;
     // The position that the server must have reached; used in groups whose
     // servers check it.
@@ -104,7 +111,7 @@
     // no connection could be opened, or the server rejected the statement
     // without running it.
     std::vector<server_row_id> excluded;
-    // The session's position once the answer is relayed.
+    // The session's position in the request's group once the answer is relayed.
     std::optional<log_position> answer_position;
 };
 
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -37,8 +37,8 @@
     workspace_name workspace;
     // The digest of the client's key; empty on an open route.
     std::optional<key_digest> key;
-    // The position of the route's group in the client's session token.
-    std::optional<log_position> position;
+    // The positions in the client's session token.
+    group_positions positions;
     bool read_only = false;
 
     friend bool operator==(session_opened const&,
@@ -58,7 +58,7 @@
 struct session_token_presented
 {
     session_id session;
-    log_position position;
+    group_positions positions;
 
     friend bool operator==(session_token_presented const&,
                            session_token_presented const&) = default;
--- a/packages/traffic/include/basilreach/traffic/session_token.hpp
+++ b/packages/traffic/include/basilreach/traffic/session_token.hpp
@@ -3,7 +3,6 @@
 
 #include <compare>
 #include <cstdint>
-#include <map>
 #include <string>
 #include <string_view>
 
@@ -18,7 +17,7 @@
 // it at another entry host to continue the session there.
 struct session_token
 {
-    std::map<group_name, log_position> positions;
+    group_positions positions;
 
     friend bool operator==(session_token const&,
                            session_token const&) = default;
--- a/packages/traffic/replay/include/traffic_replay/simulated_deployment.hpp
+++ b/packages/traffic/replay/include/traffic_replay/simulated_deployment.hpp
@@ -154,7 +154,7 @@
         unsigned workspace = 0;
         // Sessions of the write route and of the read route.
         std::array<std::uint64_t, 2> sessions{};
-        std::optional<log_position> session_position;
+        group_positions session_positions;
         std::uint64_t statement = 0;
         std::uint64_t transaction = 0;
         std::uint64_t writes = 0;
--- a/packages/traffic/replay/simulated_deployment.cpp
+++ b/packages/traffic/replay/simulated_deployment.cpp
@@ -98,7 +98,7 @@
         it.route = route_name(routes[n]);
         it.workspace = name_of(row.workspace);
         it.key = key_of(row.workspace);
-        it.position = row.session_position;
+        it.positions = row.session_positions;
         push(row.host, it);
     }
 }
@@ -123,7 +123,7 @@
     auto& row = clients_[client];
     row.host = host;
     if (without_token)
-        row.session_position.reset();
+        row.session_positions.clear();
     open_sessions(client);
     end_statement(client, statement_outcome::unknown);
 }
@@ -257,13 +257,13 @@
     auto& to = clients_[client];
     if (it.position)
     {
-        to.session_position =
-            std::max(to.session_position.value_or(*it.position), *it.position);
+        advance_position(to.session_positions, it.position->group,
+                         it.position->position);
         // The client presents its session token in its other session.
         for (auto const other : to.sessions)
             if (other != session)
                 push(host, session_token_presented{session_id{other},
-                                                   *to.session_position});
+                                                   to.session_positions});
     }
     if (to.statement == 0)
         return;
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -32,6 +32,20 @@
     return std::nullopt;
 }
 
+// Returns the group at whose servers the statement runs. A transaction stays in
+// its group when its route moves to another one.
+std::optional<group_row_id> find_group(state const& s,
+                                       session_row const& session,
+                                       rules::route_rule const& route)
+{
+    if (session.in_transaction)
+        return session.in_transaction->group;
+    auto const it = s.group_by_name.find(route.group);
+    if (it == s.group_by_name.end())
+        return std::nullopt;
+    return it->second;
+}
+
 bool declares_read(request_row const& request,
                    session_row const& session,
                    rules::route_rule const& route)
@@ -110,11 +124,11 @@
         return record_decision(s, id, decision_kind::wait,
                                decision_reason::lease_missing);
     }
-    auto const group = s.group_by_name.find(route->second.group);
-    if (group == s.group_by_name.end())
+    auto const group = find_group(s, session, route->second);
+    if (!group)
         return refuse_request(s, id, refusal_outcome::not_run,
                               refusal_reason::unknown_route);
-    request->group = group->second;
+    request->group = *group;
     request->is_read = declares_read(*request, session, route->second);
     request->max_age = route->second.max_age;
     request->reads = route->second.reads;
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -21,7 +21,7 @@
     row.route = it.route;
     row.workspace = it.workspace;
     row.key = it.key;
-    row.position = it.position;
+    row.positions = it.positions;
     row.read_only = it.read_only;
     auto const id = s.sessions.insert(std::move(row));
     s.session_by_id.emplace(static_cast<std::uint64_t>(it.session), id);
@@ -80,8 +80,18 @@
     if (!id)
         return;
     auto* session = s.sessions.find(*id);
-    session->position =
-        std::max(session->position.value_or(it.position), it.position);
+    for (auto const& [group, position] : it.positions)
+        advance_position(session->positions, group, position);
+}
+
+duration statement_timeout(state const& s, detail::session_row const& session)
+{
+    if (session.in_transaction)
+        return session.in_transaction->timeout;
+    auto const route = s.view->routes.find(session.route);
+    auto const timeout =
+        route == s.view->routes.end() ? std::nullopt : route->second.timeout;
+    return timeout.value_or(s.settings.request_timeout);
 }
 
 void on(state& s, statement_received const& it)
@@ -101,10 +111,8 @@
     bool const is_continued = it.opens == transaction_opening::opened;
     row.opens = is_continued ? transaction_opening::none : it.opens;
     row.arrived_at = s.now;
-    auto const route = s.view->routes.find(session->route);
-    auto const timeout =
-        route == s.view->routes.end() ? std::nullopt : route->second.timeout;
-    row.deadline = s.now + timeout.value_or(s.settings.request_timeout);
+    row.timeout = statement_timeout(s, *session);
+    row.deadline = s.now + row.timeout;
     auto const deadline = row.deadline;
     auto const request = s.requests.insert(std::move(row));
     session->request = request;
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -47,8 +47,12 @@
     connection->pinned_by = request.session;
     if (!session->in_transaction)
         session->in_transaction =
-            transaction{id, s.groups.find(request.group)->term,
-                        request.at_primary, request.is_read};
+            transaction{id,
+                        request.group,
+                        request.timeout,
+                        s.groups.find(request.group)->term,
+                        request.at_primary,
+                        request.is_read};
 }
 
 // Discards the answer of a primary that may have been superseded. A read
@@ -92,9 +96,10 @@
            request.verb != statement_verb::rollback;
 }
 
-bool is_behind_session(session_row const& session, answer_received const& it)
+bool is_behind_session(std::optional<log_position> own,
+                       answer_received const& it)
 {
-    return session.position && it.position && *it.position < *session.position;
+    return own && it.position && *it.position < *own;
 }
 
 void handle_success(state& s,
@@ -105,6 +110,7 @@
     auto* request = s.requests.find(id);
     auto const& group = *s.groups.find(request->group);
     auto const& session = *s.sessions.find(request->session);
+    auto const own = find_position(session.positions, group.name);
     if (request->at_primary && !may_relay_from_primary(s, group, term))
         return discard_answer(s, id);
     if (commits_write(*request, it))
@@ -118,12 +124,12 @@
     // A read at the primary does not advance a position that its session has:
     // otherwise a session that reads there because replicas are behind would
     // require a newer position of them with each read.
-    if (request->at_primary && !(request->is_read && session.position))
+    if (request->at_primary && !(request->is_read && own))
         request->answer_position = it.position;
     else if (request->at_primary)
         return relay_request(s, id);
     else if (s.settings.reads == read_policy::session_position &&
-             !session.in_transaction && is_behind_session(session, it))
+             !session.in_transaction && is_behind_session(own, it))
     {
         // The server's log has been truncated since its position was observed.
         s.servers.find(request->server)->position = it.position;
@@ -174,9 +180,10 @@
     // The primary reports a later term than the session's position has. Writes
     // of the earlier term beyond the start of the later one are lost, so reads
     // need not wait for them.
-    if (it.is_from_primary && it.position && session->position &&
-        it.position->term > session->position->term)
-        session->position = it.position;
+    auto const own = find_position(session->positions, group->name);
+    if (it.is_from_primary && it.position && own &&
+        it.position->term > own->term)
+        session->positions.insert_or_assign(group->name, *it.position);
     relay_request(s, id);
 }
 
@@ -290,12 +297,13 @@
 {
     auto const& request = *s.requests.find(id);
     auto* session = s.sessions.find(request.session);
-    std::optional<log_position> changed;
-    if (request.answer_position &&
-        (!session->position || *session->position < *request.answer_position))
+    std::optional<group_position> changed;
+    if (request.answer_position)
     {
-        session->position = request.answer_position;
-        changed = request.answer_position;
+        auto const& group = s.groups.find(request.group)->name;
+        if (advance_position(session->positions, group,
+                             *request.answer_position))
+            changed = group_position{group, *request.answer_position};
     }
     session->has_written = session->has_written || !request.is_read;
     auto& count = !request.is_read     ? s.counts.writes
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -50,10 +50,10 @@
                                      { return it.queried_at >= oldest; });
     if (sample == group.samples.end())
         return std::nullopt;
-    if (request.reads == rules::read_guarantee::bounded_age ||
-        !session.position)
+    auto const own = find_position(session.positions, group.name);
+    if (request.reads == rules::read_guarantee::bounded_age || !own)
         return sample->position;
-    return std::max(sample->position, *session.position);
+    return std::max(sample->position, *own);
 }
 
 // Adds a sample. Above the limit, removes the sample with the least time
@@ -94,8 +94,8 @@
                          session_row const& session,
                          server_row const& server)
 {
-    if (!session.position || !server.position ||
-        *server.position < *session.position ||
+    auto const own = find_position(session.positions, group.name);
+    if (!own || !server.position || *server.position < *own ||
         server.position->term != group.term)
         return false;
     return !request.max_age ||
@@ -103,13 +103,14 @@
 }
 
 bool session_has_not_written(state const& /*s*/,
-                             group_row const& /*group*/,
+                             group_row const& group,
                              request_row const& /*request*/,
                              session_row const& session,
                              server_row const& /*server*/)
 {
     // A position can come from a session token, whose session has written.
-    return !session.has_written && !session.position;
+    return !session.has_written &&
+           !find_position(session.positions, group.name);
 }
 
 bool qualifies_always(state const& /*s*/,
@@ -336,12 +337,12 @@
         return enqueue(s, id, request, *replica, false);
     }
     auto const& group = *s.groups.find(request.group);
-    if (s.settings.reads == read_policy::session_position && session.position &&
+    auto const own = find_position(session.positions, group.name);
+    if (s.settings.reads == read_policy::session_position && own &&
         !request.has_waited && has_replica(s, group))
-        return wait_for_position(s, id, request, *session.position);
+        return wait_for_position(s, id, request, *own);
     route_to_primary(s, id, request,
-                     session.position
-                         ? decision_reason::primary_no_replica_qualifies
+                     own ? decision_reason::primary_no_replica_qualifies
                          : decision_reason::primary_without_position);
 }
 
--- a/packages/traffic/test/engine_test.cpp
+++ b/packages/traffic/test/engine_test.cpp
@@ -143,7 +143,8 @@
     CHECK_FALSE(f.find<relay_answer>().has_value());
     f.answer_positions({1, 10});
     REQUIRE(f.find<relay_answer>().has_value());
-    CHECK(f.find<relay_answer>()->position == log_position{1, 10});
+    CHECK(f.find<relay_answer>()->position ==
+          group_position{group_name("g"), {1, 10}});
 }
 
 TEST_CASE("a write whose primary is superseded is never acknowledged")
@@ -181,7 +182,8 @@
 {
     fixture f;
     f.open_session(1, "lookup");
-    f.it->push(session_token_presented{session_id{1}, {1, 10}});
+    f.it->push(
+        session_token_presented{session_id{1}, {{group_name("g"), {1, 10}}}});
     f.it->push(statement_received{session_id{1}, statement_verb::other});
     f.run();
     CHECK_FALSE(f.find<send_statement>().has_value());
@@ -340,7 +342,8 @@
     f.it->push(answer_received{connection, false, transaction_status::idle,
                                log_position{1, 10}});
     f.run();
-    CHECK(f.find<relay_answer>()->position == log_position{1, 10});
+    CHECK(f.find<relay_answer>()->position ==
+          group_position{group_name("g"), {1, 10}});
     // No replica qualifies within the wait.
     f.it->push(statement_received{session_id{1}, statement_verb::other});
     f.run();
@@ -370,7 +373,8 @@
     view.groups[group_name("g")].term = 2;
     f.it->push(control_changed{std::make_shared<control_view>(view)});
     f.open_session(2, "lookup");
-    f.it->push(session_token_presented{session_id{2}, {1, 10}});
+    f.it->push(
+        session_token_presented{session_id{2}, {{group_name("g"), {1, 10}}}});
     f.it->push(statement_received{session_id{2}, statement_verb::other});
     f.run();
     f.now += 1ms;
@@ -384,7 +388,8 @@
 {
     fixture f;
     f.open_session(1, "aged");
-    f.it->push(session_token_presented{session_id{1}, {1, 500}});
+    f.it->push(
+        session_token_presented{session_id{1}, {{group_name("g"), {1, 500}}}});
     // Each session without a position reads at the primary.
     for (std::uint64_t n = 2; n != 1000; ++n)
     {
@@ -405,7 +410,8 @@
         f.it->push(session_closed{session_id{1}});
     }
     f.open_session(1, "aged");
-    f.it->push(session_token_presented{session_id{1}, {1, 500}});
+    f.it->push(
+        session_token_presented{session_id{1}, {{group_name("g"), {1, 500}}}});
     CHECK(f.server_of(f.send(1, statement_verb::other)) != server_name("s1"));
 }
 
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -47,6 +47,25 @@
     return view;
 }
 
+// The routes have moved to a second group, whose log is much longer.
+control_view make_view_with_moved_routes()
+{
+    auto view = make_view();
+    view.revision = 2;
+    for (auto& [name, route] : view.routes)
+        route.group = group_name("h");
+    for (auto const* name : {"t1", "t2", "t3"})
+    {
+        auto server = server_at("127.0.0.1:4", "a");
+        server.group = group_name("h");
+        view.servers.emplace(server_name(name), server);
+    }
+    auto group = view.groups.at(group_name("g"));
+    group.primary = server_name("t1");
+    view.groups.emplace(group_name("h"), group);
+    return view;
+}
+
 struct fixture
 {
     explicit fixture(std::uint32_t connections = 2, bool has_limits = false)
@@ -160,7 +179,8 @@
     fixture f;
     f.open_session(1, "ledger");
     f.write(1, {3, 10});
-    CHECK(f.find<relay_answer>()->position == log_position{3, 10});
+    CHECK(f.find<relay_answer>()->position ==
+          group_position{group_name("g"), {3, 10}});
 }
 
 TEST_CASE("a read requires the session's position at any server")
@@ -219,6 +239,92 @@
     CHECK(f.server_of(*last) == "s2");
 }
 
+// Guards against a position of one group that counts as a position of another
+// one: the primary of group g answers in a transaction whose route has moved to
+// group h meanwhile, and reads at h then ran at a replica that was behind.
+TEST_CASE("a transaction stays in its group when its route moves")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    f.open_session(2, "lookup");
+    auto const opening =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    f.answer(opening, {3, 10}, true, transaction_status::in_transaction);
+    f.adopt(make_view_with_moved_routes());
+    f.now += 10ms;
+    auto const inner = f.send(1, statement_verb::write);
+    CHECK(inner.connection == opening.connection);
+    CHECK(inner.wrapping == transaction_wrapping::none);
+    f.answer(inner, {3, 10}, true, transaction_status::in_transaction);
+    f.now += 10ms;
+    // Nothing is known of the positions at h, so the read waits for one.
+    f.it->push(statement_received{session_id{2}, statement_verb::read});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    auto const query = f.find<query_position>();
+    REQUIRE(query.has_value());
+    CHECK(f.opened.at(query->connection).server.str() == "t1");
+    f.it->push(position_observed{query->connection, {1, 700}, true});
+    f.run();
+    CHECK(f.find<send_statement>()->after == log_position{1, 700});
+    auto const commit = f.send(1, statement_verb::commit);
+    f.answer(commit, {3, 11}, true);
+    CHECK(f.find<relay_answer>()->position ==
+          group_position{group_name("g"), {3, 11}});
+}
+
+// Guards against a session that requires a position of one group at the servers
+// of another one, which never reach it or are behind it already.
+TEST_CASE("a session has a position of its own in each group")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    f.write(1, {3, 10});
+    auto moved = make_view_with_moved_routes();
+    f.adopt(moved);
+    f.now += 10ms;
+    f.it->push(statement_received{session_id{1}, statement_verb::read});
+    f.run();
+    auto const query = f.find<query_position>();
+    REQUIRE(query.has_value());
+    f.it->push(position_observed{query->connection, {1, 700}, true});
+    f.run();
+    auto const read = f.find<send_statement>();
+    REQUIRE(read.has_value());
+    CHECK(read->after == log_position{1, 700});
+    f.answer(*read, {1, 700}, false);
+    f.now += 10ms;
+    auto const written = f.send(1, statement_verb::write);
+    f.answer(written, {1, 701}, true);
+    // The write at g counts again once the route has moved back.
+    auto back = make_view();
+    back.revision = 3;
+    f.adopt(back);
+    f.now += 10ms;
+    CHECK(f.send(1, statement_verb::read).after == log_position{3, 10});
+}
+
+// Guards against a change of a route that takes effect within a transaction.
+TEST_CASE("statements of a transaction keep the timeout it began with")
+{
+    fixture f;
+    f.open_session(1, "ledger");
+    auto const opening =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    f.answer(opening, {3, 10}, true, transaction_status::in_transaction);
+    auto view = make_view();
+    view.revision = 2;
+    view.routes.at(route_name("ledger")).timeout = 100ms;
+    f.adopt(view);
+    f.send(1, statement_verb::write);
+    f.now += 799ms;
+    f.run();
+    CHECK_FALSE(f.find<refuse>().has_value());
+    f.now += 1ms;
+    f.run();
+    CHECK(f.find<refuse>().has_value());
+}
+
 // Guards against an overload that persists after its cause: while the primary
 // is slow, no position of it is recent, so every read goes to the primary,
 // which stays slow.
--- a/tools/measure_program/decisions.cpp
+++ b/tools/measure_program/decisions.cpp
@@ -130,7 +130,7 @@
             event.route = route_name("lookup");
             event.workspace = workspace_name("w");
             event.key = key_digest{1};
-            event.position = current_position;
+            event.positions = {{group_name("g"), current_position}};
             engine_under_test.push(event);
         }
         run();
