control: Fence groups with synchronous replicas before a promotion

The leader asked for positions and ordered the promotion while the old primary went on acknowledging commits of open transactions, which the chosen replica did not receive any more.

Ruled out: a candidate below another answer (nothing is lost without the pause in receiving), and successes relayed after the promotion (the old primary answers with INDOUBT or READONLY then).

Change: a group with synchronous replicas is fenced like one that is not server-checked. Daemons hold back single writes, refuse commits of open transactions, confirm this once no commit is outstanding (150 ms at most), and commit there only with a lease. Positions are asked for after that, and the answers must cover every set of servers that can have acknowledged a commit. A former primary that is back is confirmed. A refused statement ends its transaction at the server.

--- a/packages/control/include/basilreach/control/control_state.hpp
+++ b/packages/control/include/basilreach/control/control_state.hpp
@@ -88,6 +88,10 @@
     // terms and report which of them is the primary.
     [[nodiscard]] bool is_server_checked(group_name const& it) const;
 
+    // The replicas that must have received a commit before it is acknowledged,
+    // in a server-checked group; 0 in others.
+    [[nodiscard]] std::uint32_t sync_replicas(group_name const& it) const;
+
     // Return the entry, or null if the name is unknown.
     [[nodiscard]] daemon_entry const* find(daemon_name const& it) const;
     [[nodiscard]] server_entry const* find(server_name const& it) const;
--- a/packages/control/include/basilreach/control/leader.hpp
+++ b/packages/control/include/basilreach/control/leader.hpp
@@ -307,6 +307,14 @@
     void run_fencing(group_name const& group, instant now);
     void run_choosing(group_name const& group, instant now);
     void choose_candidate(group_name const& group, instant now);
+    void propose_fencing(group_name const& group, instant now);
+    // Whether the daemons must hold back commits before a primary is chosen.
+    [[nodiscard]] bool needs_fencing(group_name const& group) const;
+    // Returns how many servers must have answered a positions query without
+    // being ahead of the candidate.
+    [[nodiscard]] std::size_t required_answers(group_name const& group) const;
+    [[nodiscard]] bool has_all_writes(group_name const& group,
+                                      log_position candidate) const;
     void send(group_name const& group, leader_output it, instant now);
     void log_decision(group_name const& group,
                       std::optional<server_name> server,
--- a/packages/control/src/control_state.cpp
+++ b/packages/control/src/control_state.cpp
@@ -370,6 +370,12 @@
            limit->second.checked_by == rules::position_check::server;
 }
 
+std::uint32_t control_state::sync_replicas(group_name const& it) const
+{
+    return is_server_checked(it) ? rules_->server_limits.at(it).sync_replicas
+                                 : 0;
+}
+
 server_entry const* control_state::find(server_name const& it) const
 {
     return find_in(parts_.servers, it);
--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -382,17 +382,31 @@
             log_decision(group, entry.primary, *reason);
         return choose_candidate(group, now);
     }
-    row.round.reset();
-    row.positions.clear();
     row.answer.reset();
-    if (!reason)
+    if (reason)
     {
-        if (row.last_decision)
-            log_decision(group, entry.primary, promotion_reason::serving);
-        return;
+        log_decision(group, entry.primary, *reason);
+        return propose_fencing(group, now);
     }
-    log_decision(group, entry.primary, *reason);
-    send(group, proposal(begin_fencing{group, entry.term}), now);
+    row.round.reset();
+    row.positions.clear();
+    if (row.last_decision)
+        log_decision(group, entry.primary, promotion_reason::serving);
+}
+
+// Positions that were reported before the fence is in force must not count:
+// writes may have been acknowledged above them since.
+void leader::propose_fencing(group_name const& group, instant now)
+{
+    auto& row = promotions_[group];
+    row.round.reset();
+    row.positions.clear();
+    send(group, proposal(begin_fencing{group, state_.find(group)->term}), now);
+}
+
+bool leader::needs_fencing(group_name const& group) const
+{
+    return !state_.is_server_checked(group) || state_.sync_replicas(group) > 0;
 }
 
 std::optional<promotion_reason>
@@ -447,9 +461,7 @@
 void leader::run_fencing(group_name const& group, instant now)
 {
     auto const& entry = *state_.find(group);
-    if (state_.is_server_checked(group))
-        return choose_candidate(group, now);
-    if (revision_in_force_ >= entry.fenced_at)
+    if (!needs_fencing(group) || revision_in_force_ >= entry.fenced_at)
     {
         choose_candidate(group, now);
         return;
@@ -477,6 +489,14 @@
         // Positions that were reported for the choice of this candidate must
         // not count in the choice of the next one.
         row.round.reset();
+        // The former primary was chosen again, for example because it has come
+        // back with its log. There is nothing to order, and no change of its
+        // role will be reported.
+        if (state_.is_server_checked(group) &&
+            server.role == server_role::primary)
+            return send(group,
+                        proposal(confirm_primary{group, entry.term, candidate}),
+                        now);
         // In a server-checked group, the candidate reports itself as primary
         // once it is.
         if (has_answer && state_.is_server_checked(group))
@@ -522,37 +542,29 @@
         row.positions.clear();
     }
     auto const& servers = state_.servers_of(group);
-    std::size_t const majority = majority_of(servers.size());
-    std::size_t answers = 0;
-    std::size_t candidates = 0;
     std::optional<std::pair<log_position, server_name>> best;
     log_position highest;
     for (auto const& [server, position] : row.positions)
     {
         if (!servers.contains(server))
             continue;
-        ++answers;
         highest = std::max(highest, position);
-        if (!is_eligible_primary(server))
-            continue;
-        ++candidates;
-        if (!best || position > best->first)
+        if (is_eligible_primary(server) && (!best || position > best->first))
             best.emplace(position, server);
     }
-    // Each acknowledged write is on a majority of the servers. The best
-    // candidate has all of them if the candidates that answered are a majority,
-    // or if a majority answered and no server among it has a higher position.
-    bool const has_all_writes =
-        answers >= majority &&
-        (candidates >= majority || !best || best->first >= highest);
     auto reason = promotion_reason::highest_position;
-    if (!has_all_writes)
+    if (!has_all_writes(group, best ? best->first : highest))
         reason = promotion_reason::waiting_for_majority;
     else if (!best)
         reason = promotion_reason::no_candidate;
     else if (best->first < acknowledged_[group])
         reason = promotion_reason::acknowledged_write_missing;
 
+    // The positions show that a candidate will be found. The fence comes only
+    // then, because the primary may still be serving.
+    if (reason == promotion_reason::highest_position && needs_fencing(group) &&
+        state_.find(group)->phase == group_phase::serving)
+        return propose_fencing(group, now);
     if (reason == promotion_reason::highest_position)
     {
         auto const term = std::max(state_.find(group)->term, highest.term) + 1;
@@ -570,6 +582,40 @@
         send(group, std::move(query), now);
 }
 
+// Each acknowledged write is on a majority of the servers or, in a
+// server-checked group, on the primary and its synchronous replicas: any set of
+// the remaining servers and one more includes a server that has the write. The
+// primary may have been removed meanwhile.
+std::size_t leader::required_answers(group_name const& group) const
+{
+    auto const& servers = state_.servers_of(group);
+    auto const replicas = state_.sync_replicas(group);
+    if (replicas == 0)
+        return majority_of(servers.size());
+    bool const has_primary =
+        std::any_of(servers.begin(), servers.end(),
+                    [this](auto const& it)
+                    { return state_.find(it)->role == server_role::primary; });
+    std::size_t const copies =
+        std::min(servers.size(), std::size_t{replicas} + (has_primary ? 1 : 0));
+    return servers.size() - copies + 1;
+}
+
+// The candidate has all acknowledged writes if enough servers have answered and
+// are not ahead of it.
+bool leader::has_all_writes(group_name const& group,
+                            log_position candidate) const
+{
+    auto const& servers = state_.servers_of(group);
+    auto const& positions = promotions_.at(group).positions;
+    auto const covered = std::count_if(positions.begin(), positions.end(),
+                                       [&](auto const& it) {
+                                           return servers.contains(it.first) &&
+                                                  it.second <= candidate;
+                                       });
+    return static_cast<std::size_t>(covered) >= required_answers(group);
+}
+
 void leader::send(group_name const& group, leader_output it, instant now)
 {
     auto& row = promotions_[group];
--- a/packages/control/test/server_checked_test.cpp
+++ b/packages/control/test/server_checked_test.cpp
@@ -20,6 +20,7 @@
     rules::rule_set out;
     rules::server_limit_rule limit;
     limit.checked_by = rules::position_check::server;
+    limit.sync_replicas = text == "synchronous" ? 1 : 0;
     out.server_limits.emplace(group_name{"g"}, limit);
     return out;
 }
@@ -41,9 +42,9 @@
 
 struct fixture
 {
-    fixture()
+    explicit fixture(char const* rules = "{}")
     {
-        apply(offer_rules{3, "{}"});
+        apply(offer_rules{3, rules});
         report("s1", server_role::primary);
         report("s2", server_role::replica);
         report("s3", server_role::replica);
@@ -60,12 +61,22 @@
 
     // Passes a report to the monitor and commits the resulting command, as the
     // control leader does.
-    void report(char const* server, server_role role)
+    void report(char const* server, server_role role, bool is_leaving = false)
     {
-        if (auto it = monitor.receive(report_of(server, role, ++sequence), now))
+        auto message = report_of(server, role, ++sequence);
+        message.is_leaving = is_leaving;
+        if (auto it = monitor.receive(message, now))
             apply(std::move(*it));
     }
 
+    // The daemon has adopted this revision.
+    void confirm(char const* daemon, std::uint64_t revision)
+    {
+        leader->receive(lease_renewal{
+            daemon_name{daemon}, data_centre_name{"a"}, 1, now, revision, {}});
+        run();
+    }
+
     group_entry const& group() const
     {
         return *state.find(group_name{"g"});
@@ -224,6 +235,76 @@
     CHECK(f.promoted[1].term > f.promoted[0].term);
 }
 
+// Guards against acknowledged commits that the promoted server lacks: the
+// candidate was chosen by positions that were reported while the primary still
+// acknowledged commits.
+TEST_CASE("a group with synchronous replicas is fenced before the choice")
+{
+    fixture f("synchronous");
+    f.apply(register_daemon{daemon_name{"d"}, data_centre_name{"a"}});
+    f.run();
+    auto const before = f.index;
+    f.confirm("d", before);
+    f.positions = {{server_name{"s1"}, 41},
+                   {server_name{"s2"}, 41},
+                   {server_name{"s3"}, 40}};
+    f.report("s1", server_role::primary, true);
+    f.run();
+    CHECK(f.group().phase == group_phase::fencing);
+    CHECK(f.promoted.empty());
+    // s2 received nothing more, and the daemon acknowledged a commit that s3
+    // has.
+    f.positions[server_name{"s1"}] = 45;
+    f.positions[server_name{"s3"}] = 45;
+    f.confirm("d", f.index);
+    REQUIRE(f.promoted.size() == 1);
+    CHECK(f.promoted[0].server == server_name{"s3"});
+}
+
+// Guards against a choice that a server without an answer could contradict: the
+// lost primary and that server may be the only ones with an acknowledged
+// commit.
+TEST_CASE("with synchronous replicas, enough replicas must answer")
+{
+    fixture f("synchronous");
+    f.report("s4", server_role::replica);
+    f.report("s5", server_role::replica);
+    f.positions = {{server_name{"s2"}, 41},
+                   {server_name{"s3"}, 40},
+                   {server_name{"s4"}, 40}};
+    f.apply(report_verdict{server_name{"s1"}, 1, verdict::down});
+    f.run();
+    f.now += 1s;
+    f.run();
+    // The primary has not been fenced, because no candidate would be found.
+    CHECK(f.group().phase == group_phase::serving);
+    f.positions[server_name{"s5"}] = 42;
+    f.now += 1s;
+    f.run();
+    REQUIRE(f.promoted.size() == 1);
+    CHECK(f.promoted[0].server == server_name{"s5"});
+}
+
+// Guards against a fenced group whose primary has come back: it has the highest
+// position, and never reports a change of its role.
+TEST_CASE("a fenced group keeps a primary that is back")
+{
+    fixture f("synchronous");
+    f.apply(register_daemon{daemon_name{"d"}, data_centre_name{"a"}});
+    f.run();
+    f.confirm("d", f.index);
+    f.positions = {{server_name{"s2"}, 41}, {server_name{"s3"}, 41}};
+    f.apply(report_verdict{server_name{"s1"}, 1, verdict::down});
+    f.run();
+    REQUIRE(f.group().phase == group_phase::fencing);
+    f.positions = {{server_name{"s1"}, 45}, {server_name{"s2"}, 41}};
+    f.report("s1", server_role::primary);
+    f.confirm("d", f.index);
+    CHECK(f.promoted.empty());
+    CHECK(f.group().phase == group_phase::serving);
+    CHECK(f.group().primary == server_name{"s1"});
+}
+
 // Guards against two control hosts that send promotion orders with the same
 // term.
 TEST_CASE("a new leader repeats no order of the earlier leader")
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -49,6 +49,7 @@
         {
             group.slots = limit->second.slots;
             group.checked_by = limit->second.checked_by;
+            group.sync_replicas = limit->second.sync_replicas;
         }
         view.groups.emplace(name, group);
     }
--- a/packages/rules/include/basilreach/rules/rule_set.hpp
+++ b/packages/rules/include/basilreach/rules/rule_set.hpp
@@ -85,6 +85,10 @@
     // Statements that each server of the group runs at the same time.
     std::uint32_t slots = 3;
     position_check checked_by = position_check::proxy;
+    // Replicas that must have received a commit before the primary acknowledges
+    // it, in a server-checked group. With 0, a promotion may lose acknowledged
+    // commits.
+    std::uint32_t sync_replicas = 0;
 
     friend bool operator==(server_limit_rule const&,
                            server_limit_rule const&) = default;
--- a/packages/traffic/include/basilreach/traffic/control_view.hpp
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -37,6 +37,9 @@
     // Statements that each server of the group runs at the same time.
     std::uint32_t slots = 3;
     rules::position_check checked_by = rules::position_check::proxy;
+    // Replicas that receive a commit before it is acknowledged, in a
+    // server-checked group.
+    std::uint32_t sync_replicas = 0;
 
     friend bool operator==(group_view const&, group_view const&) = default;
 };
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -87,6 +87,9 @@
     // A server may have run the statement, even if the request now waits to be
     // sent to another one.
     bool was_sent = false;
+    // A commit whose group has lost its primary since it was sent, so that its
+    // success can't be relied on.
+    bool is_fenced = false;
     // Set when a read first waits for a position: it waits only once.
     bool has_waited = false;
     group_row_id group;
@@ -200,6 +203,7 @@
     std::optional<server_row_id> primary;
     std::uint32_t slots = 3;
     rules::position_check checked_by = rules::position_check::proxy;
+    std::uint32_t sync_replicas = 0;
     // Until then nothing is sent to the primary, because that server answered
     // that it is not the primary.
     instant primary_refused_until;
@@ -227,7 +231,8 @@
     group_poll,
     server_dispatch,
     primary_retry,
-    server_silence
+    server_silence,
+    view_confirmation
 };
 
 struct timer_key
@@ -254,6 +259,10 @@
     instant lease_until;
     bool draining = false;
     control_view_ptr view;
+    // The revision of a view that is adopted but not yet confirmed, and when it
+    // is confirmed at the latest.
+    std::optional<std::uint64_t> unconfirmed_revision;
+    instant confirm_by;
 
     table<session_row> sessions;
     table<request_row> requests;
@@ -304,6 +313,9 @@
 void dispatch_requests(state& s);
 void release_held_answers(state& s);
 void request_rate_tokens(state& s);
+// Reports that the newest view is in effect, once no commit is outstanding in a
+// group that has lost its primary by it.
+void confirm_view(state& s);
 void report_connections(state& s);
 
 // Replies to the request's client with an error and removes the request.
@@ -351,6 +363,9 @@
                       server_row& server,
                       workspace_name const& workspace = {});
 
+// Lets a request wait until there is a control lease.
+void wait_for_lease(state& s, request_row_id id);
+
 // Checks the control lease again before a statement is sent, since it may have
 // waited after its admission: without a lease, a withdrawal of the client's key
 // could have been missed. Returns whether the request now waits for a lease.
@@ -399,6 +414,29 @@
 // it is not the primary.
 void back_off_from_primary(state& s, group_row_id id);
 
+// Whether commits in the group are held back, because its primary is being
+// replaced.
+[[nodiscard]] bool is_fenced(group_row const& group);
+
+// Whether a success of the statement commits writes.
+[[nodiscard]] bool commits(state const& s, request_row const& request);
+
+// Whether the statement must not be sent without a control lease, because its
+// commit could be acknowledged after a promotion that lacks it.
+[[nodiscard]] bool needs_lease_to_commit(state const& s,
+                                         request_row const& request);
+
+// Whether the success of a commit may be relayed.
+[[nodiscard]] bool may_acknowledge_commit(state const& s,
+                                          request_row const& request);
+
+// Prevents that successes of the commits outstanding in the group are relayed,
+// where the group has synchronous replicas.
+void fence_outstanding_commits(state& s, group_row_id group);
+
+// Lets confirm_view() report the revision.
+void schedule_confirmation(state& s, std::uint64_t revision);
+
 // Whether a statement that was sent may have had an effect that remains once
 // its connection is closed.
 [[nodiscard]] bool may_have_effect(state const& s, request_row const& request);
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -84,6 +84,10 @@
     // Time after which a server that answered "not the primary" is tried again
     // if no other primary has become known.
     duration primary_retry = std::chrono::milliseconds(100);
+    // Time that the answers to outstanding commits are waited for before the
+    // loss of their group's primary is confirmed. Shorter than the leader's
+    // confirmation timeout, after which the daemon would get no lease.
+    duration fence_wait = std::chrono::milliseconds(150);
     // Whether statements need a rate token.
     bool limits_enabled = true;
     // Name of this engine as a holder of rate tokens; unique in each thread.
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -118,12 +118,7 @@
     // of a transaction runs nevertheless: its statements were admitted.
     if (session.key && !s.has_lease() && !s.settings.serves_without_lease &&
         !ends_transaction(request->verb))
-    {
-        request->state = request_state::waiting_lease;
-        s.waiting_lease.push_back(id);
-        return record_decision(s, id, decision_kind::wait,
-                               decision_reason::lease_missing);
-    }
+        return wait_for_lease(s, id);
     auto const group = find_group(s, session, route->second);
     if (!group)
         return refuse_request(s, id, refusal_outcome::not_run,
@@ -132,6 +127,8 @@
     request->is_read = declares_read(*request, session, route->second);
     request->max_age = route->second.max_age;
     request->reads = route->second.reads;
+    if (!s.has_lease() && needs_lease_to_commit(s, *request))
+        return wait_for_lease(s, id);
     if (!consume_rate_token(s, id, *request, session))
         return;
     s.timers.erase({timer_kind::token_wait, id});
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -122,12 +122,15 @@
 // rejects what only the primary may run, so its connections and their open
 // transactions are kept.
 void change_server_checked_primary(state& s,
-                                   group_row& group,
+                                   group_row_id id,
                                    std::uint64_t term,
                                    std::optional<server_row_id> primary)
 {
+    auto& group = *s.groups.find(id);
     if (group.primary)
         reroute_queued(s, *group.primary);
+    if (primary)
+        fence_outstanding_commits(s, id);
     group.term = term;
     group.primary = primary;
     group.primary_refused_until = instant{};
@@ -144,10 +147,11 @@
     auto const primary = find_server(s, view.primary);
     group->slots = view.slots;
     group->checked_by = view.checked_by;
+    group->sync_replicas = view.sync_replicas;
     if (group->term == view.term && group->primary == primary)
         return;
     if (view.checked_by == rules::position_check::server)
-        return change_server_checked_primary(s, *group, view.term, primary);
+        return change_server_checked_primary(s, id, view.term, primary);
     end_term(s, *group);
     group->term = view.term;
     group->primary = primary;
@@ -234,7 +238,7 @@
         if (server->is_down || server->is_leaving)
             reroute_queued(s, id);
     }
-    s.actions.emplace_back(control_view_adopted{view->revision});
+    schedule_confirmation(s, view->revision);
 }
 
 } // namespace basilreach::traffic::detail
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -142,13 +142,19 @@
                  s.now + s.settings.silence_report_interval);
 }
 
+// The stage confirm_view() runs in each tick.
+void expire_view_confirmation(state& /*s*/, row_id /*id*/)
+{
+}
+
 using expiry = void (*)(state&, row_id);
 
 // Indexed by timer_kind.
-constexpr std::array<expiry, 9> expiries = {
-    expire_request,         expire_read_try,      expire_position_wait,
-    expire_token_wait,      expire_connection,    expire_group_poll,
-    expire_server_dispatch, expire_primary_retry, expire_server_silence};
+constexpr std::array<expiry, 10> expiries = {
+    expire_request,          expire_read_try,      expire_position_wait,
+    expire_token_wait,       expire_connection,    expire_group_poll,
+    expire_server_dispatch,  expire_primary_retry, expire_server_silence,
+    expire_view_confirmation};
 
 } // namespace
 
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -187,13 +187,20 @@
 bool wait_if_lease_expired(state& s, request_row_id id)
 {
     auto* request = s.requests.find(id);
-    if (!s.sessions.find(request->session)->key || s.has_lease() ||
-        s.settings.serves_without_lease)
+    bool const needs_lease_for_key = s.sessions.find(request->session)->key &&
+                                     !s.settings.serves_without_lease;
+    if (s.has_lease() ||
+        (!needs_lease_for_key && !needs_lease_to_commit(s, *request)))
         return false;
-    request->state = request_state::waiting_lease;
+    wait_for_lease(s, id);
+    return true;
+}
+
+void wait_for_lease(state& s, request_row_id id)
+{
+    s.requests.find(id)->state = request_state::waiting_lease;
     s.waiting_lease.push_back(id);
     record_decision(s, id, decision_kind::wait, decision_reason::lease_missing);
-    return true;
 }
 
 std::vector<request_row_id> pop_queued(state& s, server_row& server)
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -256,7 +256,8 @@
     &detail::expire_deadlines,     &detail::admit_requests,
     &detail::route_requests,       &detail::dispatch_requests,
     &detail::release_held_answers, &detail::poll_positions,
-    &detail::request_rate_tokens,  &detail::report_connections,
+    &detail::request_rate_tokens,  &detail::confirm_view,
+    &detail::report_connections,
 };
 
 bool has_work(state const& s)
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -175,6 +175,9 @@
     bool const is_committed = !it.is_error && !request->is_read &&
                               it.status == transaction_status::idle &&
                               request->verb != statement_verb::rollback;
+    if (is_committed && !may_acknowledge_commit(s, *request))
+        return refuse_request(s, id, refusal_outcome::unknown,
+                              refusal_reason::superseded);
     if (is_committed)
         request->answer_position = it.position;
     // The primary reports a later term than the session's position has. Writes
@@ -334,9 +337,16 @@
         log_decision{refused_session, request.number, decision_kind::refuse,
                      decision_reason::refused, std::nullopt,
                      refuse{refused_session, outcome, reason, close_session}});
+    auto* session = s.sessions.find(request.session);
+    // The client takes its transaction for failed, so it must not stay open at
+    // the server: the next one would run inside it.
+    if (session->in_transaction && is_server_checked(s, request))
+    {
+        drop_connection(s, session->in_transaction->connection);
+        session->in_transaction.reset();
+    }
     ++(outcome == refusal_outcome::not_run ? s.counts.refused_not_run
                                            : s.counts.outcome_unknown);
-    auto* session = s.sessions.find(request.session);
     session->is_ending = session->is_ending || close_session;
     s.actions.emplace_back(refuse{session->id, outcome, reason, close_session});
     finish_request(s, id);
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -442,6 +442,10 @@
     if (request == nullptr)
         return;
     auto const& session = *s.sessions.find(request->session);
+    if (session.in_transaction && commits(s, *request) &&
+        is_fenced(*s.groups.find(request->group)))
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::transaction_lost);
     if (session.in_transaction)
         return send_in_transaction(s, id, *request, *session.in_transaction);
     if (request->is_read && is_server_checked(s, *request))
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -325,6 +325,108 @@
     CHECK(f.find<refuse>().has_value());
 }
 
+// Guards against an acknowledged commit that a promotion loses: while a primary
+// with synchronous replicas is replaced, it still acknowledges commits that the
+// promoted server has not received.
+TEST_CASE("commits are held back while a synchronous primary is replaced")
+{
+    fixture f(8);
+    auto view = make_view();
+    view.revision = 2;
+    view.groups.at(group_name("g")).sync_replicas = 1;
+    f.adopt(view);
+    CHECK(f.find<control_view_adopted>()->revision == 2);
+    f.it->push(lease_changed{f.now + 10s});
+    for (std::uint64_t id = 1; id != 5; ++id)
+        f.open_session(id, "ledger");
+    auto const opening =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    f.answer(opening, {3, 9}, true, transaction_status::in_transaction);
+    auto const answered = f.send(2, statement_verb::write);
+    auto const late = f.send(3, statement_verb::write);
+    view.revision = 3;
+    view.groups.at(group_name("g")).primary.reset();
+    f.adopt(view);
+    // The daemon confirms the view only when no commit is outstanding.
+    CHECK_FALSE(f.find<control_view_adopted>().has_value());
+    f.answer(answered, {3, 10}, true);
+    CHECK(f.find<relay_answer>().has_value());
+    CHECK_FALSE(f.find<control_view_adopted>().has_value());
+    // A commit of an open transaction is refused, and the transaction is rolled
+    // back. A single write waits for the next primary.
+    f.it->push(statement_received{session_id{1}, statement_verb::commit,
+                                  transaction_opening::opened});
+    f.run();
+    REQUIRE(f.find<refuse>().has_value());
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::not_run);
+    CHECK(f.find<close_connection>()->connection == opening.connection);
+    f.it->push(statement_received{session_id{4}, statement_verb::write});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    // Nor does it wait longer than the leader does.
+    f.now += 150ms;
+    f.run();
+    CHECK(f.find<control_view_adopted>()->revision == 3);
+    view.revision = 4;
+    view.groups.at(group_name("g")).primary = server_name("s3");
+    f.adopt(view);
+    CHECK(f.server_of(*f.find<send_statement>()) == "s3");
+    // The answer of the former primary says nothing any more.
+    f.answer(late, {3, 11}, true);
+    CHECK_FALSE(f.find<relay_answer>().has_value());
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
+}
+
+// Guards against commits by a daemon that has not heard of the replacement of
+// their primary.
+TEST_CASE("commits in groups with synchronous replicas need a lease")
+{
+    fixture f;
+    auto view = make_view();
+    view.revision = 2;
+    view.groups.at(group_name("g")).sync_replicas = 1;
+    f.adopt(view);
+    f.it->push(lease_changed{f.now + 1s});
+    f.open_session(1, "ledger");
+    f.open_session(2, "ledger");
+    auto const sent = f.send(1, statement_verb::write);
+    f.now += 1s;
+    f.answer(sent, {3, 10}, true);
+    CHECK_FALSE(f.find<relay_answer>().has_value());
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
+    f.it->push(statement_received{session_id{2}, statement_verb::write});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    f.it->push(lease_changed{f.now + 1s});
+    f.run();
+    CHECK(f.find<send_statement>().has_value());
+}
+
+// Guards against a transaction that goes on at the server after its client was
+// told that it has failed: the client's next transaction ran inside it.
+TEST_CASE("a refused statement ends its transaction at the server")
+{
+    fixture f;
+    auto view = make_view();
+    view.revision = 2;
+    view.groups.at(group_name("g")).sync_replicas = 1;
+    f.adopt(view);
+    f.it->push(lease_changed{f.now + 1s});
+    f.open_session(1, "ledger");
+    auto const opening =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    f.answer(opening, {3, 9}, true, transaction_status::in_transaction);
+    f.now += 1s;
+    f.it->push(statement_received{session_id{1}, statement_verb::commit,
+                                  transaction_opening::opened});
+    f.run();
+    CHECK_FALSE(f.find<refuse>().has_value());
+    f.now += 800ms;
+    f.run();
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::not_run);
+    CHECK(f.find<close_connection>()->connection == opening.connection);
+}
+
 // Guards against an overload that persists after its cause: while the primary
 // is slow, no position of it is recent, so every read goes to the primary,
 // which stays slow.
