traffic: Consume a rate token for a transaction without a statement

Cause: the end of a transaction is admitted without a token and without a lease, since a refusal would leave the transaction open. The rule looked at the statement only; the COMMIT of a transaction without a statement is what opens it at the server, so nothing had been admitted before.

Ruled out: too many granted tokens, or refusals that get lost. With one READ in each transaction the limit holds.

Conclusion: each operation consumes one token, however it begins.

--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -10,9 +10,14 @@
 namespace
 {
 
-bool ends_transaction(statement_verb verb)
+// Whether the statement ends a transaction that is open at a server. The commit
+// of a transaction without a statement opens it there, and is admitted like any
+// other first statement.
+bool ends_open_transaction(session_row const& session,
+                           request_row const& request)
 {
-    return verb == statement_verb::commit || verb == statement_verb::rollback;
+    return session.in_transaction && (request.verb == statement_verb::commit ||
+                                      request.verb == statement_verb::rollback);
 }
 
 // Returns why the session may not use its route, or nothing if it may.
@@ -63,7 +68,7 @@
 }
 
 // Consumes a rate token for the statement, or leaves the request waiting for
-// one. The end of a transaction needs none: refusing it would leave the
+// one. The end of an open transaction needs none: refusing it would leave the
 // transaction open.
 bool consume_rate_token(state& s,
                         request_row_id id,
@@ -76,7 +81,7 @@
         request.has_rate_token ||
         (session.in_transaction && is_server_checked(s, request));
     if (!s.settings.limits_enabled || needs_no_token ||
-        ends_transaction(request.verb))
+        ends_open_transaction(session, request))
         return true;
     if (s.rate_limiter.try_consume(session.workspace, 1, s.now))
     {
@@ -117,7 +122,7 @@
     // Without a lease a withdrawal of the key could have been missed. The end
     // of a transaction runs nevertheless: its statements were admitted.
     if (session.key && !s.has_lease() && !s.settings.serves_without_lease &&
-        !ends_transaction(request->verb))
+        !ends_open_transaction(session, *request))
         return wait_for_lease(s, id);
     auto const group = find_group(s, session, route->second);
     if (!group)
