daemon: Give a planned stop its phases

Cause: the stop had one deadline for the time of open transactions and for the end of the process, and passed statements on up to that moment. The time until the process is killed, which the platform states, was not read.

Ruled out: servers that are too slow. The cut statements take 45 ms, were sent 65 ms before the cut at most, and earlier ones of the same stop were answered.

Change: stop_sequence gives the stop the phases announced, sessions, transactions, statements and done. After the first half of the grace time (stop_grace_s) or the drain deadline, the next statement of an open transaction is refused as not run and the transaction is rolled back; what is in progress is answered, and refused shortly before the process would be killed.

The process now ends earlier where its transactions end earlier.

--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -18,6 +18,7 @@
 #include <basilreach/daemon/limit_client.hpp>
 #include <basilreach/daemon/link_table.hpp>
 #include <basilreach/daemon/metrics_page.hpp>
+#include <basilreach/daemon/stop_sequence.hpp>
 #include <basilreach/daemon/thread_messages.hpp>
 #include <basilreach/daemon/traffic_thread.hpp>
 
@@ -112,9 +113,8 @@
     [[nodiscard]] messages::admin_reply show_metrics() const;
     void log_distribution(instant now);
     void read_peers();
-    void announce_stop();
-    void start_drain(instant now);
-    void advance_drain(instant now);
+    void advance_stop(instant now);
+    void enter(stop_phase it, instant now);
     [[nodiscard]] instant next_deadline() const;
 
     daemon_context& context_;
@@ -142,17 +142,7 @@
     std::uint64_t last_console_request_id_ = 0;
     std::vector<traffic_metrics> metrics_;
 
-    enum class drain_phase : std::uint8_t
-    {
-        none,
-        announced,
-        draining,
-        done
-    };
-
-    drain_phase drain_ = drain_phase::none;
-    instant drain_deadline_ = never;
-    std::size_t drained_threads_ = 0;
+    stop_sequence stop_;
     daemon_error error_ = daemon_error::none;
 };
 
--- a/packages/daemon/include/basilreach/daemon/thread_messages.hpp
+++ b/packages/daemon/include/basilreach/daemon/thread_messages.hpp
@@ -112,9 +112,12 @@
                            console_reply const&) = default;
 };
 
-// Asks the thread to close its listener and to drain its sessions.
+// Asks the thread to close its listener and to drain its sessions as far as the
+// stage says.
 struct drain_requested
 {
+    traffic::drain_stage stage = traffic::drain_stage::sessions;
+
     friend bool operator==(drain_requested const&,
                            drain_requested const&) = default;
 };
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -1,6 +1,7 @@
 #include <basilreach/daemon/control_thread.hpp>
 
 #include <algorithm>
+#include <array>
 #include <chrono>
 #include <utility>
 
@@ -54,6 +55,23 @@
 // Least time between two lines on how far the daemons have the control state.
 constexpr duration distribution_line_interval = std::chrono::seconds(1);
 
+// The log line and the order to the traffic threads with which a phase of a
+// stop begins.
+struct stop_phase_row
+{
+    char const* event;
+    traffic::drain_stage stage = traffic::drain_stage::none;
+};
+
+// Indexed by stop_phase.
+constexpr std::array<stop_phase_row, 6> stop_phase_rows = {
+    {{"none"},
+     {"stop_announced"},
+     {"drain_started", traffic::drain_stage::sessions},
+     {"transactions_ended", traffic::drain_stage::transactions},
+     {"statements_ended", traffic::drain_stage::statements},
+     {"drained"}}};
+
 std::string milliseconds(duration it)
 {
     return std::to_string(
@@ -107,7 +125,9 @@
           }),
       contact_(contact_settings_of(context.settings),
                std::hash<daemon_name>{}(context.settings.name),
-               read_clock())
+               read_clock()),
+      stop_(make_stop_schedule(context.settings.durations),
+            context.settings.traffic_threads)
 {
     static_assert(std::size(control_message_handlers) ==
                   std::variant_size_v<control_message>);
@@ -202,7 +222,7 @@
 
 bool control_thread::is_ready() const
 {
-    return drain_ == drain_phase::none &&
+    return stop_.phase() == stop_phase::none &&
            lease_->state().parts().rules_version > 0;
 }
 
@@ -259,7 +279,7 @@
 
 daemon_error control_thread::run()
 {
-    while (error_ == daemon_error::none && drain_ != drain_phase::done)
+    while (error_ == daemon_error::none && stop_.phase() != stop_phase::done)
     {
         for (auto& it : inbox_.take())
             (this->*control_message_handlers[it.index()])(it);
@@ -284,7 +304,7 @@
         log_distribution(now);
         if (control_api_)
             control_api_->tick(now);
-        advance_drain(now);
+        advance_stop(now);
         links_.flush();
         links_.remove_closed();
         if (metrics_server_)
@@ -308,7 +328,7 @@
 {
     if (!local_messages_.empty() || state_changed_)
         return instant::min();
-    auto own = std::min(resends_.next(), drain_deadline_);
+    auto own = std::min(resends_.next(), stop_.next_deadline());
     if (!host_ && contact_.unanswered_since())
         own = std::min(own, contact_.deadline());
     if (has_entry_role())
@@ -518,7 +538,7 @@
         answer_console_request(
             id, make_reply(encode(admin::change_answer{
                     admin::change_outcome::accepted, 0, {}, {}, {}})));
-        return announce_stop();
+        return stop_.request(read_clock());
     }
     send_console_request(id);
 }
@@ -640,7 +660,7 @@
 
 void control_thread::on_stop_requested(control_message& /*it*/)
 {
-    announce_stop();
+    stop_.request(read_clock());
 }
 
 // Adds the new control hosts of the settings file. Known ones are not removed:
@@ -668,46 +688,30 @@
               << " needs_restart=" << plan.needs_restart;
 }
 
-// A load balancer sends new clients until it notices that the daemon is not
-// ready any more. A stop therefore has three phases: everything is served for
-// the drain period; then the listener is closed and sessions drain; then the
-// lease is released.
-void control_thread::announce_stop()
-{
-    if (drain_ != drain_phase::none)
-        return;
-    LOG(INFO) << "event=stop_announced";
-    drain_ = drain_phase::announced;
-    drain_deadline_ = read_clock() + context_.settings.durations.drain_period;
-}
-
-void control_thread::start_drain(instant now)
+void control_thread::on_thread_drained(control_message& /*it*/)
 {
-    LOG(INFO) << "event=drain_started";
-    drain_ = drain_phase::draining;
-    drain_deadline_ = now + context_.settings.durations.drain_deadline;
-    for (auto* thread : context_.threads)
-        thread->post(drain_requested{});
+    stop_.record_drained_thread();
 }
 
-void control_thread::on_thread_drained(control_message& /*it*/)
+void control_thread::advance_stop(instant now)
 {
-    ++drained_threads_;
+    while (auto const phase = stop_.advance(now))
+        enter(*phase, now);
 }
 
-void control_thread::advance_drain(instant now)
+void control_thread::enter(stop_phase it, instant now)
 {
-    if (drain_ == drain_phase::announced && now >= drain_deadline_)
-        start_drain(now);
-    if (drain_ != drain_phase::draining ||
-        (drained_threads_ < context_.threads.size() && now < drain_deadline_))
+    auto const& row = stop_phase_rows[static_cast<std::size_t>(it)];
+    LOG(INFO) << "event=" << row.event;
+    if (row.stage != traffic::drain_stage::none)
+        for (auto* thread : context_.threads)
+            thread->post(drain_requested{row.stage});
+    if (it != stop_phase::done)
         return;
-    LOG(INFO) << "event=drained";
     lease_->stop();
     if (has_entry_role())
         lease_->tick(now);
     deliver_local_messages();
-    drain_ = drain_phase::done;
 }
 
 } // namespace basilreach::daemon
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -324,17 +324,18 @@
         client->send_console_reply(answer.reply);
 }
 
-void traffic_thread::on_drain(traffic_message& /*it*/)
+void traffic_thread::on_drain(traffic_message& it)
 {
-    is_draining_ = true;
+    engine_.push(traffic::drain_advanced{std::get<drain_requested>(it).stage});
+    if (std::exchange(is_draining_, true))
+        return;
     listener_.close();
-    engine_.push(traffic::drain_started{});
     std::vector<client_connection*> consoles;
     for (auto const& [session, client] : clients_)
         if (client->identity().is_admin)
             consoles.push_back(client.get());
-    for (auto* it : consoles)
-        it->end(traffic::refusal_reason::draining);
+    for (auto* console : consoles)
+        console->end(traffic::refusal_reason::draining);
     pending_clients_.clear();
 }
 
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -71,6 +71,9 @@
     // Time after the listener is closed in which sessions can end their open
     // transactions.
     duration drain_deadline = std::chrono::seconds{30};
+    // Time in seconds after a stop request at which the process is killed; 0 if
+    // it is not. Open transactions may use the first half of it at most.
+    double stop_grace_s = 0;
     // The connection shares of a lost daemon stay reserved for this time after
     // its lease has expired, because its server connections may still be open.
     // A new leader also waits for this time if a daemon has just restarted;
--- a/packages/settings/src/fields.hpp
+++ b/packages/settings/src/fields.hpp
@@ -141,6 +141,7 @@
          &self::drain_deadline,
          {},
          range(ms{0}, ms{3600000})},
+        {"stop_grace_s", &self::stop_grace_s, {}, range(0, 3600)},
         {"lost_host_hold_ms",
          &self::lost_host_hold,
          {},
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -257,7 +257,7 @@
     engine_settings settings;
     instant now;
     instant lease_until;
-    bool draining = false;
+    drain_stage drain = drain_stage::none;
     control_view_ptr view;
     // The revision of a view that is adopted but not yet confirmed, and when it
     // is confirmed at the latest.
@@ -339,6 +339,13 @@
 // server is leaving, is removed or has more connections than its share.
 void make_idle(state& s, connection_id id);
 
+// Refuses a request that a server has not answered, and closes its connection.
+void abandon_request(state& s, request_row_id id, refusal_reason reason);
+
+// Rolls back the session's transaction, if there is one, by closing its
+// connection.
+void abort_transaction_of(state& s, session_row& session);
+
 // Ends a session that has no request in progress.
 void close_idle_session(state& s, session_row_id id, refusal_reason reason);
 
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -180,12 +180,27 @@
                            connection_share_changed const&) = default;
 };
 
-// A planned stop began: the traffic thread accepts no more sessions. Idle
-// sessions end at once, others with their statement or transaction.
-struct drain_started
+// What a planned stop ends, in this order.
+enum class drain_stage : std::uint8_t
 {
-    friend bool operator==(drain_started const&,
-                           drain_started const&) = default;
+    none,
+    // Idle sessions end at once, others with their statement or transaction.
+    sessions,
+    // The next statement of an open transaction is refused, and the transaction
+    // is rolled back.
+    transactions,
+    // Statements in progress are refused.
+    statements
+};
+
+// A planned stop has reached a stage. The traffic thread accepts no more
+// sessions.
+struct drain_advanced
+{
+    drain_stage stage = drain_stage::sessions;
+
+    friend bool operator==(drain_advanced const&,
+                           drain_advanced const&) = default;
 };
 
 using event = std::variant<session_opened,
@@ -200,7 +215,7 @@
                            control_changed,
                            lease_changed,
                            connection_share_changed,
-                           drain_started>;
+                           drain_advanced>;
 
 } // namespace basilreach::traffic
 
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -21,27 +21,15 @@
 
 void expire_request(state& s, row_id id)
 {
-    auto* request = s.requests.find(id);
+    auto const* request = s.requests.find(id);
     if (request == nullptr)
         return;
-    if (request->state == request_state::held)
-        return refuse_request(s, id, refusal_outcome::unknown,
-                              refusal_reason::not_replicated);
     if (request->state != request_state::sent)
-        return refuse_request(
-            s, id, refusal_outcome::not_run,
+        return abandon_request(
+            s, id,
             unsent_refusal_reasons[static_cast<std::size_t>(request->state)]);
-    auto* session = s.sessions.find(request->session);
-    bool const in_transaction = session->in_transaction.has_value();
-    auto const outcome = may_have_effect(s, *request)
-                             ? refusal_outcome::unknown
-                             : refusal_outcome::not_run;
-    request->was_sent = outcome == refusal_outcome::unknown;
-    bool const ends_session = in_transaction && !is_server_checked(s, *request);
-    session->in_transaction.reset();
     ++s.counts.silent_connections;
-    drop_connection(s, request->connection);
-    refuse_request(s, id, outcome, refusal_reason::deadline, ends_session);
+    abandon_request(s, id, refusal_reason::deadline);
 }
 
 void expire_read_try(state& s, row_id id)
@@ -158,6 +146,26 @@
 
 } // namespace
 
+void abandon_request(state& s, request_row_id id, refusal_reason reason)
+{
+    auto* request = s.requests.find(id);
+    if (request->state == request_state::held)
+        return refuse_request(s, id, refusal_outcome::unknown,
+                              refusal_reason::not_replicated);
+    if (request->state != request_state::sent)
+        return refuse_request(s, id, refusal_outcome::not_run, reason);
+    auto* session = s.sessions.find(request->session);
+    bool const in_transaction = session->in_transaction.has_value();
+    auto const outcome = may_have_effect(s, *request)
+                             ? refusal_outcome::unknown
+                             : refusal_outcome::not_run;
+    request->was_sent = outcome == refusal_outcome::unknown;
+    bool const ends_session = in_transaction && !is_server_checked(s, *request);
+    session->in_transaction.reset();
+    drop_connection(s, request->connection);
+    refuse_request(s, id, outcome, reason, ends_session);
+}
+
 void expire_deadlines(state& s)
 {
     while (auto const key = s.timers.pop_due(s.now))
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -51,9 +51,7 @@
             detail::drop_connection(s, row->connection);
         detail::remove_request(s, request);
     }
-    if (session.in_transaction)
-        detail::drop_connection(s, session.in_transaction->connection);
-    session.in_transaction.reset();
+    detail::abort_transaction_of(s, session);
 }
 
 void on(state& s, session_closed const& it)
@@ -117,6 +115,13 @@
     auto const request = s.requests.insert(std::move(row));
     session->request = request;
     s.timers.set({detail::timer_kind::request, request}, deadline);
+    // The process could end before the server answers.
+    if (s.drain >= drain_stage::transactions)
+    {
+        detail::abort_transaction_of(s, *session);
+        return detail::refuse_request(s, request, refusal_outcome::not_run,
+                                      refusal_reason::draining);
+    }
     // The transaction was lost, and the client has not been notified yet.
     if (is_continued && !session->in_transaction)
         return detail::refuse_request(s, request, refusal_outcome::not_run,
@@ -225,15 +230,23 @@
     s.to_dispatch.push_back(found->second);
 }
 
-void on(state& s, drain_started const& /*it*/)
+void on(state& s, drain_advanced const& it)
 {
-    s.draining = true;
+    s.drain = std::max(s.drain, it.stage);
+    bool const ends_all = s.drain == drain_stage::statements;
+    std::vector<detail::request_row_id> requests;
     s.sessions.for_each(
-        [&s](row_id id, detail::session_row const& row)
+        [&](row_id id, detail::session_row const& row)
         {
-            if (!row.request && !row.in_transaction)
+            if (row.request)
+                requests.push_back(*row.request);
+            else if (!row.in_transaction || ends_all)
                 detail::close_idle_session(s, id, refusal_reason::draining);
         });
+    if (!ends_all)
+        return;
+    for (auto const id : requests)
+        detail::abandon_request(s, id, refusal_reason::draining);
 }
 
 using handler = void (*)(state&, event const&);
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -215,7 +215,7 @@
     auto* session = s.sessions.find(session_id);
     if (session->end_reason)
         close_idle_session(s, session_id, *session->end_reason);
-    else if (s.draining && !session->in_transaction)
+    else if (s.drain != drain_stage::none && !session->in_transaction)
         close_idle_session(s, session_id, refusal_reason::draining);
 }
 
@@ -340,11 +340,8 @@
     auto* session = s.sessions.find(request.session);
     // The client takes its transaction for failed, so it must not stay open at
     // the server: the next one would run inside it.
-    if (session->in_transaction && is_server_checked(s, request))
-    {
-        drop_connection(s, session->in_transaction->connection);
-        session->in_transaction.reset();
-    }
+    if (is_server_checked(s, request))
+        abort_transaction_of(s, *session);
     ++(outcome == refusal_outcome::not_run ? s.counts.refused_not_run
                                            : s.counts.outcome_unknown);
     session->is_ending = session->is_ending || close_session;
@@ -407,12 +404,17 @@
     s.requests.erase(id);
 }
 
+void abort_transaction_of(state& s, session_row& session)
+{
+    if (session.in_transaction)
+        drop_connection(s, session.in_transaction->connection);
+    session.in_transaction.reset();
+}
+
 void close_idle_session(state& s, session_row_id id, refusal_reason reason)
 {
     auto* session = s.sessions.find(id);
-    if (session->in_transaction)
-        drop_connection(s, session->in_transaction->connection);
-    session->in_transaction.reset();
+    abort_transaction_of(s, *session);
     session->is_ending = true;
     s.actions.emplace_back(end_session{session->id, reason});
 }
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -402,6 +402,64 @@
     CHECK(f.find<send_statement>().has_value());
 }
 
+// Guards against a stop that cuts statements which have just been passed on:
+// transactions went on until the process ended.
+TEST_CASE("a planned stop refuses the statements that it would cut")
+{
+    fixture f(8);
+    for (std::uint64_t id = 1; id != 4; ++id)
+        f.open_session(id, "ledger");
+    auto const pausing =
+        f.send(1, statement_verb::write, transaction_opening::read_write);
+    f.answer(pausing, {3, 9}, true, transaction_status::in_transaction);
+    auto const busy =
+        f.send(2, statement_verb::write, transaction_opening::read_write);
+    f.it->push(drain_advanced{drain_stage::sessions});
+    f.run();
+    // Only the session without a transaction has ended.
+    CHECK(f.find<end_session>()->session == session_id{3});
+    auto const next = f.send(1, statement_verb::write);
+    f.answer(next, {3, 9}, true, transaction_status::in_transaction);
+    f.it->push(drain_advanced{drain_stage::transactions});
+    f.run();
+    CHECK_FALSE(f.find<refuse>().has_value());
+    // What has been passed on is answered; nothing new is passed on.
+    f.answer(busy, {3, 9}, true, transaction_status::in_transaction);
+    CHECK(f.find<relay_answer>()->session == session_id{2});
+    f.it->push(statement_received{session_id{1}, statement_verb::commit,
+                                  transaction_opening::opened});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    REQUIRE(f.find<refuse>().has_value());
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::not_run);
+    CHECK(f.find<refuse>()->reason == refusal_reason::draining);
+    CHECK(f.find<close_connection>()->connection == pausing.connection);
+    CHECK(f.find<end_session>()->session == session_id{1});
+}
+
+// Guards against a process that ends without an answer to a statement whose
+// server does not answer.
+TEST_CASE("a planned stop ends with an answer to each statement")
+{
+    fixture f(8);
+    f.open_session(1, "ledger");
+    f.open_session(2, "ledger");
+    f.send(1, statement_verb::write);
+    auto const opening =
+        f.send(2, statement_verb::write, transaction_opening::read_write);
+    f.answer(opening, {3, 9}, true, transaction_status::in_transaction);
+    f.it->push(drain_advanced{drain_stage::statements});
+    f.run();
+    REQUIRE(f.find<refuse>().has_value());
+    CHECK(f.find<refuse>()->session == session_id{1});
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
+    std::set<session_id> ended;
+    for (auto const& a : f.actions)
+        if (auto const* it = std::get_if<end_session>(&a))
+            ended.insert(it->session);
+    CHECK(ended == std::set<session_id>{session_id{1}, session_id{2}});
+}
+
 // Guards against a transaction that goes on at the server after its client was
 // told that it has failed: the client's next transaction ran inside it.
 TEST_CASE("a refused statement ends its transaction at the server")
