daemon: Log when the control lease is held and lost

Cause: the record of the users' incident on the large fleet (versions not in force at two entry hosts for 5 s) does not say whether these hosts had lost their lease, lacked an update or had not adopted it, and no log line tells.

Change: event=lease_held and event=lease_lost, with the revision of the state, the one that all threads have adopted, the leader's at the last grant and the time since that grant.

--- a/packages/daemon/include/basilreach/daemon/lease_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/lease_client.hpp
@@ -84,6 +84,9 @@
     // Asks the presumed leader for the next update of the state.
     void subscribe();
     void publish();
+    // Tells apart a daemon that lacks an update, one that is refused a lease
+    // and one that has lost the leader.
+    void log_lease_change(instant now);
     void post(traffic::event const& it) const;
 
     daemon_context const& context_;
@@ -98,6 +101,7 @@
     std::uint64_t updates_handled_ = 0;
     // Whether the presumed leader has been asked for the next update.
     bool is_subscribed_ = false;
+    bool is_lease_held_ = false;
     // The last update did not fit, so the whole state is asked for.
     bool needs_whole_state_ = false;
 };
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -141,6 +141,23 @@
 {
     for (auto const& it : holder_.tick(now))
         (this->*output_handlers[it.index()])(it);
+    log_lease_change(now);
+}
+
+void lease_client::log_lease_change(instant now)
+{
+    bool const is_held = now < holder_.valid_until();
+    if (std::exchange(is_lease_held_, is_held) == is_held)
+        return;
+    LOG(INFO) << "event=" << (is_held ? "lease_held" : "lease_lost")
+              << " revision=" << state_.revision()
+              << " confirmed=" << holder_.confirmed_revision()
+              << " leader_revision=" << leader_revision_
+              << " version=" << state_.parts().rules_version
+              << " since_grant_ms="
+              << std::chrono::duration_cast<std::chrono::milliseconds>(
+                     now - last_grant_)
+                     .count();
 }
 
 void lease_client::publish()
