limits: Send requests for tokens and shares in one message

Cause, as far as it is shown: the leader of the control hosts uses up its processor time. Most are renewals: a daemon holds shares of many servers and renewed each in a message of its own. That a leader short of processor time leads to the users' symptoms was not reproduced.

Ruled out: updates that links drop (a link holds 64 MiB); updates that the feed sends in the wrong order (those furthest behind come first).

Change: requests for tokens and shares of a daemon go in one message, and so do the grants. A renewal that is due within 150 ms goes with any other request. event=leader_load counts the messages that a leader receives.

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -154,8 +154,7 @@
     void on_lease_returned(link_id from, messages::message const& it);
     void on_subscribe(link_id from, messages::message const& it);
     void on_admin_request(link_id from, messages::message const& it);
-    void on_token_request(link_id from, messages::message const& it);
-    void on_share_request(link_id from, messages::message const& it);
+    void on_limit_requests(link_id from, messages::message const& it);
     void on_peer_message(link_id from, messages::message const& it);
     void on_join_request(link_id from, messages::message const& it);
     void on_reach_report(link_id from, messages::message const& it);
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -1,6 +1,7 @@
 #ifndef BASILREACH_DAEMON_CONTROL_THREAD_HPP
 #define BASILREACH_DAEMON_CONTROL_THREAD_HPP
 
+#include <array>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -90,8 +91,7 @@
     void on_state_update(link_id from, messages::message& it);
     void on_not_leader(link_id from, messages::message& it);
     void on_admin_reply(link_id from, messages::message& it);
-    void on_token_grant(link_id from, messages::message& it);
-    void on_share_grant(link_id from, messages::message& it);
+    void on_limit_grants(link_id from, messages::message& it);
 
     [[nodiscard]] bool open_control_api();
     [[nodiscard]] bool open_metrics();
@@ -112,6 +112,7 @@
     void answer_console_request(std::uint64_t id, messages::admin_reply reply);
     [[nodiscard]] messages::admin_reply show_metrics() const;
     void log_distribution(instant now);
+    void log_load(instant now);
     void read_peers();
     void advance_stop(instant now);
     void enter(stop_phase it, instant now);
@@ -135,6 +136,13 @@
     bool state_changed_ = false;
     distribution_sample logged_distribution_;
     instant next_distribution_line_;
+    // Messages received since the start, indexed by the alternatives of
+    // messages::message, and those of the last load line.
+    using message_counts =
+        std::array<std::uint64_t, std::variant_size_v<messages::message>>;
+    message_counts received_messages_{};
+    message_counts logged_messages_{};
+    instant next_load_line_;
     instant next_peer_read_;
 
     std::map<std::uint64_t, pending_console_request> console_requests_;
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -1,5 +1,6 @@
 #include <basilreach/daemon/control_host.hpp>
 
+#include <algorithm>
 #include <array>
 #include <chrono>
 #include <fstream>
@@ -210,8 +211,7 @@
     &control_host::on_unexpected_message, &control_host::on_subscribe,
     &control_host::on_unexpected_message, &control_host::on_unexpected_message,
     &control_host::on_admin_request,      &control_host::on_unexpected_message,
-    &control_host::on_token_request,      &control_host::on_unexpected_message,
-    &control_host::on_share_request,      &control_host::on_unexpected_message,
+    &control_host::on_limit_requests,     &control_host::on_unexpected_message,
     &control_host::on_peer_message,       &control_host::on_join_request,
     &control_host::on_reach_report};
 
@@ -352,26 +352,20 @@
     send_updates();
 }
 
-void control_host::on_token_request(link_id from, messages::message const& it)
+void control_host::on_limit_requests(link_id from, messages::message const& it)
 {
-    auto const& batch = std::get<messages::token_requests>(it);
+    auto const& batch = std::get<messages::limit_requests>(it);
     if (!limits_ || !record_link(batch.holder, from))
         return;
-    for (auto request : batch.requests)
+    auto const receive = [&](auto request)
     {
         messages::copy_batch_fields(batch, request);
         limits_->receive(request, now_);
-    }
+    };
+    std::for_each(batch.tokens.begin(), batch.tokens.end(), receive);
     if (batch.contact)
         limits_->receive(*batch.contact, now_);
-}
-
-void control_host::on_share_request(link_id from, messages::message const& it)
-{
-    auto const& request = std::get<limits::share_request>(it);
-    if (!limits_ || !record_link(request.holder, from))
-        return;
-    limits_->receive(request, now_);
+    std::for_each(batch.shares.begin(), batch.shares.end(), receive);
 }
 
 void control_host::on_unexpected_message(link_id /*from*/,
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <chrono>
+#include <sstream>
 #include <utility>
 
 #include <easylogging++.h>
@@ -72,6 +73,17 @@
      {"statements_ended", traffic::drain_stage::statements},
      {"drained"}}};
 
+// Least time between two lines on the messages that the leader has received.
+constexpr duration load_line_interval = std::chrono::seconds(5);
+
+// The kinds of message that daemons send to the leader, as alternatives of
+// messages::message, and their names in the log.
+constexpr std::array<std::pair<std::size_t, char const*>, 4> logged_kinds = {
+    {{messages::kind_of<control::lease_renewal>, "lease_renewals"},
+     {messages::kind_of<messages::subscribe>, "subscribes"},
+     {messages::kind_of<messages::limit_requests>, "limit_requests"},
+     {messages::kind_of<consensus::peer_message>, "peer_messages"}}};
+
 std::string milliseconds(duration it)
 {
     return std::to_string(
@@ -106,9 +118,7 @@
         &control_thread::forward_to_control_host,
         &control_thread::on_admin_reply,
         &control_thread::forward_to_control_host,
-        &control_thread::on_token_grant,
-        &control_thread::forward_to_control_host,
-        &control_thread::on_share_grant,
+        &control_thread::on_limit_grants,
         &control_thread::forward_to_control_host,
         &control_thread::forward_to_control_host,
         &control_thread::forward_to_control_host};
@@ -302,6 +312,7 @@
         deliver_local_messages();
         process_due_console_requests(now);
         log_distribution(now);
+        log_load(now);
         if (control_api_)
             control_api_->tick(now);
         advance_stop(now);
@@ -341,6 +352,7 @@
 
 void control_thread::receive(link_id from, messages::message& it)
 {
+    ++received_messages_[it.index()];
     (this->*link_message_handlers[it.index()])(from, it);
 }
 
@@ -463,25 +475,21 @@
     answer_console_request(id, std::move(reply));
 }
 
-void control_thread::on_token_grant(link_id /*from*/, messages::message& it)
+void control_thread::on_limit_grants(link_id /*from*/, messages::message& it)
 {
     log_contact(contact_.is_in_contact());
     contact_.record_answer();
-    auto& batch = std::get<messages::token_grants>(it);
-    for (auto& grant : batch.grants)
+    auto& batch = std::get<messages::limit_grants>(it);
+    auto const now = read_clock();
+    auto const receive = [&](auto& grant)
     {
         messages::copy_batch_fields(batch, grant);
-        limits_->receive(grant, read_clock());
-    }
+        limits_->receive(grant, now);
+    };
+    std::for_each(batch.tokens.begin(), batch.tokens.end(), receive);
     if (batch.contact)
-        limits_->receive(*batch.contact, read_clock());
-}
-
-void control_thread::on_share_grant(link_id /*from*/, messages::message& it)
-{
-    log_contact(contact_.is_in_contact());
-    contact_.record_answer();
-    limits_->receive(std::get<limits::share_grant>(it), read_clock());
+        limits_->receive(*batch.contact, now);
+    std::for_each(batch.shares.begin(), batch.shares.end(), receive);
 }
 
 void control_thread::on_view_adopted(control_message& it)
@@ -658,6 +666,25 @@
               << " messages_dropped=" << links.messages_dropped;
 }
 
+// Tells which kind of message takes the leader's time. A leader whose processor
+// time is used up answers late, which daemons cannot tell from a lost one.
+void control_thread::log_load(instant now)
+{
+    if (!host_ || host_->leader_name() != host_->self() ||
+        now < next_load_line_)
+        return;
+    next_load_line_ = now + load_line_interval;
+    auto const since_last = [this](std::size_t kind)
+    {
+        return received_messages_[kind] - logged_messages_[kind];
+    };
+    std::ostringstream line;
+    for (auto const& [kind, name] : logged_kinds)
+        line << ' ' << name << '=' << since_last(kind);
+    LOG(INFO) << "event=leader_load" << line.str();
+    logged_messages_ = received_messages_;
+}
+
 void control_thread::on_stop_requested(control_message& /*it*/)
 {
     stop_.request(read_clock());
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -186,14 +186,16 @@
 
 void limit_client::send_requests(instant now)
 {
-    auto requests = rate_limiter_.tick(now);
-    auto const contact = rate_limiter_.tick_contact(now);
-    if (!requests.empty() || contact)
-        send_to_leader_(messages::token_requests{context_.settings.name,
-                                                 incarnation_, now,
-                                                 std::move(requests), contact});
-    for (auto const& it : connection_limiter_.tick(now))
-        send_to_leader_(it);
+    messages::limit_requests batch{context_.settings.name,
+                                   incarnation_,
+                                   now,
+                                   rate_limiter_.tick(now),
+                                   rate_limiter_.tick_contact(now),
+                                   {}};
+    bool const is_sent_anyway = !batch.tokens.empty() || batch.contact;
+    batch.shares = connection_limiter_.tick(now, is_sent_anyway);
+    if (is_sent_anyway || !batch.shares.empty())
+        send_to_leader_(batch);
 }
 
 void limit_client::post_share_changes(instant now)
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -172,9 +172,9 @@
 {
     token_allocator_.set_leader_until(leader_until);
     share_allocator_.set_leader_until(leader_until);
-    std::map<daemon_name, messages::token_grants> batches;
+    std::map<daemon_name, messages::limit_grants> batches;
     // Returns the batch that the grant belongs to, or null.
-    auto const find_batch = [&](auto& grant) -> messages::token_grants*
+    auto const find_batch = [&](auto& grant) -> messages::limit_grants*
     {
         auto const incarnation =
             incarnation_of(grant.holder, grant.incarnation);
@@ -184,23 +184,20 @@
         auto& batch = batches[grant.holder];
         batch.holder = grant.holder;
         batch.incarnation = grant.incarnation;
-        batch.sent = grant.sent;
+        batch.sent = now;
         return &batch;
     };
     for (auto& it : token_allocator_.tick(now))
         if (auto* const batch = find_batch(it))
-            batch->grants.push_back(std::move(it));
+            batch->tokens.push_back(std::move(it));
     for (auto& it : token_allocator_.tick_contacts(now))
         if (auto* const batch = find_batch(it))
             batch->contact = std::move(it);
+    for (auto& it : share_allocator_.tick(now))
+        if (auto* const batch = find_batch(it))
+            batch->shares.push_back(std::move(it));
     for (auto const& [holder, batch] : batches)
         send_(holder, batch);
-    for (auto& it : share_allocator_.tick(now))
-        if (auto const incarnation = incarnation_of(it.holder, it.incarnation))
-        {
-            it.incarnation = *incarnation;
-            send_(it.holder, it);
-        }
 }
 
 instant limit_leader::next_deadline() const
--- a/packages/daemon/test/control_host_test.cpp
+++ b/packages/daemon/test/control_host_test.cpp
@@ -120,7 +120,7 @@
         };
         outputs.send_to_link = [this](link_id to, messages::message const& it)
         {
-            if (auto const* grants = std::get_if<messages::token_grants>(&it))
+            if (auto const* grants = std::get_if<messages::limit_grants>(&it))
                 answered.emplace_back(to, grants->incarnation);
         };
         outputs.send_to_links =
@@ -191,7 +191,7 @@
     std::vector<std::pair<link_id, std::uint64_t>>
     request_tokens(link_id link, std::uint64_t incarnation)
     {
-        messages::token_requests batch;
+        messages::limit_requests batch;
         batch.holder = daemon_name("d");
         batch.incarnation = incarnation;
         batch.sent = read_clock();
@@ -199,7 +199,7 @@
         request.workspace = workspace_name("w");
         request.sequence = ++last_sequence_;
         request.waiting = 1;
-        batch.requests.push_back(request);
+        batch.tokens.push_back(request);
         answered.clear();
         host->receive(link, batch);
         host->tick(read_clock());
--- a/packages/daemon/test/limit_client_test.cpp
+++ b/packages/daemon/test/limit_client_test.cpp
@@ -50,7 +50,7 @@
     CHECK(it.next_deadline() <= later);
     it.tick(later);
     REQUIRE(sent.size() == 1);
-    CHECK(std::holds_alternative<messages::token_requests>(sent.front()));
+    CHECK(std::holds_alternative<messages::limit_requests>(sent.front()));
     it.set_contact(false);
     it.change_allocator(later);
     it.tick(later + 1s);
--- a/packages/limits/include/basilreach/limits/connection_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/connection_limiter.hpp
@@ -25,6 +25,10 @@
     duration max_retry_interval = std::chrono::seconds(1);
     // Time between two requests for a server without urgent changes.
     duration idle_interval = std::chrono::milliseconds(1000);
+    // A request that is due within this time goes with others that are sent
+    // now. A daemon has shares of many servers, and a message for each of them
+    // would cost the leader more than its content.
+    duration batch_window = std::chrono::milliseconds(150);
     // Time after which a holder without a share states that it wants none any
     // more. The allocator would take a connection from another holder for it.
     duration withdrawal_interval = std::chrono::milliseconds(50);
@@ -73,8 +77,10 @@
     // Returns when all of the share but the base expires.
     [[nodiscard]] instant expiry(server_name const& server) const;
 
-    // Processes what is due and returns the requests to send.
-    std::vector<share_request> tick(instant now);
+    // Processes what is due and returns the requests to send. If there are any,
+    // or if a message is sent anyway, requests that will soon be due go with
+    // them.
+    std::vector<share_request> tick(instant now, bool is_sent_anyway = false);
 
     // Returns when tick has something to do next.
     [[nodiscard]] instant next_deadline() const;
@@ -104,6 +110,9 @@
     };
 
     void schedule(row_id id, row const& it);
+    [[nodiscard]] share_request make_request(row& it, instant now) const;
+    void add_requests_due_soon(std::vector<share_request>& requests,
+                               instant now);
     [[nodiscard]] static bool has_nothing_to_report(row const& it);
     [[nodiscard]] instant send_time(row const& it) const;
 
--- a/packages/limits/src/connection_limiter.cpp
+++ b/packages/limits/src/connection_limiter.cpp
@@ -118,30 +118,52 @@
                                    : rows_.find(found->second)->expiry;
 }
 
-std::vector<share_request> connection_limiter::tick(instant now)
+std::vector<share_request> connection_limiter::tick(instant now,
+                                                    bool is_sent_anyway)
 {
     std::vector<share_request> requests;
     while (auto const id = due_.pop_due(now))
     {
         auto& it = *rows_.find(*id);
         if (send_time(it) <= now)
-        {
-            it.retry = it.answered ? settings_.retry_interval
-                                   : std::min(2 * it.retry,
-                                              settings_.max_retry_interval);
-            it.sent = now;
-            it.answered = false;
-            it.request_urgent = false;
-            it.reported_wanted = it.wanted;
-            requests.push_back({it.server, holder_, incarnation_, ++it.sequence,
-                                now, it.started, it.last_grant,
-                                share(it.server, now), it.open, it.wanted});
-        }
+            requests.push_back(make_request(it, now));
         schedule(*id, it);
     }
+    if (is_sent_anyway || !requests.empty())
+        add_requests_due_soon(requests, now);
     return requests;
 }
 
+void connection_limiter::add_requests_due_soon(
+    std::vector<share_request>& requests, instant now)
+{
+    std::vector<row_id> visited;
+    while (auto const id = due_.pop_due(now + settings_.batch_window))
+    {
+        auto& it = *rows_.find(*id);
+        visited.push_back(*id);
+        // What is sent again, or for the first time, keeps its own time.
+        if (it.sequence != 0 && it.answered && !it.request_urgent)
+            requests.push_back(make_request(it, now));
+    }
+    for (auto const id : visited)
+        schedule(id, *rows_.find(id));
+}
+
+share_request connection_limiter::make_request(row& it, instant now) const
+{
+    it.retry = it.answered
+                   ? settings_.retry_interval
+                   : std::min(2 * it.retry, settings_.max_retry_interval);
+    it.sent = now;
+    it.answered = false;
+    it.request_urgent = false;
+    it.reported_wanted = it.wanted;
+    return {it.server, holder_,    incarnation_,  ++it.sequence,
+            now,       it.started, it.last_grant, share(it.server, now),
+            it.open,   it.wanted};
+}
+
 instant connection_limiter::next_deadline() const
 {
     return due_.next();
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -363,3 +363,50 @@
     }
     CHECK(requests * bytes_per_request <= seconds * max_control_bytes_per_s);
 }
+
+// Guards against a leader whose processor time is used up by renewals: each of
+// 195 daemons sent a message a second for each server of which it had a share.
+TEST_CASE("renewals of many shares share their messages")
+{
+    using namespace std::chrono_literals;
+    connection_limiter limiter({}, daemon_name("entry-0"), 1);
+    instant now = at_ms(0);
+    std::uint64_t grants = 0;
+    auto const answer =
+        [&](std::vector<basilreach::limits::share_request> const& requests)
+    {
+        for (auto const& it : requests)
+            limiter.receive({it.server,
+                             it.holder,
+                             it.incarnation,
+                             {1, ++grants},
+                             it.sent,
+                             3s,
+                             1,
+                             1},
+                            now);
+    };
+    constexpr std::size_t shares = 40;
+    constexpr std::size_t seconds = 10;
+    for (std::size_t n = 0; n != shares; ++n)
+    {
+        limiter.add_server(server_of(n), now);
+        limiter.report_use(server_of(n), 1, 1, now);
+        answer(limiter.tick(now));
+        now += 23ms;
+    }
+    std::size_t messages = 0;
+    std::size_t renewals = 0;
+    auto const end = now + std::chrono::seconds(seconds);
+    for (; now < end; now += 1ms)
+    {
+        auto const requests = limiter.tick(now);
+        messages += requests.empty() ? 0 : 1;
+        renewals += requests.size();
+        answer(requests);
+    }
+    // Each share is renewed once a second, and hardly more often.
+    CHECK(renewals >= seconds * shares);
+    CHECK(renewals < seconds * shares * 5 / 4);
+    CHECK(messages <= seconds * 10);
+}
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <type_traits>
 #include <variant>
 #include <vector>
 
@@ -79,34 +80,38 @@
     friend bool operator==(admin_reply const&, admin_reply const&) = default;
 };
 
-// Requests of one daemon for several workspaces. Holder, incarnation and time
-// of sending are sent once for the batch and not for each request; the receiver
-// copies them with copy_batch_fields().
-struct token_requests
+// Requests of one daemon for rate tokens of several workspaces and for
+// connection shares of several servers. Holder, incarnation and time of sending
+// are sent once for the batch and not for each request; the receiver copies
+// them with copy_batch_fields(). A message for each request used up the
+// processor time of the leader of 195 daemons.
+struct limit_requests
 {
     daemon_name holder;
     std::uint64_t incarnation = 0;
     // When the batch was sent, by the sender's clock.
     instant sent;
-    std::vector<limits::token_request> requests;
+    std::vector<limits::token_request> tokens;
     std::optional<limits::contact_report> contact;
+    std::vector<limits::share_request> shares;
 
-    friend bool operator==(token_requests const&,
-                           token_requests const&) = default;
+    friend bool operator==(limit_requests const&,
+                           limit_requests const&) = default;
 };
 
-// Grants to one daemon for several workspaces. The common fields are sent once,
-// as in token_requests.
-struct token_grants
+// Grants of tokens and shares to one daemon. The common fields are sent once,
+// as in limit_requests.
+struct limit_grants
 {
     daemon_name holder;
     std::uint64_t incarnation = 0;
     // When the batch was sent, by the sender's clock.
     instant sent;
-    std::vector<limits::token_grant> grants;
+    std::vector<limits::token_grant> tokens;
     std::optional<limits::contact_grant> contact;
+    std::vector<limits::share_grant> shares;
 
-    friend bool operator==(token_grants const&, token_grants const&) = default;
+    friend bool operator==(limit_grants const&, limit_grants const&) = default;
 };
 
 // Copies the fields that a batch holds once for all its requests or grants to
@@ -116,7 +121,8 @@
 {
     to.holder = from.holder;
     to.incarnation = from.incarnation;
-    to.sent = from.sent;
+    if constexpr (requires { to.sent; })
+        to.sent = from.sent;
 }
 
 // A control host without contact to a leader requests to be added to the
@@ -138,14 +144,30 @@
                              not_leader,
                              admin_request,
                              admin_reply,
-                             token_requests,
-                             token_grants,
-                             limits::share_request,
-                             limits::share_grant,
+                             limit_requests,
+                             limit_grants,
                              consensus::peer_message,
                              join_request,
                              control::reach_report>;
 
+namespace detail
+{
+
+template <class Message, class... Kinds>
+constexpr std::size_t index_among(std::variant<Kinds...> const* /*unused*/)
+{
+    std::size_t n = 0;
+    (void)((std::is_same_v<Message, Kinds> || (++n, false)) || ...);
+    return n;
+}
+
+} // namespace detail
+
+// The index of a kind of message among the alternatives of `message`.
+template <class Message>
+inline constexpr std::size_t kind_of =
+    detail::index_among<Message>(static_cast<message const*>(nullptr));
+
 } // namespace basilreach::messages
 
 #endif
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -449,10 +449,7 @@
 void map_fields(D d, V& v, wire::share_requestT& w)
 {
     d(v.server, w.server);
-    d(v.holder, w.holder);
-    d(v.incarnation, w.incarnation);
     d(v.sequence, w.sequence);
-    d(v.sent, w.sent);
     d(v.started, w.started);
     d(v.last_grant, w.heard);
     d(v.share, w.share);
@@ -464,8 +461,6 @@
 void map_fields(D d, V& v, wire::share_grantT& w)
 {
     d(v.server, w.server);
-    d(v.holder, w.holder);
-    d(v.incarnation, w.incarnation);
     d(v.id, w.id);
     d(v.echo, w.echo);
     d(v.lifetime, w.lifetime);
@@ -645,18 +640,20 @@
     d(v.lacks_floors, w.lacks_floors);
 }
 
-void map_fields(to_wire d, token_requests const& v, wire::token_requestsT& w)
+void map_fields(to_wire d, limit_requests const& v, wire::limit_requestsT& w)
 {
     map_batch(d, v, w);
-    w.requests = encode_list<wire::token_requestT>(v.requests);
+    w.tokens = encode_list<wire::token_requestT>(v.tokens);
+    w.shares = encode_list<wire::share_requestT>(v.shares);
     if (v.contact)
         w.contact = encode_table<wire::contact_reportT>(*v.contact);
 }
 
-void map_fields(from_wire d, token_requests& v, wire::token_requestsT const& w)
+void map_fields(from_wire d, limit_requests& v, wire::limit_requestsT const& w)
 {
     map_batch(d, v, w);
-    v.requests = decode_list<limits::token_request>(w.requests);
+    v.tokens = decode_list<limits::token_request>(w.tokens);
+    v.shares = decode_list<limits::share_request>(w.shares);
     if (!w.contact)
         return;
     v.contact = decode_table<limits::contact_report>(*w.contact);
@@ -664,18 +661,20 @@
     v.contact->incarnation = v.incarnation;
 }
 
-void map_fields(to_wire d, token_grants const& v, wire::token_grantsT& w)
+void map_fields(to_wire d, limit_grants const& v, wire::limit_grantsT& w)
 {
     map_batch(d, v, w);
-    w.grants = encode_list<wire::token_grantT>(v.grants);
+    w.tokens = encode_list<wire::token_grantT>(v.tokens);
+    w.shares = encode_list<wire::share_grantT>(v.shares);
     if (v.contact)
         w.contact = encode_table<wire::contact_grantT>(*v.contact);
 }
 
-void map_fields(from_wire d, token_grants& v, wire::token_grantsT const& w)
+void map_fields(from_wire d, limit_grants& v, wire::limit_grantsT const& w)
 {
     map_batch(d, v, w);
-    v.grants = decode_list<limits::token_grant>(w.grants);
+    v.tokens = decode_list<limits::token_grant>(w.tokens);
+    v.shares = decode_list<limits::share_grant>(w.shares);
     if (!w.contact)
         return;
     v.contact = decode_table<limits::contact_grant>(*w.contact);
@@ -840,10 +839,8 @@
                                       wire::not_leaderT,
                                       wire::admin_requestT,
                                       wire::admin_replyT,
-                                      wire::token_requestsT,
-                                      wire::token_grantsT,
-                                      wire::share_requestT,
-                                      wire::share_grantT,
+                                      wire::limit_requestsT,
+                                      wire::limit_grantsT,
                                       wire::peer_messageT,
                                       wire::join_requestT,
                                       wire::reach_reportT>;
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -60,6 +60,14 @@
     limits::token_request tokens;
     tokens.last_grant = {1, 2};
     tokens.floor = {3, 4};
+    limits::share_request shares;
+    shares.server = server_name("s");
+    shares.sequence = 2;
+    shares.started = instant(duration(4));
+    shares.last_grant = {5, 6};
+    shares.share = 7;
+    shares.open = 8;
+    shares.wanted = 9;
     consensus::append_request append;
     append.entries.push_back(
         {1, 2, consensus::entry_kind::command, std::string("\0x", 2)});
@@ -71,43 +79,49 @@
         return consensus::peer_message{consensus::host_name("a"),
                                        consensus::host_name("b"), 7, body};
     };
-    return {renewal,
-            control::lease_returned{daemon_name("d"), 2},
-            control::grant_lease{},
-            subscribe{daemon_name("d"), 3, 2, 1},
-            update,
-            not_leader{daemon_name("l")},
-            admin_request{1, "SHOW STATUS"},
-            reply,
-            token_requests{
-                daemon_name("d"), 3, instant(duration(5)), {tokens, {}}, {}},
-            token_requests{daemon_name("d"),
-                           3,
-                           instant(duration(5)),
-                           {},
-                           limits::contact_report{daemon_name("d"), 3, 7,
-                                                  instant(duration(6))}},
-            token_grants{daemon_name("d"),
-                         3,
-                         instant(duration(5)),
-                         {limits::token_grant{}},
-                         limits::contact_grant{daemon_name("d"),
-                                               3,
-                                               7,
-                                               instant(duration(5)),
-                                               duration(8),
-                                               {workspace_name("w")},
-                                               true}},
-            limits::share_request{server_name("s"), daemon_name("d"), 1, 2,
-                                  instant(duration(3)), instant(duration(4)),
-                                  limits::grant_id{5, 6}, 7, 8, 9},
-            limits::share_grant{},
-            join_request{consensus::host_name("a=1"), true},
-            control::reach_report{daemon_name("d"), server_name("s"), true},
-            peer(append),
-            peer(chunk),
-            peer(consensus::vote_reply{true}),
-            peer(consensus::snapshot_reply{1, 2, true, 3})};
+    return {
+        renewal,
+        control::lease_returned{daemon_name("d"), 2},
+        control::grant_lease{},
+        subscribe{daemon_name("d"), 3, 2, 1},
+        update,
+        not_leader{daemon_name("l")},
+        admin_request{1, "SHOW STATUS"},
+        reply,
+        limit_requests{
+            daemon_name("d"), 3, instant(duration(5)), {tokens, {}}, {}, {}},
+        limit_requests{daemon_name("d"),
+                       3,
+                       instant(duration(5)),
+                       {},
+                       limits::contact_report{daemon_name("d"), 3, 7,
+                                              instant(duration(6))},
+                       {shares}},
+        limit_grants{daemon_name("d"),
+                     3,
+                     instant(duration(5)),
+                     {limits::token_grant{}},
+                     limits::contact_grant{daemon_name("d"),
+                                           3,
+                                           7,
+                                           instant(duration(5)),
+                                           duration(8),
+                                           {workspace_name("w")},
+                                           true},
+                     {limits::share_grant{server_name("s"),
+                                          {},
+                                          0,
+                                          limits::grant_id{5, 6},
+                                          instant(duration(7)),
+                                          duration(8),
+                                          9,
+                                          1}}},
+        join_request{consensus::host_name("a=1"), true},
+        control::reach_report{daemon_name("d"), server_name("s"), true},
+        peer(append),
+        peer(chunk),
+        peer(consensus::vote_reply{true}),
+        peer(consensus::snapshot_reply{1, 2, true, 3})};
 }
 
 } // namespace
