traffic: Let a rejected commit succeed at the next primary

What callers would see, in a group with synchronous replicas: an outcome reported as unknown though their write was acknowledged.

Cause: a commit that is outstanding when its group is fenced is marked, so that its success is not relayed. The mark stayed when the former primary rejected it and it was sent to the next one.

Change: sending clears the mark.

Conclusion: an unknown outcome is reported only for an attempt that was outstanding at the fence.

--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -224,6 +224,8 @@
     row->sent_at = s.now;
     request->state = request_state::sent;
     request->was_sent = true;
+    // An earlier attempt may have been rejected after its group was fenced.
+    request->is_fenced = false;
     request->connection = connection;
     auto* server = s.servers.find(row->server);
     ++server->outstanding;
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -377,6 +377,34 @@
     CHECK(f.find<refuse>()->outcome == refusal_outcome::unknown);
 }
 
+// Guards against an unknown outcome of a commit that the former primary has
+// rejected and the next one has run.
+TEST_CASE("a fenced commit that was rejected can succeed at the next primary")
+{
+    fixture f;
+    auto view = make_view();
+    view.revision = 2;
+    view.groups.at(group_name("g")).sync_replicas = 1;
+    f.adopt(view);
+    f.it->push(lease_changed{f.now + 10s});
+    f.open_session(1, "ledger");
+    auto const first = f.send(1, statement_verb::write);
+    view.revision = 3;
+    view.groups.at(group_name("g")).primary.reset();
+    f.adopt(view);
+    f.now += 150ms;
+    f.run();
+    REQUIRE(f.find<control_view_adopted>().has_value());
+    f.refuse(first, answer_proof::not_run_not_primary);
+    view.revision = 4;
+    view.groups.at(group_name("g")).primary = server_name("s3");
+    f.adopt(view);
+    auto const second = f.find<send_statement>();
+    REQUIRE(second.has_value());
+    f.answer(*second, {4, 1}, true);
+    CHECK(f.find<relay_answer>().has_value());
+}
+
 // Guards against commits by a daemon that has not heard of the replacement of
 // their primary.
 TEST_CASE("commits in groups with synchronous replicas need a lease")
