daemon: Count the requests that leaders get again

In the incident of the loaded leader it received 17,000 messages a second for some 1,400 requests of clients, and no log line said how many of them were copies. Each batch of requests for tokens and shares now states how many of its requests were sent before the last one for the same workspace or server was answered, and event=leader_load sums them with the number of requests.

No decision changes.

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -43,6 +43,19 @@
     std::function<void(storage::storage_error const&)> failed;
 };
 
+// Requests for tokens and shares that a control host has received since its
+// start.
+struct limit_request_counts
+{
+    std::uint64_t tokens = 0;
+    std::uint64_t shares = 0;
+    // Those among them that follow an unanswered one.
+    std::uint64_t repeated = 0;
+
+    friend bool operator==(limit_request_counts const&,
+                           limit_request_counts const&) = default;
+};
+
 // How far the daemons have the control state, for the log and the metrics.
 struct distribution_sample
 {
@@ -100,6 +113,11 @@
 
     [[nodiscard]] distribution_sample sample_distribution() const;
 
+    [[nodiscard]] limit_request_counts const& limit_counts() const
+    {
+        return limit_counts_;
+    }
+
     // Empty when the leader is unknown.
     [[nodiscard]] consensus::host_name leader_name() const
     {
@@ -227,6 +245,7 @@
     instant next_join_request_;
 
     update_feed feed_;
+    limit_request_counts limit_counts_;
     // The latest link of each daemon.
     std::map<daemon_name, link_id> daemon_links_;
     // By index and term of the proposed entry.
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -142,6 +142,7 @@
         std::array<std::uint64_t, std::variant_size_v<messages::message>>;
     message_counts received_messages_{};
     message_counts logged_messages_{};
+    limit_request_counts logged_limits_;
     instant next_load_line_;
     instant next_peer_read_;
 
--- a/packages/daemon/include/basilreach/daemon/limit_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -67,6 +67,8 @@
     limits::token_allocator thread_allocator_;
     limits::connection_limiter connection_limiter_;
     bool is_in_contact_ = false;
+    // Repeated requests that the batches so far have stated.
+    std::uint32_t stated_repeats_ = 0;
     // Revision of the last control state that was passed to configure().
     std::optional<std::uint64_t> configured_revision_;
     std::set<workspace_name> workspaces_;
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -355,6 +355,9 @@
 void control_host::on_limit_requests(link_id from, messages::message const& it)
 {
     auto const& batch = std::get<messages::limit_requests>(it);
+    limit_counts_.tokens += batch.tokens.size();
+    limit_counts_.shares += batch.shares.size();
+    limit_counts_.repeated += batch.repeated;
     if (!limits_ || !record_link(batch.holder, from))
         return;
     auto const receive = [&](auto request)
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -681,6 +681,11 @@
     std::ostringstream line;
     for (auto const& [kind, name] : logged_kinds)
         line << ' ' << name << '=' << since_last(kind);
+    auto const counts = host_->limit_counts();
+    line << " token_requests=" << counts.tokens - logged_limits_.tokens
+         << " share_requests=" << counts.shares - logged_limits_.shares
+         << " repeated=" << counts.repeated - logged_limits_.repeated;
+    logged_limits_ = counts;
     LOG(INFO) << "event=leader_load" << line.str();
     logged_messages_ = received_messages_;
 }
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -191,11 +191,16 @@
                                    now,
                                    rate_limiter_.tick(now),
                                    rate_limiter_.tick_contact(now),
-                                   {}};
+                                   {},
+                                   0};
     bool const is_sent_anyway = !batch.tokens.empty() || batch.contact;
     batch.shares = connection_limiter_.tick(now, is_sent_anyway);
-    if (is_sent_anyway || !batch.shares.empty())
-        send_to_leader_(batch);
+    if (!is_sent_anyway && batch.shares.empty())
+        return;
+    auto const repeats =
+        rate_limiter_.repeats() + connection_limiter_.repeats();
+    batch.repeated = repeats - std::exchange(stated_repeats_, repeats);
+    send_to_leader_(batch);
 }
 
 void limit_client::post_share_changes(instant now)
--- a/packages/limits/include/basilreach/limits/connection_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/connection_limiter.hpp
@@ -85,6 +85,13 @@
     // Returns when tick has something to do next.
     [[nodiscard]] instant next_deadline() const;
 
+    // Requests since the start that were sent before the last one for the same
+    // server had been answered.
+    [[nodiscard]] std::uint32_t repeats() const noexcept
+    {
+        return repeats_;
+    }
+
 private:
     struct row
     {
@@ -110,7 +117,7 @@
     };
 
     void schedule(row_id id, row const& it);
-    [[nodiscard]] share_request make_request(row& it, instant now) const;
+    share_request make_request(row& it, instant now);
     void add_requests_due_soon(std::vector<share_request>& requests,
                                instant now);
     [[nodiscard]] static bool has_nothing_to_report(row const& it);
@@ -122,6 +129,7 @@
     table<row> rows_;
     std::map<server_name, row_id> by_name_;
     deadline_queue<row_id> due_;
+    std::uint32_t repeats_ = 0;
 };
 
 } // namespace basilreach::limits
--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -126,6 +126,13 @@
     // Returns when tick or tick_contact has something to do next.
     [[nodiscard]] instant next_deadline() const;
 
+    // Requests since the start that were sent before the last one for the same
+    // workspace had been answered.
+    [[nodiscard]] std::uint32_t repeats() const noexcept
+    {
+        return repeats_;
+    }
+
 private:
     struct local_bucket
     {
@@ -177,7 +184,7 @@
     void request_reports(contact_grant const& grant, instant now);
     [[nodiscard]] bool is_due_soon(local_bucket const& it, instant now) const;
     void schedule(row_id id, local_bucket const& it);
-    token_request make_request(local_bucket& it, instant now) const;
+    token_request make_request(local_bucket& it, instant now);
 
     rate_limiter_settings settings_;
     daemon_name holder_;
@@ -186,6 +193,7 @@
     std::map<workspace_name, row_id> by_name_;
     deadline_queue<row_id> due_;
     instant last_batch_sent_;
+    std::uint32_t repeats_ = 0;
     // Whether a workspace has a floor, which contact keeps suspended, or will
     // get one.
     bool has_floor_ = false;
--- a/packages/limits/src/connection_limiter.cpp
+++ b/packages/limits/src/connection_limiter.cpp
@@ -150,8 +150,9 @@
         schedule(id, *rows_.find(id));
 }
 
-share_request connection_limiter::make_request(row& it, instant now) const
+share_request connection_limiter::make_request(row& it, instant now)
 {
+    repeats_ += it.answered ? 0 : 1;
     it.retry = it.answered
                    ? settings_.retry_interval
                    : std::min(2 * it.retry, settings_.max_retry_interval);
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -442,7 +442,7 @@
     due_.set(id, send_time(it));
 }
 
-token_request rate_limiter::make_request(local_bucket& it, instant now) const
+token_request rate_limiter::make_request(local_bucket& it, instant now)
 {
     auto const target = target_reserve(it, now);
     auto const whole_tokens = it.left / nanotokens_per_token;
@@ -453,6 +453,7 @@
                        : std::max<std::int64_t>(whole_tokens - 2 * target, 0);
     it.left -= surplus * nanotokens_per_token;
     it.returned += surplus;
+    repeats_ += it.answered ? 0 : 1;
     it.retry = it.answered
                    ? settings_.retry_interval
                    : std::min(2 * it.retry, settings_.max_retry_interval);
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -94,6 +94,9 @@
     std::vector<limits::token_request> tokens;
     std::optional<limits::contact_report> contact;
     std::vector<limits::share_request> shares;
+    // How many of the requests follow an unanswered one for the same workspace
+    // or server.
+    std::uint32_t repeated = 0;
 
     friend bool operator==(limit_requests const&,
                            limit_requests const&) = default;
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -643,6 +643,7 @@
 void map_fields(to_wire d, limit_requests const& v, wire::limit_requestsT& w)
 {
     map_batch(d, v, w);
+    d(v.repeated, w.repeated);
     w.tokens = encode_list<wire::token_requestT>(v.tokens);
     w.shares = encode_list<wire::share_requestT>(v.shares);
     if (v.contact)
@@ -652,6 +653,7 @@
 void map_fields(from_wire d, limit_requests& v, wire::limit_requestsT const& w)
 {
     map_batch(d, v, w);
+    d(v.repeated, w.repeated);
     v.tokens = decode_list<limits::token_request>(w.tokens);
     v.shares = decode_list<limits::share_request>(w.shares);
     if (!w.contact)
