daemon: Pass batches of limit messages on in one place each

The control host and the control thread each copied the common fields of a batch to its items before they passed these on. limit_leader and limit_client now take whole batches, so that both sides can also keep what concerns the batch itself.

--- a/packages/daemon/include/basilreach/daemon/limit_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -37,9 +37,7 @@
 
     // Handles the requests of traffic threads and the grants of the leader.
     void receive(limits::token_request const& it, instant now);
-    void receive(limits::token_grant const& it, instant now);
-    void receive(limits::contact_grant const& it, instant now);
-    void receive(limits::share_grant const& it, instant now);
+    void receive(messages::limit_grants const& batch, instant now);
     void receive(traffic::connections_used const& it, instant now);
 
     // States that messages now go to another control host.
--- a/packages/daemon/include/basilreach/daemon/limit_leader.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -35,12 +35,10 @@
     // Adds, changes and removes limits and holders as in the control state.
     void configure(control::control_state const& state, instant now);
 
-    // Handle messages of daemons. An incarnation other than the last one of its
-    // daemon is taken for a later process: the caller leaves out what an
+    // Handles the requests of a daemon. An incarnation other than the last one
+    // of its daemon is taken for a later process: the caller leaves out what an
     // earlier one has sent.
-    void receive(limits::token_request it, instant now);
-    void receive(limits::contact_report it, instant now);
-    void receive(limits::share_request it, instant now);
+    void receive(messages::limit_requests const& batch, instant now);
 
     // Sends the grants that are due. No other host can lead before
     // `leader_until`.
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -360,15 +360,7 @@
     limit_counts_.repeated += batch.repeated;
     if (!limits_ || !record_link(batch.holder, from))
         return;
-    auto const receive = [&](auto request)
-    {
-        messages::copy_batch_fields(batch, request);
-        limits_->receive(request, now_);
-    };
-    std::for_each(batch.tokens.begin(), batch.tokens.end(), receive);
-    if (batch.contact)
-        limits_->receive(*batch.contact, now_);
-    std::for_each(batch.shares.begin(), batch.shares.end(), receive);
+    limits_->receive(batch, now_);
 }
 
 void control_host::on_unexpected_message(link_id /*from*/,
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -479,17 +479,7 @@
 {
     log_contact(contact_.is_in_contact());
     contact_.record_answer();
-    auto& batch = std::get<messages::limit_grants>(it);
-    auto const now = read_clock();
-    auto const receive = [&](auto& grant)
-    {
-        messages::copy_batch_fields(batch, grant);
-        limits_->receive(grant, now);
-    };
-    std::for_each(batch.tokens.begin(), batch.tokens.end(), receive);
-    if (batch.contact)
-        limits_->receive(*batch.contact, now);
-    std::for_each(batch.shares.begin(), batch.shares.end(), receive);
+    limits_->receive(std::get<messages::limit_grants>(it), read_clock());
 }
 
 void control_thread::on_view_adopted(control_message& it)
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -141,19 +141,19 @@
     thread_allocator_.receive(it, now);
 }
 
-void limit_client::receive(limits::token_grant const& it, instant now)
+void limit_client::receive(messages::limit_grants const& batch, instant now)
 {
-    rate_limiter_.receive(it, now);
-}
-
-void limit_client::receive(limits::contact_grant const& it, instant now)
-{
-    rate_limiter_.receive(it, now);
-}
-
-void limit_client::receive(limits::share_grant const& it, instant now)
-{
-    connection_limiter_.receive(it, now);
+    auto const pass_on = [&](auto& limiter, auto grant)
+    {
+        messages::copy_batch_fields(batch, grant);
+        limiter.receive(grant, now);
+    };
+    for (auto const& it : batch.tokens)
+        pass_on(rate_limiter_, it);
+    if (batch.contact)
+        pass_on(rate_limiter_, *batch.contact);
+    for (auto const& it : batch.shares)
+        pass_on(connection_limiter_, it);
 }
 
 void limit_client::receive(traffic::connections_used const& it, instant now)
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -150,22 +150,21 @@
     return found->second.incarnation;
 }
 
-void limit_leader::receive(limits::token_request it, instant now)
+void limit_leader::receive(messages::limit_requests const& batch, instant now)
 {
-    it.incarnation = number_of(it.holder, it.incarnation);
-    token_allocator_.receive(it, now);
-}
-
-void limit_leader::receive(limits::contact_report it, instant now)
-{
-    it.incarnation = number_of(it.holder, it.incarnation);
-    token_allocator_.receive(it, now);
-}
-
-void limit_leader::receive(limits::share_request it, instant now)
-{
-    it.incarnation = number_of(it.holder, it.incarnation);
-    share_allocator_.receive(it, now);
+    auto const number = number_of(batch.holder, batch.incarnation);
+    auto const pass_on = [&](auto& allocator, auto request)
+    {
+        messages::copy_batch_fields(batch, request);
+        request.incarnation = number;
+        allocator.receive(request, now);
+    };
+    for (auto const& it : batch.tokens)
+        pass_on(token_allocator_, it);
+    if (batch.contact)
+        pass_on(token_allocator_, *batch.contact);
+    for (auto const& it : batch.shares)
+        pass_on(share_allocator_, it);
 }
 
 void limit_leader::tick(instant leader_until, instant now)
