limits: Send one batch of requests at a time to the leader

What callers saw: with a leader short of processor time, entry hosts lost their leases without being cut off, served by old states, and refused half of the requests for want of tokens and shares.

Cause: a daemon sent a message to the leader as soon as something was due, and sent each unanswered request again after 20 ms, 40 ms and so on, for each workspace and server for itself. The links are TCP, so copies only add work. A late leader got more messages, which made it later: a positive feedback that outlives its cause (metastable failure).

Rule: flow control by the answer (stop and wait). A batch carries a number, the leader returns the number of the last one that it has handled, and a daemon sends the next batch after that. What becomes due meanwhile is merged. So the messages at the leader are bounded by the number of daemons, and their number follows what it handles. A batch counts as lost after 1 s, or when the daemon turns to another control host.

Ruled out: longer retry intervals alone, as new urgent requests are sent without one.

--- a/packages/daemon/include/basilreach/daemon/limit_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_client.hpp
@@ -56,6 +56,8 @@
     void configure_workspaces(rules::rule_set const& all, instant now);
     void configure_servers(control::control_state const& state, instant now);
     void send_requests(instant now);
+    // Returns when the next batch of requests may be sent.
+    [[nodiscard]] instant next_batch() const;
     void post_share_changes(instant now);
 
     daemon_context const& context_;
@@ -67,6 +69,11 @@
     bool is_in_contact_ = false;
     // Repeated requests that the batches so far have stated.
     std::uint32_t stated_repeats_ = 0;
+    // The batch of requests that was sent last, and whether the leader has
+    // answered it.
+    std::uint64_t last_batch_ = 0;
+    instant batch_sent_;
+    bool is_batch_answered_ = true;
     // Revision of the last control state that was passed to configure().
     std::optional<std::uint64_t> configured_revision_;
     std::set<workspace_name> workspaces_;
--- a/packages/daemon/include/basilreach/daemon/limit_leader.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -56,6 +56,12 @@
         std::uint64_t number = 0;
     };
 
+    struct batch_id
+    {
+        std::uint64_t incarnation = 0;
+        std::uint64_t number = 0;
+    };
+
     [[nodiscard]] std::uint64_t number_of(daemon_name const& daemon,
                                           std::uint64_t incarnation);
     [[nodiscard]] std::optional<std::uint64_t>
@@ -72,6 +78,10 @@
     std::map<server_name, rules::server_limit_rule> servers_;
     std::set<daemon_name> daemons_;
     std::map<daemon_name, process> processes_;
+    // The batches that were received since the last tick in which this host
+    // led, by daemon. A daemon sends the next one once it knows that its last
+    // one was handled.
+    std::map<daemon_name, batch_id> unanswered_batches_;
 };
 
 } // namespace basilreach::daemon
--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -17,6 +17,11 @@
 // Interval at which a daemon without floors asks whether a workspace has one.
 constexpr duration contact_interval = std::chrono::seconds(2);
 
+// Time after which an unanswered batch counts as lost. The link to the leader
+// delivers what was sent over it, so only a batch that arrived at a host that
+// did not lead yet, or over a link that has ended, gets no answer.
+constexpr duration batch_timeout = std::chrono::seconds(1);
+
 limits::rate_limiter_settings limiter_settings()
 {
     limits::rate_limiter_settings out;
@@ -154,6 +159,8 @@
         pass_on(rate_limiter_, *batch.contact);
     for (auto const& it : batch.shares)
         pass_on(connection_limiter_, it);
+    if (batch.incarnation == incarnation_ && batch.answered == last_batch_)
+        is_batch_answered_ = true;
 }
 
 void limit_client::receive(traffic::connections_used const& it, instant now)
@@ -166,6 +173,7 @@
 {
     rate_limiter_.change_allocator(now);
     connection_limiter_.change_allocator(now);
+    is_batch_answered_ = true;
 }
 
 void limit_client::set_contact(bool is_in_contact)
@@ -179,11 +187,19 @@
         limits::transfer_tokens(rate_limiter_, thread_allocator_, it, now);
     for (auto const& it : thread_allocator_.tick(now))
         context_.threads[thread_index_of(it.holder)]->post(traffic::event(it));
-    if (is_in_contact_)
+    if (is_in_contact_ && next_batch() <= now)
         send_requests(now);
     post_share_changes(now);
 }
 
+// A leader that is late gets the next requests in one message. With a message
+// as soon as something was due, a leader without enough processor time got
+// several times the usual number of messages.
+instant limit_client::next_batch() const
+{
+    return is_batch_answered_ ? instant::min() : batch_sent_ + batch_timeout;
+}
+
 void limit_client::send_requests(instant now)
 {
     messages::limit_requests batch{context_.settings.name,
@@ -192,7 +208,8 @@
                                    rate_limiter_.tick(now),
                                    rate_limiter_.tick_contact(now),
                                    {},
-                                   0};
+                                   0,
+                                   last_batch_ + 1};
     bool const is_sent_anyway = !batch.tokens.empty() || batch.contact;
     batch.shares = connection_limiter_.tick(now, is_sent_anyway);
     if (!is_sent_anyway && batch.shares.empty())
@@ -200,6 +217,9 @@
     auto const repeats =
         rate_limiter_.repeats() + connection_limiter_.repeats();
     batch.repeated = repeats - std::exchange(stated_repeats_, repeats);
+    last_batch_ = batch.number;
+    batch_sent_ = now;
+    is_batch_answered_ = false;
     send_to_leader_(batch);
 }
 
@@ -223,8 +243,10 @@
 {
     auto next = thread_allocator_.next_deadline();
     if (is_in_contact_)
-        next = std::min({next, rate_limiter_.next_deadline(),
-                         connection_limiter_.next_deadline()});
+        next = std::min(
+            next, std::max(next_batch(),
+                           std::min(rate_limiter_.next_deadline(),
+                                    connection_limiter_.next_deadline())));
     for (auto const& [name, share] : known_shares_)
         if (share > 0 && connection_limiter_.share(
                              name, connection_limiter_.expiry(name)) < share)
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -165,6 +165,7 @@
         pass_on(token_allocator_, *batch.contact);
     for (auto const& it : batch.shares)
         pass_on(share_allocator_, it);
+    unanswered_batches_[batch.holder] = {batch.incarnation, batch.number};
 }
 
 void limit_leader::tick(instant leader_until, instant now)
@@ -172,6 +173,10 @@
     token_allocator_.set_leader_until(leader_until);
     share_allocator_.set_leader_until(leader_until);
     std::map<daemon_name, messages::limit_grants> batches;
+    if (now < leader_until)
+        for (auto const& [holder, it] : std::exchange(unanswered_batches_, {}))
+            batches[holder] = {holder, it.incarnation, now, {}, {},
+                               {},     it.number};
     // Returns the batch that the grant belongs to, or null.
     auto const find_batch = [&](auto& grant) -> messages::limit_grants*
     {
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -97,6 +97,9 @@
     // How many of the requests follow an unanswered one for the same workspace
     // or server.
     std::uint32_t repeated = 0;
+    // Greater in each batch of an incarnation. The sender sends no other batch
+    // before the leader has answered this one.
+    std::uint64_t number = 0;
 
     friend bool operator==(limit_requests const&,
                            limit_requests const&) = default;
@@ -113,6 +116,9 @@
     std::vector<limits::token_grant> tokens;
     std::optional<limits::contact_grant> contact;
     std::vector<limits::share_grant> shares;
+    // The number of the last batch of requests that the leader has handled, or
+    // 0 if no batch was handled since the last message.
+    std::uint64_t answered = 0;
 
     friend bool operator==(limit_grants const&, limit_grants const&) = default;
 };
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -644,6 +644,7 @@
 {
     map_batch(d, v, w);
     d(v.repeated, w.repeated);
+    d(v.number, w.number);
     w.tokens = encode_list<wire::token_requestT>(v.tokens);
     w.shares = encode_list<wire::share_requestT>(v.shares);
     if (v.contact)
@@ -654,6 +655,7 @@
 {
     map_batch(d, v, w);
     d(v.repeated, w.repeated);
+    d(v.number, w.number);
     v.tokens = decode_list<limits::token_request>(w.tokens);
     v.shares = decode_list<limits::share_request>(w.shares);
     if (!w.contact)
@@ -666,6 +668,7 @@
 void map_fields(to_wire d, limit_grants const& v, wire::limit_grantsT& w)
 {
     map_batch(d, v, w);
+    d(v.answered, w.answered);
     w.tokens = encode_list<wire::token_grantT>(v.tokens);
     w.shares = encode_list<wire::share_grantT>(v.shares);
     if (v.contact)
@@ -675,6 +678,7 @@
 void map_fields(from_wire d, limit_grants& v, wire::limit_grantsT const& w)
 {
     map_batch(d, v, w);
+    d(v.answered, w.answered);
     v.tokens = decode_list<limits::token_grant>(w.tokens);
     v.shares = decode_list<limits::share_grant>(w.shares);
     if (!w.contact)
