control: Let the contact timeout follow the leader's answers

What callers saw: entry hosts without a lease, tokens or connections, while their leader was late and not lost.

Cause: a daemon gave up the leader after 250 ms without an answer, and with any answer, also one that came after it had returned, the timeout was 250 ms again. It came back over a new link with a subscription, a renewal and all requests, and the leader handled what was left on the old link as well.

Rule: the timeout is at least twice the longest recent time until an answer, as retransmission timeouts are, up to the 1 s that it had before. A host that was given up with an open link and is named as the leader again counts as slow: the expired timeout counts as its answer time. A lost host accepts no link, so the time to find a new leader stays.

Tests, which do not compile before: "the timeout follows the time that the leader needs for an answer", "a leader that was given up and still leads gets more time".

--- a/packages/control/include/basilreach/control/contact_monitor.hpp
+++ b/packages/control/include/basilreach/control/contact_monitor.hpp
@@ -19,7 +19,8 @@
     duration answer_timeout = std::chrono::milliseconds(250);
     // The timeout doubles up to this one once every known control host has been
     // tried in vain: a leader that is slow because of its load would get the
-    // requests of all daemons again and again.
+    // requests of all daemons again and again. For the same reason it is at
+    // least twice the time that the leader has recently needed for an answer.
     duration max_answer_timeout = std::chrono::seconds(1);
     // Another control host is also tried when there was no lease grant for this
     // time. Longer than the renewal interval.
@@ -41,7 +42,7 @@
     void record_message(instant now);
 
     // The leader has answered a message.
-    void record_answer();
+    void record_answer(instant now);
 
     // The leader has answered a lease renewal.
     void record_grant(instant now);
@@ -54,8 +55,9 @@
     // so no other host is tried before the grant timeout.
     void record_no_leader();
 
-    // Messages now go to the host that another one named as the leader.
-    void record_redirect(instant now);
+    // Messages now go to the host that another one named as the leader. A host
+    // that was given up last and still leads is slow and not lost.
+    void record_redirect(instant now, bool is_given_up_host = false);
 
     // Messages now go to the next one of the known hosts.
     void record_switch(instant now, std::size_t known_hosts);
@@ -85,6 +87,11 @@
     instant last_grant_;
     instant last_progress_;
     std::optional<instant> unanswered_since_;
+    // The longest recent time until an answer. It decreases with each answer
+    // that is faster.
+    duration answer_time_{};
+    // The timeout after which the last host was given up.
+    duration expired_timeout_{};
     bool is_in_contact_ = false;
     // Hosts that were tried since the last answer.
     std::size_t switches_ = 0;
--- a/packages/control/src/contact_monitor.cpp
+++ b/packages/control/src/contact_monitor.cpp
@@ -11,6 +11,12 @@
 // Parts into which the jitter divides a timeout.
 constexpr std::int64_t jitter_steps = 64;
 
+// The timeout is this many times the longest recent time until an answer.
+constexpr std::int64_t answer_time_factor = 2;
+
+// Part of the recent answer time by which a faster answer decreases it.
+constexpr std::int64_t answer_time_decay = 8;
+
 // The jitter lengthens a timeout by up to a quarter.
 constexpr std::int64_t jitter_divisor = 4;
 
@@ -39,8 +45,12 @@
         unanswered_since_ = now;
 }
 
-void contact_monitor::record_answer()
+void contact_monitor::record_answer(instant now)
 {
+    if (unanswered_since_)
+        answer_time_ =
+            std::max(now - *unanswered_since_,
+                     answer_time_ - answer_time_ / answer_time_decay);
     unanswered_since_.reset();
     is_in_contact_ = true;
     switches_ = 0;
@@ -50,7 +60,7 @@
 void contact_monitor::record_grant(instant now)
 {
     last_grant_ = now;
-    record_answer();
+    record_answer(now);
 }
 
 void contact_monitor::record_progress(instant at)
@@ -64,14 +74,17 @@
     is_in_contact_ = false;
 }
 
-void contact_monitor::record_redirect(instant now)
+void contact_monitor::record_redirect(instant now, bool is_given_up_host)
 {
+    if (is_given_up_host)
+        answer_time_ = std::max(answer_time_, expired_timeout_);
     presumed_since_ = now;
     record_no_leader();
 }
 
 void contact_monitor::record_switch(instant now, std::size_t known_hosts)
 {
+    expired_timeout_ = answer_timeout();
     record_redirect(now);
     if (++switches_ % std::max<std::size_t>(known_hosts, 1) == 0 &&
         answer_timeout() < settings_.max_answer_timeout)
@@ -80,8 +93,10 @@
 
 duration contact_monitor::answer_timeout() const
 {
-    auto const timeout = std::min(settings_.answer_timeout * (1 << doublings_),
-                                  settings_.max_answer_timeout);
+    auto const timeout =
+        std::min(std::max(settings_.answer_timeout * (1 << doublings_),
+                          answer_time_ * answer_time_factor),
+                 settings_.max_answer_timeout);
     auto const step =
         static_cast<std::int64_t>(mix(seed_ + switches_) % jitter_steps);
     return timeout + timeout * step / (jitter_steps * jitter_divisor);
--- a/packages/control/test/contact_monitor_test.cpp
+++ b/packages/control/test/contact_monitor_test.cpp
@@ -24,7 +24,7 @@
     it.record_message(start + 100ms);
     CHECK(it.deadline() >= start + 260ms);
     CHECK(it.deadline() < start + 330ms);
-    it.record_answer();
+    it.record_answer(start + 100ms);
     CHECK(it.deadline() >= start + 900ms);
 }
 
@@ -37,7 +37,7 @@
     it.record_progress(start + 2s);
     CHECK(it.deadline() >= start + 2250ms);
     // Progress that is older than the message does not count.
-    it.record_answer();
+    it.record_answer(start + 2s);
     it.record_message(start + 5s);
     it.record_grant(start + 5s);
     it.record_message(start + 5s);
@@ -61,11 +61,53 @@
     for (int n = 0; n != 20; ++n)
         CHECK(timeout_after_switch() <= 1250ms);
     CHECK(it.deadline() - start >= 900ms);
-    it.record_answer();
+    it.record_answer(start);
     it.record_message(start);
     CHECK(it.deadline() - start < 330ms);
 }
 
+// Guards against daemons that leave a leader whose answers take long because of
+// its load, and give it more work by coming back.
+TEST_CASE("the timeout follows the time that the leader needs for an answer")
+{
+    contact_monitor it({}, 1, start);
+    auto now = start;
+    auto const timeout_after_answer = [&it, &now](duration time)
+    {
+        it.record_message(now);
+        now += time;
+        it.record_answer(now);
+        it.record_message(now);
+        auto const timeout = it.deadline() - now;
+        it.record_answer(now);
+        return timeout;
+    };
+    CHECK(timeout_after_answer(100ms) < 330ms);
+    CHECK(timeout_after_answer(200ms) >= 400ms);
+    CHECK(timeout_after_answer(10s) <= 1250ms);
+    duration timeout{};
+    for (int n = 0; n != 30; ++n)
+        timeout = timeout_after_answer(10ms);
+    CHECK(timeout < 330ms);
+}
+
+// Guards against daemons that give up the same slow leader again and again.
+TEST_CASE("a leader that was given up and still leads gets more time")
+{
+    contact_monitor it({}, 1, start);
+    auto const timeout_after_return = [&it](bool is_given_up_host)
+    {
+        it.record_switch(start, 1000);
+        it.record_redirect(start, is_given_up_host);
+        it.record_message(start);
+        return it.deadline() - start;
+    };
+    CHECK(timeout_after_return(false) < 330ms);
+    CHECK(timeout_after_return(true) >= 500ms);
+    CHECK(timeout_after_return(true) >= 900ms);
+    CHECK(timeout_after_return(true) <= 1250ms);
+}
+
 // Guards against daemons that lose the leader at one moment and all come back
 // at one moment.
 TEST_CASE("daemons with different seeds have different deadlines")
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -132,6 +132,8 @@
     std::vector<messages::message> local_messages_;
     std::vector<consensus::host_name> known_hosts_;
     std::size_t presumed_leader_index_ = 0;
+    // The host that was given up last, if a link to it was open.
+    consensus::host_name given_up_host_;
     control::contact_monitor contact_;
     bool state_changed_ = false;
     distribution_sample logged_distribution_;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -412,6 +412,9 @@
                      << " bytes_queued=" << counts.bytes_queued;
     }
     contact_.record_switch(now, known_hosts_.size());
+    // A lost host accepts no new link, so it is given up without one.
+    given_up_host_ =
+        link != nullptr && link->is_open() ? leader : consensus::host_name();
     // The link may no longer deliver anything although a new one would work.
     links_.disconnect(leader);
     presumed_leader_index_ = (presumed_leader_index_ + 1) % known_hosts_.size();
@@ -464,7 +467,7 @@
     if (found == known_hosts_.end())
         known_hosts_.push_back(name);
     auto const now = read_clock();
-    contact_.record_redirect(now);
+    contact_.record_redirect(now, name == given_up_host_);
     on_leader_changed(now);
 }
 
@@ -478,7 +481,7 @@
 void control_thread::on_limit_grants(link_id /*from*/, messages::message& it)
 {
     log_contact(contact_.is_in_contact());
-    contact_.record_answer();
+    contact_.record_answer(read_clock());
     limits_->receive(std::get<messages::limit_grants>(it), read_clock());
 }
 
--- a/packages/daemon/test/leader_load_test.cpp
+++ b/packages/daemon/test/leader_load_test.cpp
@@ -234,7 +234,7 @@
             to.contact.record_grant(now_);
             return to.leases.receive(*grant);
         }
-        to.contact.record_answer();
+        to.contact.record_answer(now_);
         to.limits->receive(std::get<messages::limit_grants>(it), now_);
     }
 
