daemon: Handle leases and updates before requests for tokens

What callers saw: hosts whose lease ran out because the leader first granted tokens and shares to others.

Cause: the leader handled all that it had read in the order of arrival, without a bound for one tick, also for links that had ended meanwhile.

Rule: requests for tokens and shares wait in a queue of their own. A tick first handles renewals, sends updates and heartbeats, and then 16 batches at most. What came over a link that has ended is dropped, as nobody gets the answer. With one batch a daemon on its way, the queue is as long as there are daemons at most.

Test, seen to fail before: "a lease renewal does not wait for requests for tokens" (all of 199 batches answered in the tick of the renewal).

--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -2,6 +2,7 @@
 #define BASILREACH_DAEMON_CONTROL_HOST_HPP
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -143,6 +144,13 @@
         bool is_call = false;
     };
 
+    // Requests for tokens and shares that wait for the next tick.
+    struct waiting_batch
+    {
+        link_id link = 0;
+        messages::limit_requests requests;
+    };
+
     // A command that waits to be proposed, and who is told if it is refused.
     struct queued_command
     {
@@ -173,6 +181,7 @@
     void on_subscribe(link_id from, messages::message const& it);
     void on_admin_request(link_id from, messages::message const& it);
     void on_limit_requests(link_id from, messages::message const& it);
+    void handle_limit_requests();
     void on_peer_message(link_id from, messages::message const& it);
     void on_join_request(link_id from, messages::message const& it);
     void on_reach_report(link_id from, messages::message const& it);
@@ -246,6 +255,9 @@
 
     update_feed feed_;
     limit_request_counts limit_counts_;
+    // In the order of arrival. A daemon has one batch here at most, as it sends
+    // the next one when this one has been answered.
+    std::deque<waiting_batch> waiting_batches_;
     // The latest link of each daemon.
     std::map<daemon_name, link_id> daemon_links_;
     // By index and term of the proposed entry.
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -31,6 +31,10 @@
 // also held in memory.
 constexpr std::size_t compaction_bytes = std::size_t{4} << 20U;
 
+// Batches of requests for tokens and shares that one tick handles. Leases,
+// updates and heartbeats wait for the end of the tick.
+constexpr std::size_t max_batches_per_tick = 16;
+
 // Interval at which the leader checks whether the membership should change.
 constexpr duration membership_check_interval = std::chrono::milliseconds(200);
 
@@ -344,6 +348,9 @@
 void control_host::link_ended(link_id it)
 {
     feed_.remove(it);
+    // Nobody would get the answer.
+    std::erase_if(waiting_batches_, [it](waiting_batch const& batch)
+                  { return batch.link == it; });
 }
 
 void control_host::on_subscribe(link_id from, messages::message const& it)
@@ -358,9 +365,23 @@
     limit_counts_.tokens += batch.tokens.size();
     limit_counts_.shares += batch.shares.size();
     limit_counts_.repeated += batch.repeated;
-    if (!limits_ || !record_link(batch.holder, from))
-        return;
-    limits_->receive(batch, now_);
+    if (limits_)
+        waiting_batches_.push_back({from, batch});
+}
+
+// Handles what has waited longest. Requests for tokens and shares come after
+// renewals and updates: a host that gets tokens late refuses some statements,
+// and one that gets its lease late refuses all of them.
+void control_host::handle_limit_requests()
+{
+    for (std::size_t n = 0;
+         n != max_batches_per_tick && !waiting_batches_.empty(); ++n)
+    {
+        auto const it = std::move(waiting_batches_.front());
+        waiting_batches_.pop_front();
+        if (record_link(it.requests.holder, it.link))
+            limits_->receive(it.requests, now_);
+    }
 }
 
 void control_host::on_unexpected_message(link_id /*from*/,
@@ -562,6 +583,7 @@
     }
     leader_.reset();
     limits_.reset();
+    waiting_batches_.clear();
     monitor_.reset();
     membership_manager_.reset();
     leader_inputs_.clear();
@@ -685,13 +707,16 @@
         for (auto const& it : monitor_->tick(now))
             queue_command({{}, "monitor", it});
     propose_queued();
-    if (limits_)
-        limits_->tick(member_->leader_until(), now);
+    if (!limits_)
+        return;
+    handle_limit_requests();
+    limits_->tick(member_->leader_until(), now);
 }
 
 instant control_host::next_deadline() const
 {
-    if (!queued_commands_.empty() || (leader_ && !leader_inputs_.empty()))
+    if (!queued_commands_.empty() || !waiting_batches_.empty() ||
+        (leader_ && !leader_inputs_.empty()))
         return instant::min();
     auto const own =
         std::min({member_->next_deadline(), next_membership_check_,
--- a/packages/daemon/test/control_host_test.cpp
+++ b/packages/daemon/test/control_host_test.cpp
@@ -122,6 +122,8 @@
         {
             if (auto const* grants = std::get_if<messages::limit_grants>(&it))
                 answered.emplace_back(to, grants->incarnation);
+            if (auto const* grant = std::get_if<control::grant_lease>(&it))
+                granted.push_back(grant->daemon);
         };
         outputs.send_to_links =
             [this](auto const& to, messages::message const& it)
@@ -207,6 +209,7 @@
     }
 
     std::vector<std::pair<link_id, std::uint64_t>> answered;
+    std::vector<daemon_name> granted;
     std::vector<control::state_update> updates;
     // Answered calls of the control API.
     std::vector<std::pair<std::uint64_t, call_outcome>> called;
@@ -276,6 +279,40 @@
           answers{{second_link, second_start}});
 }
 
+// Guards against leases that run out because the leader first handles the
+// requests for tokens of all daemons.
+TEST_CASE("a lease renewal does not wait for requests for tokens")
+{
+    constexpr std::size_t daemons = 200;
+    restarted_host it;
+    it.elect();
+    it.replicate();
+    it.host->tick(read_clock());
+    for (std::size_t n = 0; n != daemons; ++n)
+    {
+        messages::limit_requests batch;
+        batch.holder = daemon_name("daemon-" + std::to_string(n));
+        batch.incarnation = 1;
+        batch.number = 1;
+        it.host->receive(daemon_link + 2 + n, batch);
+    }
+    control::lease_renewal renewal;
+    renewal.daemon = daemon_name("d");
+    renewal.incarnation = 1;
+    it.host->receive(daemon_link, renewal);
+    // Nobody waits for the answer to a request whose link has ended.
+    it.host->link_ended(daemon_link + 2);
+    it.answered.clear();
+    it.host->tick(read_clock());
+    CHECK(it.granted == std::vector{daemon_name("d")});
+    CHECK(it.answered.size() < daemons / 4);
+    auto ticks = 1;
+    for (; it.host->next_deadline() == instant::min(); ++ticks)
+        it.host->tick(read_clock());
+    CHECK(ticks > 4);
+    CHECK(it.answered.size() == daemons - 1);
+}
+
 // Guards against a leader that loses its term while many daemons start: each
 // registration was synced, sent to the other control hosts and distributed on
 // its own.
