control: Shorten the lease of a daemon that lags instead of refusing it

What callers saw: a host that confirms changes a little later than they come lost its lease for as long as the changes went on.

Cause: a daemon that lacked a change for more than 250 ms got no lease at all. With changes every half second and an answer of a late leader in between, it always lacked one.

Rule: the lease ends 250 ms and one lease after the commit of the first change that the daemon lacks. That is the bound that a change is in force after, as before: the last lease could be granted 250 ms after the commit.

It also bounds a daemon that confirms nothing, as the earlier rule did.

--- a/packages/control/include/basilreach/control/leader.hpp
+++ b/packages/control/include/basilreach/control/leader.hpp
@@ -32,11 +32,11 @@
     // itself as the primary, in a server-checked group; after that the order is
     // sent again.
     duration takeover_timeout = std::chrono::milliseconds{2500};
-    // A daemon that has not confirmed a change after this time is granted no
-    // lease until it does. Otherwise a daemon that can send but not receive, or
-    // that has a hanging traffic thread, would prevent the change from coming
-    // into force for ever. 250 ms is the target for the adoption of a change by
-    // all reachable daemons.
+    // The lease of a daemon that has not confirmed a change ends this time and
+    // the duration of a lease after the change was committed. Otherwise a
+    // daemon that can send but not receive, or that has a hanging traffic
+    // thread, would prevent the change from coming into force for ever. 250 ms
+    // is the target for the adoption of a change by all reachable daemons.
     duration confirmation_timeout = std::chrono::milliseconds{250};
     // A group that is not server-checked gets its first primary once it has
     // this many servers, so that the first one announced is no majority on its
@@ -292,8 +292,10 @@
     row_id find_lease(holder const& who);
     void
     extend_lease(holder const& who, std::uint64_t confirmed, instant until);
-    [[nodiscard]] bool is_recent_enough(std::uint64_t confirmed,
-                                        instant now) const;
+    // The duration of the lease that a daemon with this confirmed revision may
+    // be granted now; zero if none.
+    [[nodiscard]] duration grantable_lease(std::uint64_t confirmed,
+                                           instant now) const;
     void end_lease(row_id id, instant now);
     [[nodiscard]] bool has_lease(daemon_name const& daemon) const;
     void propose_registration(lease_renewal const& renewal, instant now);
--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -155,14 +155,14 @@
         row->confirmed = renewal.confirmed_revision;
         by_confirmed_.emplace(row->confirmed, id);
     }
-    bool const is_granted = daemon != nullptr && !daemon->is_removed &&
-                            is_recent_enough(renewal.confirmed_revision, now);
-    if (is_granted)
+    auto const lease = daemon != nullptr && !daemon->is_removed
+                           ? grantable_lease(renewal.confirmed_revision, now)
+                           : duration{};
+    if (lease > duration{})
         extend_lease(who, renewal.confirmed_revision,
-                     now + with_clock_margin(settings_.leases.lease));
-    out_.emplace_back(grant_lease{
-        renewal.daemon, renewal.incarnation, renewal.sent_at,
-        is_granted ? settings_.leases.lease : duration{}, state_.revision()});
+                     now + with_clock_margin(lease));
+    out_.emplace_back(grant_lease{renewal.daemon, renewal.incarnation,
+                                  renewal.sent_at, lease, state_.revision()});
 }
 
 void leader::on_lease_returned(leader_input const& it, instant now)
@@ -272,18 +272,24 @@
     }
 }
 
-bool leader::is_recent_enough(std::uint64_t confirmed, instant now) const
+duration leader::grantable_lease(std::uint64_t confirmed, instant now) const
 {
     // With a lease, a daemon below the revision in force would serve an older
     // state than the one that was reported to be in force everywhere.
     if (confirmed < std::max(initial_revision_, revision_in_force_))
-        return false;
+        return {};
     auto const missing =
         std::upper_bound(changes_.begin(), changes_.end(), confirmed,
                          [](std::uint64_t revision, change_row const& row)
                          { return revision < row.revision; });
-    return missing == changes_.end() ||
-           now < missing->committed_at + settings_.confirmation_timeout;
+    auto const lease = settings_.leases.lease;
+    if (missing == changes_.end())
+        return lease;
+    // A daemon that is slower than changes come never has the latest one, and
+    // serves by a state that is hardly older.
+    auto const end =
+        missing->committed_at + settings_.confirmation_timeout + lease;
+    return std::clamp(end - now, duration{}, lease);
 }
 
 row_id leader::insert_lease(lease_row row)
--- a/packages/control/test/lease_test.cpp
+++ b/packages/control/test/lease_test.cpp
@@ -171,6 +171,55 @@
             CHECK(grant->lease == duration{});
 }
 
+// Guards against a daemon that loses its lease although it is never far behind:
+// changes came faster than it confirmed them.
+TEST_CASE("a daemon that lags behind changes keeps a lease of bounded length")
+{
+    constexpr int change_interval_ms = 300;
+    constexpr int lag_ms = 700;
+    control_state state(parse_rules);
+    daemon_name const d1{"d1"};
+    daemon_name const d2{"d2"};
+    data_centre_name const a{"a"};
+    state.apply(1, {{}, "test", register_daemon{d1, a}});
+    state.apply(2, {{}, "test", register_daemon{d2, a}});
+    leader current_leader(state, {}, at(0));
+    // Each change of the rules raises the revision by one.
+    auto const revision_at = [](int ms)
+    {
+        return static_cast<std::uint64_t>(2 +
+                                          std::max(ms, 0) / change_interval_ms);
+    };
+    instant lagging_until{};
+    instant stuck_until{};
+    for (int ms = 0; ms != 12'000; ms += 100)
+    {
+        if (auto const revision = revision_at(ms); revision > state.revision())
+        {
+            command const it{
+                {}, "test", offer_rules{revision, std::to_string(revision)}};
+            current_leader.receive(
+                committed{revision, it, state.apply(revision, it)});
+        }
+        current_leader.receive(
+            lease_renewal{d1, a, 1, at(ms), revision_at(ms - lag_ms), {}});
+        current_leader.receive(lease_renewal{d2, a, 1, at(ms), 2, {}});
+        for (auto const& it : current_leader.tick(at(ms)))
+            if (auto const* const grant = std::get_if<grant_lease>(&it))
+            {
+                auto& until = grant->daemon == d1 ? lagging_until : stuck_until;
+                if (grant->lease > duration{})
+                    until = std::max(until, grant->echo + grant->lease);
+            }
+        // Whoever keeps up with the changes to within a lease is served.
+        CHECK(lagging_until > at(ms));
+    }
+    // The daemon that confirms no change is bounded as before: its lease ends
+    // within the confirmation timeout and one lease after the first change.
+    CHECK(stuck_until <= at(change_interval_ms + 250 + 3000));
+    CHECK(current_leader.revision_in_force() > 2);
+}
+
 // Guards against a tick whose cost grows with the number of daemons.
 TEST_CASE("a tick visits only the rows that are due")
 {
