traffic: Serve without a lease only while the leader is out of reach

Cause: with serve_without_lease, a daemon without a lease served by its last state whatever the reason: partitioned, with a leader that answered late, or refused the lease because it lacked a change. Only the first is what the setting is for. A change comes into force when the leases of those that lack it have ended, so hosts that serve on after the end break the promise.

Rule: the leader counts as reachable while it has answered, or another control host has named it, and a link to it was open within the last second. A daemon that reaches the leader and holds no lease refuses statements at once as not run, and their transactions are rolled back; the end of an open transaction runs. A daemon that does not reach it serves on for as long as that lasts. The link of a daemon that is cut off counts as open until its timeout, and then for 1 s, which is less than what is left of its lease: it goes on without a gap. Open routes follow the same rule. A daemon is ready once it has held a lease.

Ruled out: the answers of followers as evidence, as a daemon can reach them and not the leader; the age of the last answer alone, as a late leader answers late.

Tests: "a daemon without a lease runs statements only while partitioned" and "a leader is reachable while links to it open"; they do not compile before, as the engine was not told. event=leader_reach logs the changes.

--- a/packages/control/include/basilreach/control/contact_monitor.hpp
+++ b/packages/control/include/basilreach/control/contact_monitor.hpp
@@ -25,6 +25,11 @@
     // Another control host is also tried when there was no lease grant for this
     // time. Longer than the renewal interval.
     duration grant_timeout = std::chrono::milliseconds(900);
+    // The leader counts as reachable for this time after a link to it was seen
+    // open. A daemon that is cut off gives up the leader and then waits for
+    // this time, both together within the rest of its lease, so that it goes on
+    // without a gap.
+    duration reach_memory = std::chrono::seconds(1);
 
     friend auto operator<=>(contact_settings const&,
                             contact_settings const&) = default;
@@ -59,6 +64,9 @@
     // that was given up last and still leads is slow and not lost.
     void record_redirect(instant now, bool is_given_up_host = false);
 
+    // States whether the link to the presumed leader is open.
+    void record_link(bool is_open, instant now);
+
     // Messages now go to the next one of the known hosts.
     void record_switch(instant now, std::size_t known_hosts);
 
@@ -77,7 +85,16 @@
         return is_in_contact_;
     }
 
+    // Until when the leader counts as reachable: it has answered, or another
+    // host has named it, and a link to it was open a short time ago. It may be
+    // too slow to answer.
+    [[nodiscard]] instant reachable_until() const
+    {
+        return reachable_until_;
+    }
+
 private:
+    void change_host(instant now);
     [[nodiscard]] duration answer_timeout() const;
 
     contact_settings settings_;
@@ -93,6 +110,9 @@
     // The timeout after which the last host was given up.
     duration expired_timeout_{};
     bool is_in_contact_ = false;
+    // Whether a control host has named the presumed leader as the leader.
+    bool is_named_ = false;
+    instant reachable_until_;
     // Hosts that were tried since the last answer.
     std::size_t switches_ = 0;
     // How often the timeout has been doubled.
--- a/packages/control/src/contact_monitor.cpp
+++ b/packages/control/src/contact_monitor.cpp
@@ -72,20 +72,33 @@
 {
     unanswered_since_.reset();
     is_in_contact_ = false;
+    is_named_ = false;
+}
+
+void contact_monitor::record_link(bool is_open, instant now)
+{
+    if (is_open && (is_in_contact_ || is_named_))
+        reachable_until_ = now + settings_.reach_memory;
+}
+
+void contact_monitor::change_host(instant now)
+{
+    presumed_since_ = now;
+    record_no_leader();
 }
 
 void contact_monitor::record_redirect(instant now, bool is_given_up_host)
 {
     if (is_given_up_host)
         answer_time_ = std::max(answer_time_, expired_timeout_);
-    presumed_since_ = now;
-    record_no_leader();
+    change_host(now);
+    is_named_ = true;
 }
 
 void contact_monitor::record_switch(instant now, std::size_t known_hosts)
 {
     expired_timeout_ = answer_timeout();
-    record_redirect(now);
+    change_host(now);
     if (++switches_ % std::max<std::size_t>(known_hosts, 1) == 0 &&
         answer_timeout() < settings_.max_answer_timeout)
         ++doublings_;
--- a/packages/control/test/contact_monitor_test.cpp
+++ b/packages/control/test/contact_monitor_test.cpp
@@ -139,6 +139,35 @@
     CHECK(!it.is_in_contact());
 }
 
+// Guards against a daemon that takes a leader that is slow for one that is out
+// of reach, and against the reverse once it is partitioned.
+TEST_CASE("a leader is reachable while links to it open")
+{
+    contact_monitor it({}, 1, start);
+    it.record_link(true, start);
+    CHECK(it.reachable_until() <= start);
+    it.record_redirect(start);
+    it.record_link(false, start);
+    CHECK(it.reachable_until() <= start);
+    // Named by another host, but without an answer yet.
+    it.record_link(true, start);
+    CHECK(it.reachable_until() == start + 1s);
+    // The hosts that are tried next may be followers, or know no leader.
+    it.record_switch(start + 1s, known_hosts);
+    it.record_link(true, start + 1s);
+    it.record_redirect(start + 1s);
+    it.record_no_leader();
+    it.record_link(true, start + 1s);
+    CHECK(it.reachable_until() == start + 1s);
+    it.record_grant(start + 2s);
+    it.record_link(true, start + 2s);
+    CHECK(it.reachable_until() == start + 3s);
+    // The daemon is cut off: its link counts as open until it gives it up, and
+    // the next ones do not open. The lease of the last renewal is still valid.
+    it.record_message(start + 2s);
+    CHECK(it.deadline() + 1s < start + 2s + 3s - 500ms);
+}
+
 // Guards against daemons that go from one control host to the next while none
 // leads, and make each of them accept new connections all the time.
 TEST_CASE("a host that knows no leader is not given up at once")
--- a/packages/daemon/include/basilreach/daemon/control_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_thread.hpp
@@ -107,6 +107,7 @@
     void log_contact(bool was_in_contact);
     void on_leader_changed(instant now);
     void switch_control_host(instant now);
+    void update_leader_reach(instant now);
     void send_console_request(std::uint64_t id);
     void process_due_console_requests(instant now);
     void answer_console_request(std::uint64_t id, messages::admin_reply reply);
@@ -134,6 +135,7 @@
     std::size_t presumed_leader_index_ = 0;
     // The host that was given up last, if a link to it was open.
     consensus::host_name given_up_host_;
+    bool is_leader_reachable_ = false;
     control::contact_monitor contact_;
     bool state_changed_ = false;
     distribution_sample logged_distribution_;
--- a/packages/daemon/include/basilreach/daemon/lease_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/lease_client.hpp
@@ -63,6 +63,13 @@
         return last_grant_;
     }
 
+    // Whether the daemon has held a lease since its start, and so has had a
+    // state that was in force.
+    [[nodiscard]] bool has_held_lease() const
+    {
+        return has_held_lease_;
+    }
+
     // The latest state. The traffic threads may not have adopted it yet.
     [[nodiscard]] control::control_state const& state() const
     {
@@ -102,6 +109,7 @@
     // Whether the presumed leader has been asked for the next update.
     bool is_subscribed_ = false;
     bool is_lease_held_ = false;
+    bool has_held_lease_ = false;
     // The last update did not fit, so the whole state is asked for.
     bool needs_whole_state_ = false;
 };
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -233,7 +233,8 @@
 bool control_thread::is_ready() const
 {
     return stop_.phase() == stop_phase::none &&
-           lease_->state().parts().rules_version > 0;
+           lease_->state().parts().rules_version > 0 &&
+           (!has_entry_role() || lease_->has_held_lease());
 }
 
 bool control_thread::open_control_api()
@@ -295,6 +296,7 @@
             (this->*control_message_handlers[it.index()])(it);
         auto const now = read_clock();
         switch_control_host(now);
+        update_leader_reach(now);
         if (host_)
             host_->tick(now);
         if (std::exchange(state_changed_, false) &&
@@ -342,6 +344,8 @@
     auto own = std::min(resends_.next(), stop_.next_deadline());
     if (!host_ && contact_.unanswered_since())
         own = std::min(own, contact_.deadline());
+    if (!host_ && is_leader_reachable_)
+        own = std::min(own, contact_.reachable_until());
     if (has_entry_role())
         own =
             std::min({own, lease_->next_deadline(), limits_->next_deadline()});
@@ -421,6 +425,23 @@
     on_leader_changed(now);
 }
 
+// Tells the traffic threads whether the leader can be reached. A control host
+// knows its leader from the consensus group.
+void control_thread::update_leader_reach(instant now)
+{
+    auto const* const link = links_.find(presumed_leader());
+    contact_.record_link(link != nullptr && link->is_open(), now);
+    bool const is_reachable = host_ ? !host_->leader_name().empty()
+                                    : now < contact_.reachable_until();
+    if (std::exchange(is_leader_reachable_, is_reachable) == is_reachable)
+        return;
+    LOG(INFO) << "event=leader_reach reachable=" << is_reachable
+              << " host=" << presumed_leader().str();
+    for (auto* thread : context_.threads)
+        thread->post(
+            traffic::event(traffic::leader_reach_changed{is_reachable}));
+}
+
 // The other control host knows nothing of what the earlier one was asked for.
 void control_thread::on_leader_changed(instant now)
 {
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -147,6 +147,7 @@
 void lease_client::log_lease_change(instant now)
 {
     bool const is_held = now < holder_.valid_until();
+    has_held_lease_ = has_held_lease_ || is_held;
     if (std::exchange(is_lease_held_, is_held) == is_held)
         return;
     LOG(INFO) << "event=" << (is_held ? "lease_held" : "lease_lost")
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -257,6 +257,7 @@
     engine_settings settings;
     instant now;
     instant lease_until;
+    bool is_leader_reachable = false;
     drain_stage drain = drain_stage::none;
     control_view_ptr view;
     // The revision of a view that is adopted but not yet confirmed, and when it
@@ -300,6 +301,17 @@
     {
         return now < lease_until;
     }
+
+    // Whether a statement may be admitted by the present view. A daemon that
+    // reaches the leader and gets no lease is late: its view may lack a change
+    // that is in force.
+    [[nodiscard]] bool may_use_view(bool has_key) const
+    {
+        if (has_lease())
+            return true;
+        return !is_leader_reachable &&
+               (!has_key || settings.serves_without_lease);
+    }
 };
 
 // Updates the tables from a control view; runs when its event is handled.
@@ -373,9 +385,15 @@
 // Lets a request wait until there is a control lease.
 void wait_for_lease(state& s, request_row_id id);
 
+// Handles a statement that may not use the view: it waits for a lease, or is
+// refused at once in a deployment whose clients can use another daemon
+// meanwhile (serves_without_lease).
+void handle_missing_lease(state& s, request_row_id id);
+
 // Checks the control lease again before a statement is sent, since it may have
 // waited after its admission: without a lease, a withdrawal of the client's key
-// could have been missed. Returns whether the request now waits for a lease.
+// could have been missed. Returns whether the request now waits for a lease or
+// is refused.
 bool wait_if_lease_expired(state& s, request_row_id id);
 
 struct connection_count
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -57,7 +57,8 @@
     // Most statements of one workspace that wait for one server, and of all
     // workspaces that wait for a primary.
     std::size_t queue_limit = 1000;
-    // Whether statements of sessions with a key run while no control lease is
+    // Whether statements of sessions with a key run while the leader cannot be
+    // reached and no control lease is
     // held. A key that is withdrawn meanwhile then works until the daemon
     // receives the withdrawal.
     bool serves_without_lease = false;
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -167,6 +167,17 @@
                            lease_changed const&) = default;
 };
 
+// Whether the daemon can exchange messages with the leader has changed. Without
+// a lease, a daemon that can may lack changes that are in force; one that
+// cannot is partitioned, and goes on with the last view.
+struct leader_reach_changed
+{
+    bool is_reachable = false;
+
+    friend bool operator==(leader_reach_changed const&,
+                           leader_reach_changed const&) = default;
+};
+
 // The number of connections that this thread may have open to a server changed.
 struct connection_share_changed
 {
@@ -214,6 +225,7 @@
                            limits::token_grant,
                            control_changed,
                            lease_changed,
+                           leader_reach_changed,
                            connection_share_changed,
                            drain_advanced>;
 
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -121,9 +121,9 @@
                               refusal_reason::session_state_unsupported);
     // Without a lease a withdrawal of the key could have been missed. The end
     // of a transaction runs nevertheless: its statements were admitted.
-    if (session.key && !s.has_lease() && !s.settings.serves_without_lease &&
+    if (!s.may_use_view(session.key.has_value()) &&
         !ends_open_transaction(session, *request))
-        return wait_for_lease(s, id);
+        return handle_missing_lease(s, id);
     auto const group = find_group(s, session, route->second);
     if (!group)
         return refuse_request(s, id, refusal_outcome::not_run,
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -186,16 +186,25 @@
 
 bool wait_if_lease_expired(state& s, request_row_id id)
 {
-    auto* request = s.requests.find(id);
-    bool const needs_lease_for_key = s.sessions.find(request->session)->key &&
-                                     !s.settings.serves_without_lease;
-    if (s.has_lease() ||
-        (!needs_lease_for_key && !needs_lease_to_commit(s, *request)))
+    auto const& request = *s.requests.find(id);
+    auto const& session = *s.sessions.find(request.session);
+    if (!s.may_use_view(session.key.has_value()))
+        handle_missing_lease(s, id);
+    else if (!s.has_lease() && needs_lease_to_commit(s, request))
+        wait_for_lease(s, id);
+    else
         return false;
-    wait_for_lease(s, id);
     return true;
 }
 
+void handle_missing_lease(state& s, request_row_id id)
+{
+    if (!s.settings.serves_without_lease)
+        return wait_for_lease(s, id);
+    abort_transaction_of(s, *s.sessions.find(s.requests.find(id)->session));
+    refuse_request(s, id, refusal_outcome::not_run, refusal_reason::no_lease);
+}
+
 void wait_for_lease(state& s, request_row_id id)
 {
     s.requests.find(id)->state = request_state::waiting_lease;
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -195,16 +195,26 @@
     detail::adopt_control(s, it.view);
 }
 
+void readmit_waiting_for_lease(state& s)
+{
+    s.to_admit.insert(s.to_admit.end(), s.waiting_lease.begin(),
+                      s.waiting_lease.end());
+    s.waiting_lease.clear();
+}
+
+void on(state& s, leader_reach_changed const& it)
+{
+    s.is_leader_reachable = it.is_reachable;
+    if (!it.is_reachable)
+        readmit_waiting_for_lease(s);
+}
+
 void on(state& s, lease_changed const& it)
 {
     s.lease_until = it.valid_until;
     if (!s.has_lease())
         return;
-    while (!s.waiting_lease.empty())
-    {
-        s.to_admit.push_back(s.waiting_lease.front());
-        s.waiting_lease.pop_front();
-    }
+    readmit_waiting_for_lease(s);
     // A majority of servers may have replicated a held write while there was no
     // lease.
     for (auto const& [name, id] : s.group_by_name)
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -430,6 +430,57 @@
     CHECK(f.find<send_statement>().has_value());
 }
 
+// Guards against a daemon that runs statements by an old view, e.g. for a key
+// that has been withdrawn, although it could know the present one: the leader
+// was late, or refused it the lease because it lacked a change. A daemon that
+// is partitioned goes on for as long as that lasts.
+TEST_CASE("a daemon without a lease runs statements only while partitioned")
+{
+    fixture f(8);
+    for (std::uint64_t id = 1; id != 4; ++id)
+        f.open_session(id, "ledger");
+    auto const is_run = [&f](std::uint64_t id)
+    {
+        f.it->push(statement_received{session_id{id}, statement_verb::write});
+        f.run();
+        auto const sent = f.find<send_statement>();
+        if (sent)
+            f.answer(*sent, {3, 10}, true);
+        else
+            CHECK(f.find<refuse>()->reason == refusal_reason::no_lease);
+        return sent.has_value();
+    };
+    f.it->push(leader_reach_changed{true});
+    CHECK_FALSE(is_run(1));
+    f.it->push(lease_changed{f.now + 3s});
+    CHECK(is_run(1));
+    auto const opening =
+        f.send(2, statement_verb::write, transaction_opening::read_write);
+    f.answer(opening, {3, 11}, true, transaction_status::in_transaction);
+    auto const ending =
+        f.send(3, statement_verb::write, transaction_opening::read_write);
+    f.answer(ending, {3, 12}, true, transaction_status::in_transaction);
+    f.now += 3s;
+    CHECK_FALSE(is_run(1));
+    // A further statement of an open transaction is refused and rolls it back;
+    // its end runs.
+    f.it->push(statement_received{session_id{2}, statement_verb::write,
+                                  transaction_opening::opened});
+    f.run();
+    CHECK(f.find<refuse>()->outcome == refusal_outcome::not_run);
+    CHECK(f.find<close_connection>()->connection == opening.connection);
+    f.it->push(statement_received{session_id{3}, statement_verb::commit,
+                                  transaction_opening::opened});
+    f.run();
+    CHECK(f.find<send_statement>()->connection == ending.connection);
+    f.it->push(leader_reach_changed{false});
+    for (int n = 0; n != 10; ++n)
+    {
+        f.now += 10s;
+        CHECK(is_run(1));
+    }
+}
+
 // Guards against a stop that cuts statements which have just been passed on:
 // transactions went on until the process ended.
 TEST_CASE("a planned stop refuses the statements that it would cut")
