limits: Renew all unchanged shares of a daemon by one message

Cause: a daemon renewed each connection share every second with a request, and got a grant for each.

Rule: a daemon says once a second that its shares of the leader's term are unchanged. The leader answers with one lifetime for all of them, and applies the renewal to a share when that would expire, so that it costs the same for any number of shares. A share with a change, of another term, or with less than half of its lifetime left is renewed by a request of its own, so a renewal that is not answered, or a new leader, loses nothing. Neither side renews a share that has expired: the leader may have given it to another daemon.

--- a/packages/daemon/src/limit_client.cpp
+++ b/packages/daemon/src/limit_client.cpp
@@ -31,6 +31,13 @@
     return out;
 }
 
+limits::connection_limiter_settings connection_settings()
+{
+    limits::connection_limiter_settings out;
+    out.renews_together = true;
+    return out;
+}
+
 // Whether the server itself refuses connections beyond its limit. The leader
 // then needs no report of a daemon that has no connections.
 bool is_limit_checked_by_server(control::control_state const& state,
@@ -66,7 +73,8 @@
       send_to_leader_(std::move(send_to_leader)),
       rate_limiter_(limiter_settings(), context.settings.name, incarnation),
       thread_allocator_(limits::thread_level_settings(), 1, now),
-      connection_limiter_({}, context.settings.name, incarnation)
+      connection_limiter_(
+          connection_settings(), context.settings.name, incarnation)
 {
     // Traffic threads live as long as this process, so none of them holds a
     // grant yet.
@@ -157,6 +165,8 @@
         pass_on(rate_limiter_, it);
     if (batch.contact)
         pass_on(rate_limiter_, *batch.contact);
+    if (batch.renewal)
+        pass_on(connection_limiter_, *batch.renewal);
     for (auto const& it : batch.shares)
         pass_on(connection_limiter_, it);
     if (batch.incarnation == incarnation_ && batch.answered == last_batch_)
@@ -209,10 +219,12 @@
                                    rate_limiter_.tick_contact(now),
                                    {},
                                    0,
-                                   last_batch_ + 1};
+                                   last_batch_ + 1,
+                                   {}};
     bool const is_sent_anyway = !batch.tokens.empty() || batch.contact;
     batch.shares = connection_limiter_.tick(now, is_sent_anyway);
-    if (!is_sent_anyway && batch.shares.empty())
+    batch.renewal = connection_limiter_.tick_renewal(now);
+    if (!is_sent_anyway && batch.shares.empty() && !batch.renewal)
         return;
     auto const repeats =
         rate_limiter_.repeats() + connection_limiter_.repeats();
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -163,6 +163,8 @@
         pass_on(token_allocator_, it);
     if (batch.contact)
         pass_on(token_allocator_, *batch.contact);
+    if (batch.renewal)
+        pass_on(share_allocator_, *batch.renewal);
     for (auto const& it : batch.shares)
         pass_on(share_allocator_, it);
     unanswered_batches_[batch.holder] = {batch.incarnation, batch.number};
@@ -173,10 +175,18 @@
     token_allocator_.set_leader_until(leader_until);
     share_allocator_.set_leader_until(leader_until);
     std::map<daemon_name, messages::limit_grants> batches;
+    auto const batch_for = [&](daemon_name const& holder,
+                               std::uint64_t incarnation) -> auto&
+    {
+        auto& batch = batches[holder];
+        batch.holder = holder;
+        batch.incarnation = incarnation;
+        batch.sent = now;
+        return batch;
+    };
     if (now < leader_until)
         for (auto const& [holder, it] : std::exchange(unanswered_batches_, {}))
-            batches[holder] = {holder, it.incarnation, now, {}, {},
-                               {},     it.number};
+            batch_for(holder, it.incarnation).answered = it.number;
     // Returns the batch that the grant belongs to, or null.
     auto const find_batch = [&](auto& grant) -> messages::limit_grants*
     {
@@ -185,11 +195,7 @@
         if (!incarnation)
             return nullptr;
         grant.incarnation = *incarnation;
-        auto& batch = batches[grant.holder];
-        batch.holder = grant.holder;
-        batch.incarnation = grant.incarnation;
-        batch.sent = now;
-        return &batch;
+        return &batch_for(grant.holder, grant.incarnation);
     };
     for (auto& it : token_allocator_.tick(now))
         if (auto* const batch = find_batch(it))
@@ -200,6 +206,9 @@
     for (auto& it : share_allocator_.tick(now))
         if (auto* const batch = find_batch(it))
             batch->shares.push_back(std::move(it));
+    for (auto& it : share_allocator_.tick_renewals(now))
+        if (auto* const batch = find_batch(it))
+            batch->renewal = std::move(it);
     for (auto const& [holder, batch] : batches)
         send_(holder, batch);
 }
--- a/packages/daemon/test/limit_client_test.cpp
+++ b/packages/daemon/test/limit_client_test.cpp
@@ -76,8 +76,8 @@
     CHECK(sent.size() == 1);
     // The daemon does not wake up for what it must not send.
     CHECK(it.next_deadline() >= later + 1s);
-    messages::limit_grants answer{daemon_name("d"),   1, later, {}, {}, {},
-                                  sent.front().number};
+    messages::limit_grants answer{daemon_name("d"),    1, later, {}, {}, {},
+                                  sent.front().number, {}};
     it.receive(answer, later + 500ms);
     it.tick(later + 500ms);
     REQUIRE(sent.size() == 2);
--- a/packages/limits/include/basilreach/limits/connection_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/connection_limiter.hpp
@@ -3,6 +3,7 @@
 
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <vector>
 
 #include <basilreach/base/deadline_queue.hpp>
@@ -32,6 +33,9 @@
     // Time after which a holder without a share states that it wants none any
     // more. The allocator would take a connection from another holder for it.
     duration withdrawal_interval = std::chrono::milliseconds(50);
+    // Whether shares without a change are renewed by one message for all of
+    // them. The holder then has to call tick_renewal().
+    bool renews_together = false;
 
     friend auto operator<=>(connection_limiter_settings const&,
                             connection_limiter_settings const&) = default;
@@ -63,6 +67,7 @@
 
     // Applies a grant; a stale one is ignored.
     void receive(share_grant const& grant, instant now);
+    void receive(share_renewal_grant const& grant, instant now);
 
     // States that requests now go to another allocator, or over another
     // connection. Unanswered ones are sent again soon.
@@ -82,6 +87,10 @@
     // them.
     std::vector<share_request> tick(instant now, bool is_sent_anyway = false);
 
+    // Returns the renewal to send, if one is due. To be called after tick, and
+    // to be sent with its requests.
+    [[nodiscard]] std::optional<share_renewal> tick_renewal(instant now);
+
     // Returns when tick has something to do next.
     [[nodiscard]] instant next_deadline() const;
 
@@ -102,8 +111,11 @@
         std::uint32_t open = 0;
         std::uint32_t wanted = 0;
         // What the last request stated.
+        std::uint32_t reported_open = 0;
         std::uint32_t reported_wanted = 0;
         instant expiry;
+        // Lifetime of the last grant.
+        duration lifetime{};
         grant_id last_grant;
         std::uint64_t sequence = 0;
         instant first_report_at;
@@ -118,9 +130,11 @@
 
     void schedule(row_id id, row const& it);
     share_request make_request(row& it, instant now);
+    void add_report(std::vector<share_request>& requests, row& it, instant now);
     void add_requests_due_soon(std::vector<share_request>& requests,
                                instant now);
     [[nodiscard]] static bool has_nothing_to_report(row const& it);
+    [[nodiscard]] bool is_renewable(row const& it, instant now) const;
     [[nodiscard]] instant send_time(row const& it) const;
 
     connection_limiter_settings settings_;
@@ -130,6 +144,9 @@
     std::map<server_name, row_id> by_name_;
     deadline_queue<row_id> due_;
     std::uint32_t repeats_ = 0;
+    // The term of the last grant of the present allocator, or 0.
+    std::uint64_t renewal_term_ = 0;
+    bool is_renewal_due_ = false;
 };
 
 } // namespace basilreach::limits
--- a/packages/limits/include/basilreach/limits/share_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/share_allocator.hpp
@@ -88,6 +88,12 @@
     // Records a holder's state and demand.
     void receive(share_request const& request, instant now);
 
+    // Renews all shares of a holder.
+    void receive(share_renewal const& renewal, instant now);
+
+    // Returns the answers to the renewals since the last call.
+    std::vector<share_renewal_grant> tick_renewals(instant now);
+
     // Processes what is due and returns the grants to send.
     std::vector<share_grant> tick(instant now);
 
@@ -164,6 +170,16 @@
         instant held_since = never;
     };
 
+    // The last renewal of all shares of a holder.
+    struct renewal_row
+    {
+        std::uint64_t incarnation = 0;
+        instant sent;
+        // When the shares expire that were valid when it arrived.
+        instant until;
+    };
+
+    [[nodiscard]] instant renewed_until(allocation const& it) const;
     row_id find_or_add_allocation(row_id id, daemon_name const& holder);
     void keep_earlier_bases(row_id id, instant now);
     void update_derived(server& it, row_id id, allocation& to, instant now);
@@ -201,6 +217,8 @@
     table<allocation> allocations_;
     std::map<server_name, row_id> by_name_;
     std::set<daemon_name> holders_;
+    std::map<daemon_name, renewal_row> renewals_;
+    std::set<daemon_name> unanswered_renewals_;
     std::set<row_id> changed_;
     deadline_queue<row_id> expiries_;
     deadline_queue<row_id> abandoned_expiries_;
--- a/packages/limits/include/basilreach/limits/share_messages.hpp
+++ b/packages/limits/include/basilreach/limits/share_messages.hpp
@@ -59,6 +59,36 @@
     friend auto operator<=>(share_grant const&, share_grant const&) = default;
 };
 
+// From a holder to the allocator: the shares that were granted in this term,
+// and that no request of the same time mentions, are unchanged. It stands for a
+// request for each of them.
+struct share_renewal
+{
+    daemon_name holder;
+    std::uint64_t incarnation = 0;
+    std::uint64_t term = 0;
+    // When it was sent, by the holder's clock.
+    instant sent;
+
+    friend auto operator<=>(share_renewal const&,
+                            share_renewal const&) = default;
+};
+
+// The answer to a share_renewal. The shares of the term that have not expired
+// when it arrives expire at echo + lifetime by the holder's clock, or later.
+struct share_renewal_grant
+{
+    daemon_name holder;
+    std::uint64_t incarnation = 0;
+    std::uint64_t term = 0;
+    // `sent` of the renewal.
+    instant echo;
+    duration lifetime{};
+
+    friend auto operator<=>(share_renewal_grant const&,
+                            share_renewal_grant const&) = default;
+};
+
 } // namespace basilreach::limits
 
 #endif
--- a/packages/limits/replay/share_replay.cpp
+++ b/packages/limits/replay/share_replay.cpp
@@ -97,7 +97,7 @@
         it.waiting.clear();
         it.opening = it.idle = it.busy = 0;
         it.limiter = std::make_unique<connection_limiter>(
-            connection_limiter_settings{}, it.name, it.incarnation);
+            trace_.limiter, it.name, it.incarnation);
         it.limiter->add_server(server, it.clock.local(simulation_.now()));
         tick(n);
     }
@@ -226,6 +226,8 @@
                                static_cast<std::uint32_t>(wanted), now);
         for (auto const& request : it.limiter->tick(now))
             send(n, request);
+        if (auto const renewal = it.limiter->tick_renewal(now))
+            send(n, *renewal);
         auto next_tick = std::min(it.limiter->next_deadline(),
                                   now < it.limiter->expiry(server)
                                       ? it.limiter->expiry(server)
@@ -252,7 +254,8 @@
         ++it.generation;
     }
 
-    void send(unsigned n, share_request const& request)
+    template <class Request>
+    void send(unsigned n, Request const& request)
     {
         if (message_passes(n))
             simulation_.at(simulation_.now() + delay(),
@@ -267,27 +270,33 @@
                            });
     }
 
+    template <class Grant>
+    void answer(Grant const& grant)
+    {
+        auto const n =
+            static_cast<unsigned>(std::stoul(grant.holder.str().substr(4)));
+        if (!message_passes(n))
+            return;
+        simulation_.at(simulation_.now() + delay(),
+                       [this, n, grant]
+                       {
+                           auto& it = pools_[n];
+                           if (it.lost || !message_passes(n))
+                               return;
+                           it.limiter->receive(
+                               grant, it.clock.local(simulation_.now()));
+                           tick(n);
+                       });
+    }
+
     void tick_leader()
     {
         auto const virtual_now = simulation_.now();
-        for (auto const& grant :
-             leader_->tick(leader_clock_.local(virtual_now)))
-        {
-            auto const n =
-                static_cast<unsigned>(std::stoul(grant.holder.str().substr(4)));
-            if (message_passes(n))
-                simulation_.at(virtual_now + delay(),
-                               [this, n, grant]
-                               {
-                                   auto& it = pools_[n];
-                                   if (it.lost || !message_passes(n))
-                                       return;
-                                   it.limiter->receive(
-                                       grant,
-                                       it.clock.local(simulation_.now()));
-                                   tick(n);
-                               });
-        }
+        auto const now = leader_clock_.local(virtual_now);
+        for (auto const& grant : leader_->tick(now))
+            answer(grant);
+        for (auto const& grant : leader_->tick_renewals(now))
+            answer(grant);
         auto const next_tick =
             std::max(leader_clock_.global(leader_->next_deadline()),
                      virtual_now + duration(1));
--- a/packages/limits/replay/share_replay.hpp
+++ b/packages/limits/replay/share_replay.hpp
@@ -25,6 +25,7 @@
     duration service = std::chrono::milliseconds(20);
     // Each host has a fixed, equal part of the limit, without a leader.
     bool divided = false;
+    connection_limiter_settings limiter;
 };
 
 struct share_outcome
--- a/packages/limits/src/connection_limiter.cpp
+++ b/packages/limits/src/connection_limiter.cpp
@@ -76,6 +76,8 @@
     it.request_urgent =
         it.request_urgent || grant.share < share(grant.server, now);
     it.last_grant = grant.id;
+    it.lifetime = grant.lifetime;
+    renewal_term_ = grant.id.term;
     bool const renewed = grant.lifetime > duration{};
     it.share =
         renewed ? grant.share : std::min(share(grant.server, now), grant.share);
@@ -88,8 +90,22 @@
     schedule(found->second, it);
 }
 
+void connection_limiter::receive(share_renewal_grant const& grant, instant now)
+{
+    if (grant.holder != holder_ || grant.incarnation != incarnation_)
+        return;
+    for (auto const& [server, id] : by_name_)
+    {
+        auto& it = *rows_.find(id);
+        // The allocator may have given away a share that has expired.
+        if (it.last_grant.term == grant.term && now < it.expiry)
+            it.expiry = std::max(it.expiry, grant.echo + grant.lifetime);
+    }
+}
+
 void connection_limiter::change_allocator(instant now)
 {
+    renewal_term_ = 0;
     for (auto const& [server, id] : by_name_)
     {
         auto& it = *rows_.find(id);
@@ -126,10 +142,10 @@
     {
         auto& it = *rows_.find(*id);
         if (send_time(it) <= now)
-            requests.push_back(make_request(it, now));
+            add_report(requests, it, now);
         schedule(*id, it);
     }
-    if (is_sent_anyway || !requests.empty())
+    if (is_sent_anyway || is_renewal_due_ || !requests.empty())
         add_requests_due_soon(requests, now);
     return requests;
 }
@@ -144,12 +160,50 @@
         visited.push_back(*id);
         // What is sent again, or for the first time, keeps its own time.
         if (it.sequence != 0 && it.answered && !it.request_urgent)
-            requests.push_back(make_request(it, now));
+            add_report(requests, it, now);
     }
     for (auto const id : visited)
         schedule(id, *rows_.find(id));
 }
 
+// Adds a request for the row, or lets the next renewal stand for it.
+void connection_limiter::add_report(std::vector<share_request>& requests,
+                                    row& it,
+                                    instant now)
+{
+    if (is_renewable(it, now))
+        is_renewal_due_ = true;
+    else
+        requests.push_back(make_request(it, now));
+    it.sent = now;
+}
+
+std::optional<share_renewal> connection_limiter::tick_renewal(instant now)
+{
+    if (!std::exchange(is_renewal_due_, false))
+        return std::nullopt;
+    // The renewal also stands for the shares that are due later.
+    for (auto const& [server, id] : by_name_)
+    {
+        auto& it = *rows_.find(id);
+        if (!is_renewable(it, now))
+            continue;
+        it.sent = now;
+        schedule(id, it);
+    }
+    return share_renewal{holder_, incarnation_, renewal_term_, now};
+}
+
+// Returns whether the present allocator knows all of the row, and a request for
+// it can still be sent in time if the renewal is not answered.
+bool connection_limiter::is_renewable(row const& it, instant now) const
+{
+    return settings_.renews_together && renewal_term_ != 0 &&
+           it.last_grant.term == renewal_term_ && it.answered &&
+           !it.request_urgent && it.share > 0 && it.open == it.reported_open &&
+           it.wanted == it.reported_wanted && now + it.lifetime / 2 < it.expiry;
+}
+
 share_request connection_limiter::make_request(row& it, instant now)
 {
     repeats_ += it.answered ? 0 : 1;
@@ -159,6 +213,7 @@
     it.sent = now;
     it.answered = false;
     it.request_urgent = false;
+    it.reported_open = it.open;
     it.reported_wanted = it.wanted;
     return {it.server, holder_,    incarnation_,  ++it.sequence,
             now,       it.started, it.last_grant, share(it.server, now),
--- a/packages/limits/src/share_allocator.cpp
+++ b/packages/limits/src/share_allocator.cpp
@@ -1,6 +1,7 @@
 #include <basilreach/limits/share_allocator.hpp>
 
 #include <algorithm>
+#include <utility>
 
 namespace basilreach::limits
 {
@@ -89,6 +90,8 @@
 {
     if (holders_.erase(holder) == 0)
         return;
+    renewals_.erase(holder);
+    unanswered_renewals_.erase(holder);
     for (auto const& [name, id] : by_name_)
     {
         auto& it = *servers_.find(id);
@@ -146,6 +149,47 @@
     changed_.insert(found_server->second);
 }
 
+void share_allocator::receive(share_renewal const& renewal, instant now)
+{
+    if (!holders_.contains(renewal.holder) || renewal.term != term_)
+        return;
+    // Shares that have expired by now are not renewed.
+    expire_allocations(now);
+    auto& last = renewals_[renewal.holder];
+    if (renewal.incarnation < last.incarnation ||
+        (renewal.incarnation == last.incarnation && renewal.sent <= last.sent))
+        return;
+    last = {renewal.incarnation, renewal.sent,
+            now + with_clock_margin(settings_.lifetime) +
+                settings_.lost_host_hold};
+    unanswered_renewals_.insert(renewal.holder);
+}
+
+std::vector<share_renewal_grant> share_allocator::tick_renewals(instant now)
+{
+    std::vector<share_renewal_grant> out;
+    if (now >= leader_until_)
+        return out;
+    for (auto const& holder : std::exchange(unanswered_renewals_, {}))
+    {
+        auto const& last = renewals_.at(holder);
+        out.push_back(
+            {holder, last.incarnation, term_, last.sent, settings_.lifetime});
+    }
+    return out;
+}
+
+// Returns until when a share is valid by its holder's last renewal. Renewals
+// are applied when a share would expire, so that one costs the same for any
+// number of shares.
+instant share_allocator::renewed_until(allocation const& it) const
+{
+    auto const found = renewals_.find(it.holder);
+    bool const is_renewed = found != renewals_.end() && it.reported &&
+                            found->second.incarnation == it.incarnation;
+    return is_renewed ? found->second.until : instant{};
+}
+
 // Connections of the earlier process may still be open at the server. They stay
 // counted until the process's share has expired and lost_host_hold has passed.
 void share_allocator::handle_restart(server& it,
@@ -340,6 +384,12 @@
     while (auto const id = expiries_.pop_due(now))
     {
         auto& to = *allocations_.find(*id);
+        if (auto const until = renewed_until(to); until > now)
+        {
+            to.expiry = until;
+            expiries_.set(*id, until);
+            continue;
+        }
         auto& it = *servers_.find(to.server);
         // By now the holder has closed all connections but its base, or the
         // server has closed those of a lost holder.
--- a/packages/limits/test/share_test.cpp
+++ b/packages/limits/test/share_test.cpp
@@ -3,6 +3,8 @@
 
 #include <doctest/doctest.h>
 
+#include <map>
+
 #include <share_replay.hpp>
 
 using basilreach::daemon_name;
@@ -78,6 +80,20 @@
     CHECK(served > 0);
 }
 
+// Guards against a share that is renewed at its holder although the allocator
+// has given it to another one.
+TEST_CASE("shares that are renewed together never exceed the limit")
+{
+    for (std::uint64_t seed = 1; seed <= 300; ++seed)
+    {
+        CAPTURE(seed);
+        auto trace = random_trace(seed);
+        trace.limiter.renews_together = true;
+        trace.limiter.idle_interval = short_times.lifetime / 4;
+        CHECK(replay_shares(trace, seed, short_times).over_limit == 0);
+    }
+}
+
 TEST_CASE("the replay counts connections over the limit")
 {
     // Three hosts have a third of the limit each, without a leader.
@@ -410,3 +426,127 @@
     CHECK(renewals < seconds * shares * 5 / 4);
     CHECK(messages <= seconds * 10);
 }
+
+// Guards against a leader whose processor time goes into the renewals of shares
+// that have not changed: their number was that of the daemons times that of the
+// servers.
+TEST_CASE("shares without a change are renewed by one message")
+{
+    using namespace std::chrono_literals;
+    constexpr std::size_t servers = 40;
+    instant now = at_ms(0);
+    share_allocator allocator({}, 1, now);
+    allocator.assume_no_earlier_grants(now);
+    allocator.register_holder(daemon_name("a"), now);
+    connection_limiter limiter({.renews_together = true}, daemon_name("a"), 1);
+    for (std::size_t n = 0; n != servers; ++n)
+    {
+        allocator.configure(server_of(n), 10, now);
+        limiter.add_server(server_of(n), now);
+        limiter.report_use(server_of(n), 1, 1, now);
+    }
+    std::size_t requests = 0;
+    std::size_t renewals = 0;
+    bool are_renewals_answered = true;
+    auto const run = [&](std::chrono::milliseconds time)
+    {
+        for (auto const end = now + time; now < end; now += 1ms)
+        {
+            for (auto const& it : limiter.tick(now))
+            {
+                ++requests;
+                allocator.receive(it, now);
+            }
+            if (auto const it = limiter.tick_renewal(now))
+            {
+                ++renewals;
+                allocator.receive(*it, now);
+            }
+            for (auto const& it : allocator.tick(now))
+                limiter.receive(it, now);
+            for (auto const& it : allocator.tick_renewals(now))
+                if (are_renewals_answered)
+                    limiter.receive(it, now);
+        }
+    };
+    run(1s);
+    requests = renewals = 0;
+    run(20s);
+    CHECK(requests == 0);
+    CHECK(renewals <= 21);
+    for (std::size_t n = 0; n != servers; ++n)
+        CHECK(limiter.share(server_of(n), now) >= 1);
+    CHECK(limiter.expiry(server_of(0)) > now + 1900ms);
+    // A change is reported by itself.
+    limiter.report_use(server_of(0), 1, 0, now);
+    run(1100ms);
+    CHECK(requests == 1);
+    // Without an answer, each share is renewed in time by a request.
+    are_renewals_answered = false;
+    run(3s);
+    CHECK(requests >= servers);
+    CHECK(limiter.expiry(server_of(1)) > now);
+    // Another allocator knows none of the shares.
+    are_renewals_answered = true;
+    run(3s);
+    requests = 0;
+    limiter.change_allocator(now);
+    run(1100ms);
+    CHECK(requests >= servers);
+}
+
+// Guards against connections beyond the limit after a message that was long on
+// its way, e.g. because a host was suspended.
+TEST_CASE("a late renewal does not revive shares that have expired")
+{
+    using namespace std::chrono_literals;
+    constexpr std::uint32_t limit = 4;
+    instant now = at_ms(0);
+    share_allocator allocator({}, 1, now);
+    allocator.assume_no_earlier_grants(now);
+    allocator.configure(server_of(0), limit, now);
+    std::map<daemon_name, connection_limiter> limiters;
+    for (auto const* name : {"a", "b"})
+    {
+        allocator.register_holder(daemon_name(name), now);
+        limiters
+            .try_emplace(daemon_name(name),
+                         connection_limiter({.renews_together = true},
+                                            daemon_name(name), 1))
+            .first->second.add_server(server_of(0), now);
+    }
+    auto const exchange = [&](char const* name)
+    {
+        auto& limiter = limiters.at(daemon_name(name));
+        for (auto const& it : limiter.tick(now))
+            allocator.receive(it, now);
+        for (auto const& it : allocator.tick(now))
+            limiters.at(it.holder).receive(it, now);
+    };
+    auto& a = limiters.at(daemon_name("a"));
+    a.report_use(server_of(0), 0, limit, now);
+    for (int n = 0; n != 5; ++n, now += 10ms)
+        exchange("a");
+    now += 1100ms;
+    CHECK(a.tick(now).empty());
+    auto const renewal = a.tick_renewal(now);
+    REQUIRE(renewal.has_value());
+    CHECK(a.share(server_of(0), now) > 1);
+    // The renewal arrives after the leader has given the shares up for lost.
+    now += 10s;
+    allocator.receive(*renewal, now);
+    auto const answers = allocator.tick_renewals(now);
+    REQUIRE(answers.size() == 1);
+    limiters.at(daemon_name("b")).report_use(server_of(0), 0, limit, now);
+    for (int n = 0; n != 5; ++n, now += 10ms)
+        exchange("b");
+    auto& b = limiters.at(daemon_name("b"));
+    CHECK(b.share(server_of(0), now) > 1);
+    a.receive(answers.front(), now);
+    CHECK(a.share(server_of(0), now) + b.share(server_of(0), now) <= limit);
+    // The same for an answer that is late.
+    auto late = answers.front();
+    late.echo = now - 1s;
+    a.receive(late, now);
+    CHECK(a.share(server_of(0), now) + b.share(server_of(0), now) <= limit);
+}
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -100,6 +100,8 @@
     // Greater in each batch of an incarnation. The sender sends no other batch
     // before the leader has answered this one.
     std::uint64_t number = 0;
+    // Stands for requests for all shares that `shares` does not mention.
+    std::optional<limits::share_renewal> renewal;
 
     friend bool operator==(limit_requests const&,
                            limit_requests const&) = default;
@@ -119,6 +121,7 @@
     // The number of the last batch of requests that the leader has handled, or
     // 0 if no batch was handled since the last message.
     std::uint64_t answered = 0;
+    std::optional<limits::share_renewal_grant> renewal;
 
     friend bool operator==(limit_grants const&, limit_grants const&) = default;
 };
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -640,6 +640,20 @@
     d(v.lacks_floors, w.lacks_floors);
 }
 
+template <class D, class V>
+void map_fields(D d, V& v, wire::share_renewalT& w)
+{
+    d(v.term, w.term);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::share_renewal_grantT& w)
+{
+    d(v.term, w.term);
+    d(v.echo, w.echo);
+    d(v.lifetime, w.lifetime);
+}
+
 void map_fields(to_wire d, limit_requests const& v, wire::limit_requestsT& w)
 {
     map_batch(d, v, w);
@@ -649,6 +663,8 @@
     w.shares = encode_list<wire::share_requestT>(v.shares);
     if (v.contact)
         w.contact = encode_table<wire::contact_reportT>(*v.contact);
+    if (v.renewal)
+        w.renewal = encode_table<wire::share_renewalT>(*v.renewal);
 }
 
 void map_fields(from_wire d, limit_requests& v, wire::limit_requestsT const& w)
@@ -658,11 +674,16 @@
     d(v.number, w.number);
     v.tokens = decode_list<limits::token_request>(w.tokens);
     v.shares = decode_list<limits::share_request>(w.shares);
-    if (!w.contact)
-        return;
-    v.contact = decode_table<limits::contact_report>(*w.contact);
-    v.contact->holder = v.holder;
-    v.contact->incarnation = v.incarnation;
+    if (w.contact)
+    {
+        v.contact = decode_table<limits::contact_report>(*w.contact);
+        copy_batch_fields(v, *v.contact);
+    }
+    if (w.renewal)
+    {
+        v.renewal = decode_table<limits::share_renewal>(*w.renewal);
+        copy_batch_fields(v, *v.renewal);
+    }
 }
 
 void map_fields(to_wire d, limit_grants const& v, wire::limit_grantsT& w)
@@ -673,6 +694,8 @@
     w.shares = encode_list<wire::share_grantT>(v.shares);
     if (v.contact)
         w.contact = encode_table<wire::contact_grantT>(*v.contact);
+    if (v.renewal)
+        w.renewal = encode_table<wire::share_renewal_grantT>(*v.renewal);
 }
 
 void map_fields(from_wire d, limit_grants& v, wire::limit_grantsT const& w)
@@ -681,10 +704,16 @@
     d(v.answered, w.answered);
     v.tokens = decode_list<limits::token_grant>(w.tokens);
     v.shares = decode_list<limits::share_grant>(w.shares);
-    if (!w.contact)
-        return;
-    v.contact = decode_table<limits::contact_grant>(*w.contact);
-    copy_batch_fields(v, *v.contact);
+    if (w.contact)
+    {
+        v.contact = decode_table<limits::contact_grant>(*w.contact);
+        copy_batch_fields(v, *v.contact);
+    }
+    if (w.renewal)
+    {
+        v.renewal = decode_table<limits::share_renewal_grant>(*w.renewal);
+        copy_batch_fields(v, *v.renewal);
+    }
 }
 
 void map_fields(to_wire d, admin_reply const& v, wire::admin_replyT& w)
