control: Do not take a suspension of the daemon for a partition

What callers would see: a host that was suspended for longer than its lease, or got no processor time, served by its old state for the moment until it had found the leader again.

Cause: the leader counts as reachable for 1 s after a link to it was open. A daemon that does not run for longer finds that time passed when it resumes, without having tried anything.

Rule: when the link was not checked for longer than that time, the daemon looks for another such time before it takes itself for partitioned.

Test: "a leader is not out of reach because the daemon was suspended", three checks fail without the rule.

--- a/packages/control/include/basilreach/control/contact_monitor.hpp
+++ b/packages/control/include/basilreach/control/contact_monitor.hpp
@@ -64,7 +64,9 @@
     // that was given up last and still leads is slow and not lost.
     void record_redirect(instant now, bool is_given_up_host = false);
 
-    // States whether the link to the presumed leader is open.
+    // States whether the link to the presumed leader is open. To be called more
+    // often than reach_memory; a longer pause is taken for a suspension of the
+    // daemon, after which it has to look again.
     void record_link(bool is_open, instant now);
 
     // Messages now go to the next one of the known hosts.
@@ -113,6 +115,7 @@
     // Whether a control host has named the presumed leader as the leader.
     bool is_named_ = false;
     instant reachable_until_;
+    instant link_checked_at_;
     // Hosts that were tried since the last answer.
     std::size_t switches_ = 0;
     // How often the timeout has been doubled.
--- a/packages/control/src/contact_monitor.cpp
+++ b/packages/control/src/contact_monitor.cpp
@@ -77,7 +77,11 @@
 
 void contact_monitor::record_link(bool is_open, instant now)
 {
-    if (is_open && (is_in_contact_ || is_named_))
+    bool const was_suspended =
+        now - link_checked_at_ > settings_.reach_memory &&
+        link_checked_at_ < reachable_until_;
+    link_checked_at_ = now;
+    if (was_suspended || (is_open && (is_in_contact_ || is_named_)))
         reachable_until_ = now + settings_.reach_memory;
 }
 
--- a/packages/control/test/contact_monitor_test.cpp
+++ b/packages/control/test/contact_monitor_test.cpp
@@ -168,6 +168,25 @@
     CHECK(it.deadline() + 1s < start + 2s + 3s - 500ms);
 }
 
+// Guards against a host that has been suspended, or has had no processor time,
+// and takes itself for partitioned before it has tried to reach the leader.
+TEST_CASE("a leader is not out of reach because the daemon was suspended")
+{
+    contact_monitor it({}, 1, start);
+    it.record_grant(start);
+    it.record_link(true, start);
+    auto const resumed = start + 10s;
+    it.record_switch(resumed, known_hosts);
+    it.record_link(false, resumed);
+    CHECK(it.reachable_until() == resumed + 1s);
+    // The leader is indeed out of reach.
+    it.record_link(false, resumed + 500ms);
+    it.record_link(false, resumed + 1s);
+    CHECK(it.reachable_until() == resumed + 1s);
+    it.record_link(false, resumed + 10s);
+    CHECK(it.reachable_until() == resumed + 1s);
+}
+
 // Guards against daemons that go from one control host to the next while none
 // leads, and make each of them accept new connections all the time.
 TEST_CASE("a host that knows no leader is not given up at once")
