rules: Add priorities and target latencies

Routes and workspaces can state a priority class, and routes the time to the answer that their clients expect, for the order of statements in an overload.

--- a/packages/rules/include/basilreach/rules/rule_set.hpp
+++ b/packages/rules/include/basilreach/rules/rule_set.hpp
@@ -48,12 +48,22 @@
     server
 };
 
+// A class of statements in an overload; 0 is the highest.
+using priority = std::uint8_t;
+
+inline constexpr priority lowest_priority = 9;
+
+// The class of a statement for which neither the route nor the workspace states
+// one, in rules that state some. A rule can put others before and behind it.
+inline constexpr priority default_priority = 1;
+
 struct workspace_rule
 {
     // Statements per second.
     std::uint64_t rate = 0;
     // Statements.
     std::uint64_t burst = 0;
+    std::optional<rules::priority> priority{};
 
     friend bool operator==(workspace_rule const&,
                            workspace_rule const&) = default;
@@ -74,6 +84,10 @@
     // Longest time from a statement's arrival to its answer; the daemon's
     // request_timeout if absent.
     std::optional<duration> timeout{};
+    std::optional<rules::priority> priority{};
+    // Time from a statement's arrival to its answer that its clients expect.
+    // A later answer is still of use until the timeout.
+    std::optional<duration> target{};
 
     friend bool operator==(route_rule const&, route_rule const&) = default;
 };
--- a/packages/rules/src/parse.cpp
+++ b/packages/rules/src/parse.cpp
@@ -32,7 +32,7 @@
 // years, and small enough that a rate multiplied by a time does not overflow.
 constexpr std::uint64_t max_rate = 1'000'000'000;
 constexpr std::uint64_t max_connections = 100'000;
-constexpr std::uint64_t max_age_limit_ms = 24ULL * 60 * 60 * 1000;
+constexpr std::uint64_t max_milliseconds = 24ULL * 60 * 60 * 1000;
 
 constexpr std::string_view blanks = " \t";
 
@@ -103,6 +103,7 @@
         workspace_rule rule;
         read_number(it, "rate", {1, max_rate}, rule.rate);
         read_number(it, "burst", {1, max_rate}, rule.burst);
+        read_priority(it, rule.priority);
         add(rules_.workspaces, workspace_name{it.name.text}, rule, "workspace ",
             it.name, it);
     }
@@ -148,9 +149,9 @@
             if (find(it, "workspaces") != nullptr)
                 report(*open, rule_reason::conflicting_field);
         }
-        std::uint64_t max_age = 0;
-        if (read_number(it, "max_age_ms", {1, max_age_limit_ms}, max_age))
-            rule.max_age = std::chrono::milliseconds{max_age};
+        read_milliseconds(it, "max_age_ms", rule.max_age);
+        read_priority(it, rule.priority);
+        read_milliseconds(it, "target_ms", rule.target);
         add(rules_.routes, route_name{it.name.text}, rule, "route ", it.name,
             it);
     }
@@ -231,6 +232,22 @@
         return true;
     }
 
+    void read_milliseconds(rule_line const& it,
+                           std::string_view field,
+                           std::optional<duration>& out)
+    {
+        std::uint64_t number = 0;
+        if (read_number(it, field, {1, max_milliseconds}, number))
+            out = std::chrono::milliseconds{number};
+    }
+
+    void read_priority(rule_line const& it, std::optional<rules::priority>& out)
+    {
+        rules::priority number = 0;
+        if (read_number(it, "priority", {0, lowest_priority}, number))
+            out = number;
+    }
+
     void read_class(text_span const& value, route_class& out)
     {
         constexpr auto classes =
@@ -278,14 +295,16 @@
     void (rule_set_builder::*add)(rule_line const&);
 };
 
-constexpr auto workspace_fields =
-    std::to_array<rule_field>({{"rate", true}, {"burst", true}});
+constexpr auto workspace_fields = std::to_array<rule_field>(
+    {{"rate", true}, {"burst", true}, {"priority", false}});
 constexpr auto key_fields = std::to_array<rule_field>({{"sha256", true}});
 constexpr auto route_fields = std::to_array<rule_field>({{"group", true},
                                                          {"class", false},
                                                          {"workspaces", false},
                                                          {"max_age_ms", false},
-                                                         {"open", false}});
+                                                         {"open", false},
+                                                         {"priority", false},
+                                                         {"target_ms", false}});
 constexpr auto server_limit_fields =
     std::to_array<rule_field>({{"connections", true}, {"slots", true}});
 
--- a/packages/rules/src/print.cpp
+++ b/packages/rules/src/print.cpp
@@ -38,12 +38,28 @@
     return " " + std::string{name} + "=" + std::to_string(value);
 }
 
+std::string priority_field(std::optional<priority> value)
+{
+    return value ? number_field("priority", *value) : std::string();
+}
+
+std::string milliseconds_field(std::string_view name,
+                               std::optional<duration> value)
+{
+    if (!value)
+        return {};
+    auto const time =
+        std::chrono::duration_cast<std::chrono::milliseconds>(*value);
+    return number_field(name, static_cast<std::uint64_t>(time.count()));
+}
+
 printed_rule
 print_rule(std::pair<workspace_name const, workspace_rule> const& it)
 {
     return make_printed_rule("workspace " + it.first.str(),
                              number_field("rate", it.second.rate) +
-                                 number_field("burst", it.second.burst));
+                                 number_field("burst", it.second.burst) +
+                                 priority_field(it.second.priority));
 }
 
 printed_rule print_rule(std::pair<key_digest const, workspace_name> const& it)
@@ -64,15 +80,11 @@
         fields += separator + workspace.str();
         separator = ",";
     }
-    if (rule.max_age)
-        fields += number_field(
-            "max_age_ms",
-            static_cast<std::uint64_t>(
-                std::chrono::duration_cast<std::chrono::milliseconds>(
-                    *rule.max_age)
-                    .count()));
+    fields += milliseconds_field("max_age_ms", rule.max_age);
     if (rule.open)
         fields += " open=" + rule.open->str();
+    fields += priority_field(rule.priority);
+    fields += milliseconds_field("target_ms", rule.target);
     return make_printed_rule("route " + it.first.str(), fields);
 }
 
--- a/packages/rules/test/parse_test.cpp
+++ b/packages/rules/test/parse_test.cpp
@@ -34,21 +34,23 @@
 {
     auto const parsed = parse_rules(
         "# head\n\n"
-        "workspace sales rate=10 burst=20" +
+        "workspace sales rate=10 burst=20 priority=2" +
         by + "  key sales sha256=" + digest +
         "\t# asked by  bo b :  why : not \r\n"
         "route r group=g class=read workspaces=sales max_age_ms=30" +
-        by + "route w group=g open=sales" + by +
+        by + "route w group=g open=sales priority=0 target_ms=40" + by +
         "server_limit g connections=25 slots=3" + by);
     REQUIRE(parsed.has_value());
     auto const& it = parsed.value();
     workspace_name const sales{"sales"};
-    CHECK(it.workspaces.at(sales) == workspace_rule{10, 20});
+    CHECK(it.workspaces.at(sales) == workspace_rule{10, 20, priority{2}});
     CHECK(it.keys.at(*parse_digest(digest)) == sales);
     CHECK(it.routes.at(route_name{"r"}) ==
           route_rule{group_name{"g"}, route_class::read, {sales}, {}, 30ms});
-    CHECK(it.routes.at(route_name{"w"}) ==
-          route_rule{group_name{"g"}, route_class::write, {}, sales, {}});
+    route_rule open{group_name{"g"}, route_class::write, {}, sales, {}};
+    open.priority = priority{0};
+    open.target = 40ms;
+    CHECK(it.routes.at(route_name{"w"}) == open);
     CHECK(it.server_limits.at(group_name{"g"}) == server_limit_rule{25, 3});
     CHECK(it.requesters.at("key " + digest) == "bo b: why : not");
 }
@@ -101,6 +103,16 @@
                     digest + by) == "1:18: out of range: 0\n");
 }
 
+// A class beyond the last one would be ordered in a way that no one asked for.
+TEST_CASE("a priority or target beyond its range is refused")
+{
+    CHECK(errors_of("workspace a rate=1 burst=1 priority=10" + by +
+                    "route r group=g priority=-1 target_ms=0" + by) ==
+          "1:37: out of range: 10\n"
+          "2:26: bad number: -1\n"
+          "2:39: out of range: 0\n");
+}
+
 TEST_CASE("a text above the maximum size is rejected")
 {
     CHECK(errors_of(std::string(max_rules_bytes + 1, '\n')) ==
--- a/packages/rules/test/print_test.cpp
+++ b/packages/rules/test/print_test.cpp
@@ -17,12 +17,12 @@
 std::string const digest(64, 'a');
 std::string const canonical =
     "workspace a rate=1 burst=2 # asked by ann: first\n"
-    "workspace b rate=3 burst=4 # asked by bob: second\n"
+    "workspace b rate=3 burst=4 priority=9 # asked by bob: second\n"
     "key a sha256=" +
     digest +
     " # asked by ann: key\n"
     "route r group=g class=read workspaces=a,b max_age_ms=5 # asked by ann: r\n"
-    "route s group=g open=b # asked by ann: s\n"
+    "route s group=g open=b priority=0 target_ms=100 # asked by ann: s\n"
     "server_limit g connections=6 slots=7 # asked by ann: limit\n";
 
 } // namespace
@@ -74,14 +74,17 @@
     std::string text;
     for (auto const& it : diff_rules(before, after))
         text += it.rule + "\n" + to_string(it);
-    CHECK(text == "workspace b\n"
-                  "-workspace b rate=3 burst=4 # asked by bob: second\n"
-                  "+workspace b rate=9 burst=4 # asked by bob: second\n"
-                  "workspace c\n"
-                  "+workspace c rate=1 burst=1 # asked by unknown: not "
-                  "recorded\n"
-                  "route s\n"
-                  "-route s group=g open=b # asked by ann: s\n");
+    CHECK(text ==
+          "workspace b\n"
+          "-workspace b rate=3 burst=4 priority=9 # asked by bob: second\n"
+          "+workspace b rate=9 burst=4 priority=9 # asked by bob: "
+          "second\n"
+          "workspace c\n"
+          "+workspace c rate=1 burst=1 # asked by unknown: not "
+          "recorded\n"
+          "route s\n"
+          "-route s group=g open=b priority=0 target_ms=100 # asked by ann: "
+          "s\n");
     CHECK(diff_rules(before, before).empty());
 }
 
