--- a/packages/limits/include/basilreach/limits/fair_queue.hpp
+++ b/packages/limits/include/basilreach/limits/fair_queue.hpp
@@ -156,6 +156,34 @@
         return estimate(it == workspaces_.end() ? backlog{} : it->second);
     }
 
+    // Returns the cost that is served before an entry that a workspace queues
+    // now, as in estimated_wait().
+    [[nodiscard]] std::uint64_t
+    cost_ahead(workspace_name const& workspace) const
+    {
+        auto const it = workspaces_.find(workspace);
+        return cost_ahead(it == workspaces_.end() ? backlog{} : it->second);
+    }
+
+    // Returns the number of waiting entries of a workspace.
+    [[nodiscard]] std::size_t size_of(workspace_name const& workspace) const
+    {
+        auto const it = workspaces_.find(workspace);
+        return it == workspaces_.end() ? 0 : it->second.waiting.size();
+    }
+
+    // Returns the number of workspaces with waiting entries.
+    [[nodiscard]] std::size_t active_workspaces() const noexcept
+    {
+        return heads_.size();
+    }
+
+    // Returns the cost of all waiting entries.
+    [[nodiscard]] std::uint64_t waiting_cost() const noexcept
+    {
+        return waiting_cost_;
+    }
+
     // Returns the earliest deadline of a waiting entry.
     [[nodiscard]] instant next_deadline() const
     {
@@ -229,12 +257,16 @@
 
     // While the backlog of a workspace is served, each other workspace receives
     // at most the same service, and all together at most what is waiting.
-    [[nodiscard]] duration estimate(backlog const& it) const
+    [[nodiscard]] std::uint64_t cost_ahead(backlog const& it) const
     {
         auto const active = heads_.size() + (it.waiting.empty() ? 1 : 0);
-        auto const ahead = std::min(waiting_cost_, it.cost * active);
-        return duration(static_cast<duration::rep>(static_cast<double>(ahead) *
-                                                   time_per_cost_ / slots_));
+        return std::min(waiting_cost_, it.cost * active);
+    }
+
+    [[nodiscard]] duration estimate(backlog const& it) const
+    {
+        return duration(static_cast<duration::rep>(
+            static_cast<double>(cost_ahead(it)) * time_per_cost_ / slots_));
     }
 
     fair_queue_settings settings_;
