traffic: Order statements by class and let reads leave silent servers

Statements that wait for a server are ordered by the class of their route and workspace, and shed when they can no longer be answered in time. Statements that wait for a primary run by class; one whose deadline is before the expected return of the primary, or before what it can run by then, is refused at once. The expectation is the shortest of the last changes of primary that this daemon has seen. A refusal states when its client should try again, spread over clients. Rules without priorities keep their order.

While a primary was unreachable, reads waited although they did not need it. A position query did not start the timer of the server's silence, so a read without a recent position waited until its deadline; once the primary counted as silent, such reads were sent to it as trials; and reads that any server could run waited 600 ms or more in the queue or for the answer of a server that had just become unreachable. Now a query starts the timer, those reads are refused and a query is the trial, and reads leave a server that has not answered for four times its average answer time, at least 100 ms.

--- a/packages/daemon/src/refusal_text.cpp
+++ b/packages/daemon/src/refusal_text.cpp
@@ -31,10 +31,11 @@
     refusal_entry{"57P03", "the write did not reach a majority in time"},
     refusal_entry{"57P01", "the entry host is stopping"},
     refusal_entry{"57P03", "the primary does not answer"},
+    refusal_entry{"57P03", "the primary is being replaced"},
 };
 
 static_assert(refusals.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::server_silent) +
+              static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
                   1);
 
 constexpr char unknown_outcome_sqlstate[] = "08007";
--- a/packages/daemon/src/statement_errors.cpp
+++ b/packages/daemon/src/statement_errors.cpp
@@ -46,10 +46,11 @@
     statement_error::aborted,          // not_replicated
     statement_error::aborted,          // draining
     statement_error::busy,             // server_silent
+    statement_error::busy,             // no_primary
 };
 
 static_assert(not_run_errors.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::server_silent) +
+              static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
                   1);
 
 } // namespace
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -78,10 +78,11 @@
                                     "superseded",
                                     "not_replicated",
                                     "draining",
-                                    "server_silent"};
+                                    "server_silent",
+                                    "no_primary"};
 
 static_assert(cause_names.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::server_silent) +
+              static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
                   1);
 static_assert(decision_names.size() ==
               static_cast<std::size_t>(traffic::decision_kind::refuse) + 1);
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -1,5 +1,6 @@
 #include <basilreach/daemon/view_builder.hpp>
 
+#include <algorithm>
 #include <utility>
 
 #include <basilreach/rules/parse.hpp>
@@ -55,6 +56,20 @@
     }
 }
 
+void add_priorities(rules::rule_set const& rules, traffic::control_view& view)
+{
+    auto const states_priority = [](auto const& it)
+    {
+        return it.second.priority.has_value();
+    };
+    view.has_priorities = std::any_of(rules.routes.begin(), rules.routes.end(),
+                                      states_priority) ||
+                          std::any_of(rules.workspaces.begin(),
+                                      rules.workspaces.end(), states_priority);
+    if (view.has_priorities)
+        view.workspace_rules = rules.workspaces;
+}
+
 } // namespace
 
 traffic::control_view_ptr
@@ -68,6 +83,7 @@
     view->keys = state.rules()->keys;
     for (auto const& [name, rule] : state.rules()->workspaces)
         view->workspaces.insert(name);
+    add_priorities(*state.rules(), *view);
     for (auto const& it : denied)
         view->keys.erase(it);
     add_servers(state, *view);
--- a/packages/limits/include/basilreach/limits/class_queue.hpp
+++ b/packages/limits/include/basilreach/limits/class_queue.hpp
@@ -146,6 +146,23 @@
         return out;
     }
 
+    // Removes and returns the entries that match, in no particular order.
+    template <class Predicate>
+    std::vector<Entry> remove_if(Predicate matches)
+    {
+        std::vector<row_id> ids;
+        entries_.for_each(
+            [&](row_id id, entry_row const& it)
+            {
+                if (matches(it.entry))
+                    ids.push_back(id);
+            });
+        std::vector<Entry> out;
+        for (auto const id : ids)
+            out.push_back(*erase(id));
+        return out;
+    }
+
     // Records how long the service of an entry took.
     void record_service(duration time)
     {
@@ -166,6 +183,12 @@
         return time_of(cost_ahead(terms));
     }
 
+    // Returns the average time between two services while entries wait.
+    [[nodiscard]] duration service_interval() const
+    {
+        return time_of(1);
+    }
+
     // Returns when shed() has an entry to return.
     [[nodiscard]] instant next_shed() const
     {
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -7,6 +7,7 @@
 #include <string>
 #include <variant>
 
+#include <basilreach/base/instant.hpp>
 #include <basilreach/base/log_position.hpp>
 #include <basilreach/base/name.hpp>
 #include <basilreach/limits/token_messages.hpp>
@@ -115,7 +116,9 @@
     not_replicated,
     draining,
     // The only server that may run the statement is silent.
-    server_silent
+    server_silent,
+    // The group has no primary, and is not expected to have one in time.
+    no_primary
 };
 
 // Replies to the session's statement with an error.
@@ -126,6 +129,8 @@
     refusal_reason reason = refusal_reason::deadline;
     // The client's connection is closed after the error.
     bool close_session = false;
+    // Time after which the client should try again, or 0 if it is not known.
+    duration retry_after{};
 
     friend bool operator==(refuse const&, refuse const&) = default;
 };
--- a/packages/traffic/include/basilreach/traffic/control_view.hpp
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -54,6 +54,11 @@
     std::map<route_name, rules::route_rule> routes;
     std::map<key_digest, workspace_name> keys;
     std::set<workspace_name> workspaces;
+    // Whether a rule states a priority. Without, statements are ordered and
+    // refused without regard to classes.
+    bool has_priorities = false;
+    // The rules of workspaces, if a rule states a priority.
+    std::map<workspace_name, rules::workspace_rule> workspace_rules;
     std::map<server_name, server_view> servers;
     std::map<group_name, group_view> groups;
 
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -13,9 +13,9 @@
 
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/base/table.hpp>
+#include <basilreach/limits/class_queue.hpp>
 #include <basilreach/limits/concurrency_window.hpp>
 #include <basilreach/limits/connection_pacer.hpp>
-#include <basilreach/limits/fair_queue.hpp>
 #include <basilreach/limits/rate_limiter.hpp>
 #include <basilreach/traffic/action.hpp>
 #include <basilreach/traffic/engine_settings.hpp>
@@ -99,6 +99,10 @@
     // Time that the statement may take from its arrival.
     duration timeout{};
     instant deadline;
+    // In rules that state priorities: the class of the statement, and the time
+    // after which its answer is late.
+    std::optional<rules::priority> priority;
+    std::optional<instant> target;
     // The position that the server must have reached; used in groups whose
     // servers check it.
     std::optional<log_position> after;
@@ -162,9 +166,9 @@
     std::uint32_t reported_wanted = 0;
     std::vector<connection_id> connections;
     std::vector<connection_id> idle;
-    // Fair queue, by workspace, of statements that wait for a connection. Held
-    // by pointer because a row can move while its queue must not.
-    std::unique_ptr<limits::fair_queue<request_row_id>> queue;
+    // Queue, by class and workspace, of statements that wait for a connection.
+    // Held by pointer because a row can move while its queue must not.
+    std::unique_ptr<limits::class_queue<request_row_id>> queue;
     // Statements that are likely to be sent to this server once they have a
     // rate token or a position. Connections for them are opened meanwhile.
     std::vector<request_row_id> expected;
@@ -182,6 +186,9 @@
     // and whether the server has been reported as silent.
     std::optional<instant> silent_since;
     bool is_reported_silent = false;
+    // Whether the silence has lasted longer than answers usually take. Reads
+    // then run elsewhere if they can, but none is refused.
+    bool is_suspect = false;
     // When the next statement may be sent to a silent server as a trial.
     instant next_trial_at;
     limits::concurrency_window window;
@@ -208,7 +215,10 @@
     // that it is not the primary.
     instant primary_refused_until;
     std::vector<server_row_id> servers;
+    // May hold requests that no longer wait.
     std::deque<request_row_id> waiting_primary;
+    // Set while the group has lost its primary and has no other one.
+    std::optional<instant> primary_absent_since;
     std::multimap<log_position, request_row_id> waiting_position;
     std::multimap<log_position, request_row_id> held;
     std::deque<primary_sample> samples;
@@ -279,6 +289,8 @@
     std::map<server_name, server_row_id> server_by_name;
     std::map<group_name, group_row_id> group_by_name;
     std::deque<request_row_id> waiting_lease;
+    // How long groups were last without a primary.
+    std::deque<duration> primary_absences;
 
     // Work lists, in the order in which the stages of a tick process them.
     std::vector<request_row_id> to_admit;
@@ -415,6 +427,13 @@
 // the server counts as silent, unless it is running.
 void start_silence_timer(state& s, server_row_id id, server_row& server);
 
+// Returns the time without an answer after which the server counts as silent.
+// It is longer for a slow server, and for one that has not answered a statement
+// yet: after its start all daemons connect to it at once, so its first answers
+// take longer.
+[[nodiscard]] duration server_silence_limit(state const& s,
+                                            server_row const& server);
+
 // Called after an answer of the server: ends its silence, and starts the timer
 // again if something else is outstanding.
 void mark_responsive(state& s, server_row_id id, server_row& server);
@@ -427,6 +446,43 @@
                           connection_id connection,
                           bool verify_primary = false);
 
+// Sets the class and target of a statement, in rules that state priorities.
+void classify(state const& s,
+              request_row& request,
+              session_row const& session,
+              rules::route_rule const& route);
+
+// Returns what determines a statement's order in the queue of a server.
+[[nodiscard]] limits::entry_terms queue_terms(state const& s,
+                                              request_row const& request);
+
+// Refuses the queued statements that can no longer be answered in time.
+void shed_queued(state& s, server_row& server);
+
+// Records when the group loses and gets a primary. Called before the change.
+void record_primary_change(state& s,
+                           group_row& group,
+                           std::optional<server_row_id> primary);
+
+// Whether the statement can still run in time once a primary is expected.
+[[nodiscard]] bool can_wait_for_primary(state const& s,
+                                        group_row const& group,
+                                        request_row const& request);
+
+// Makes room for a statement that waits for the primary; refuses one of a lower
+// class for it if necessary. Returns whether there is room.
+bool make_room_for_primary(state& s,
+                           group_row& group,
+                           request_row const& request);
+
+// Routes the statements that wait for a primary again, by class.
+void route_waiting_for_primary(state& s, group_row& group);
+
+// Returns the time after which the client of a refused statement should try
+// again, or 0 if that is not known.
+[[nodiscard]] duration
+retry_after(state const& s, request_row const& request, refusal_reason reason);
+
 // Whether the group's servers check positions and terms themselves.
 [[nodiscard]] inline bool is_server_checked(group_row const& group)
 {
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -78,6 +78,9 @@
     // Time without a statement after which an idle connection of one workspace
     // no longer counts as wanted, so that its share can go to another daemon.
     duration idle_retention = std::chrono::seconds(10);
+    // Time without any answer after which reads run at another server (longer
+    // for a slow server). A single slow statement rarely takes this long.
+    duration suspicion_limit = std::chrono::milliseconds(100);
     // Time without any answer after which a server counts as silent (longer for
     // a slow server), and the interval at which this is reported again.
     duration silence_limit = std::chrono::milliseconds(600);
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -132,6 +132,7 @@
     request->is_read = declares_read(*request, session, route->second);
     request->max_age = route->second.max_age;
     request->reads = route->second.reads;
+    classify(s, *request, session, route->second);
     if (!s.has_lease() && needs_lease_to_commit(s, *request))
         return wait_for_lease(s, id);
     if (!consume_rate_token(s, id, *request, session))
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -41,7 +41,7 @@
         row.name = name;
         row.group = find_or_add_group(s, view.group);
         row.connection_share = s.settings.initial_connections;
-        row.queue = std::make_unique<limits::fair_queue<request_row_id>>(
+        row.queue = std::make_unique<limits::class_queue<request_row_id>>(
             limits::fair_queue_settings{s.settings.queue_limit,
                                         rules::server_limit_rule{}.slots});
         auto const id = s.servers.insert(std::move(row));
@@ -109,15 +109,6 @@
     reroute_queued(s, *group.primary);
 }
 
-void route_waiting_for_primary(state& s, group_row& group)
-{
-    while (!group.waiting_primary.empty())
-    {
-        s.to_route.push_back(group.waiting_primary.front());
-        group.waiting_primary.pop_front();
-    }
-}
-
 // Changes the primary of a server-checked group. The former primary itself
 // rejects what only the primary may run, so its connections and their open
 // transactions are kept.
@@ -131,6 +122,7 @@
         reroute_queued(s, *group.primary);
     if (primary)
         fence_outstanding_commits(s, id);
+    record_primary_change(s, group, primary);
     group.term = term;
     group.primary = primary;
     group.primary_refused_until = instant{};
@@ -153,6 +145,7 @@
     if (view.checked_by == rules::position_check::server)
         return change_server_checked_primary(s, id, view.term, primary);
     end_term(s, *group);
+    record_primary_change(s, *group, primary);
     group->term = view.term;
     group->primary = primary;
     if (!primary)
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -1,5 +1,6 @@
 // Handles expired timers: statements past their deadline, connections that do
 // not answer, and waits that have ended.
+#include <algorithm>
 #include <array>
 #include <utility>
 
@@ -97,9 +98,7 @@
 
 void expire_primary_retry(state& s, row_id id)
 {
-    auto* group = s.groups.find(id);
-    for (auto const request : std::exchange(group->waiting_primary, {}))
-        s.to_route.push_back(request);
+    route_waiting_for_primary(s, *s.groups.find(id));
 }
 
 // Routes the statements that wait for a server that has become silent again:
@@ -113,6 +112,65 @@
         route_waiting_for_sample(s, group);
 }
 
+// Whether the request is a read that any server may run.
+bool may_move(state const& s, row_id id)
+{
+    auto const& request = *s.requests.find(id);
+    return request.is_read && request.after;
+}
+
+// Whether a server of the same group answers.
+bool has_responsive_server(state const& s, server_row const& sibling)
+{
+    auto const& servers = s.groups.find(sibling.group)->servers;
+    return std::any_of(servers.begin(), servers.end(),
+                       [&s](row_id id)
+                       {
+                           auto const& it = *s.servers.find(id);
+                           return !it.is_suspect && !it.is_removed &&
+                                  !it.is_leaving && !it.is_down;
+                       });
+}
+
+// Routes reads again that wait for a connection to the server.
+void move_queued_reads(state& s, server_row& server)
+{
+    for (auto const id :
+         server.queue->remove_if([&s](row_id it) { return may_move(s, it); }))
+    {
+        auto* request = s.requests.find(id);
+        request->queue_entry.reset();
+        request->state = request_state::arrived;
+        s.to_route.push_back(id);
+    }
+}
+
+// Routes reads again that wait for an answer of the server, within the budget
+// for retries.
+void move_sent_reads(state& s, server_row const& server)
+{
+    std::vector<row_id> reads;
+    for (auto const id : server.connections)
+        if (auto const& request = s.connections.find(id)->request;
+            request && may_move(s, *request))
+            reads.push_back(*request);
+    for (auto const id : reads)
+        if (s.retry_budget >= 1 && s.timers.erase({timer_kind::read_try, id}))
+            expire_read_try(s, id);
+}
+
+void suspect_server(state& s, row_id id, server_row& server)
+{
+    server.is_suspect = true;
+    s.timers.set({timer_kind::server_silence, id},
+                 *server.silent_since + server_silence_limit(s, server));
+    if (!is_server_checked(*s.groups.find(server.group)) ||
+        !has_responsive_server(s, server))
+        return;
+    move_queued_reads(s, server);
+    move_sent_reads(s, server);
+}
+
 void expire_server_silence(state& s, row_id id)
 {
     auto* server = s.servers.find(id);
@@ -121,7 +179,13 @@
     // Reports end once a health verdict has marked the server as down, or it is
     // removed: the server itself announces that it is back.
     if (server->is_removed || server->is_down)
+    {
+        server->is_suspect = false;
         return server->silent_since.reset();
+    }
+    if (!server->is_reported_silent &&
+        s.now < *server->silent_since + server_silence_limit(s, *server))
+        return suspect_server(s, id, *server);
     server->next_trial_at = s.now;
     if (!std::exchange(server->is_reported_silent, true))
         reroute_waiting(s, id, *server);
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -14,7 +14,7 @@
 {
     while (!server.idle.empty())
     {
-        auto const request = server.queue->pop();
+        auto const request = server.queue->pop(s.now);
         if (!request)
             return;
         s.requests.find(*request)->queue_entry.reset();
@@ -123,10 +123,18 @@
             request.verb == statement_verb::begin_read_write);
 }
 
-// Returns the time without an answer after which the server counts as silent.
-// It is longer for a slow server, and for one that has not answered a statement
-// yet: after its start all daemons connect to it at once, so its first answers
-// take longer.
+// Returns the time without an answer after which reads run at another server.
+duration suspicion_limit(state const& s, server_row const& server)
+{
+    constexpr int answer_time_factor = 4;
+    if (server.window.answer_time() == duration{})
+        return s.settings.silence_limit;
+    return std::clamp(answer_time_factor * server.window.answer_time(),
+                      s.settings.suspicion_limit, s.settings.silence_limit);
+}
+
+} // namespace
+
 duration server_silence_limit(state const& s, server_row const& server)
 {
     constexpr int answer_time_factor = 8;
@@ -138,8 +146,6 @@
                       first_answer_factor * s.settings.silence_limit);
 }
 
-} // namespace
-
 void start_connection(state& s,
                       server_row_id id,
                       server_row& server,
@@ -169,12 +175,13 @@
         return;
     server.silent_since = s.now;
     s.timers.set({timer_kind::server_silence, id},
-                 s.now + server_silence_limit(s, server));
+                 s.now + suspicion_limit(s, server));
 }
 
 void mark_responsive(state& s, server_row_id id, server_row& server)
 {
     server.silent_since.reset();
+    server.is_suspect = false;
     if (std::exchange(server.is_reported_silent, false))
         s.actions.emplace_back(server_reachability{server.name, true});
     // Messages sent before this answer are still outstanding; their silence is
@@ -215,7 +222,7 @@
 std::vector<request_row_id> pop_queued(state& s, server_row& server)
 {
     std::vector<request_row_id> out;
-    while (auto const request = server.queue->pop())
+    while (auto const request = server.queue->pop(s.now))
     {
         s.requests.find(*request)->queue_entry.reset();
         out.push_back(*request);
@@ -390,6 +397,7 @@
     for (auto const id : std::exchange(s.to_dispatch, {}))
     {
         auto* server = s.servers.find(id);
+        shed_queued(s, *server);
         if (is_server_checked(*s.groups.find(server->group)))
         {
             dispatch_by_workspace(s, id, *server);
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -168,6 +168,7 @@
     if (group->primary != server ||
         !std::exchange(group->is_querying_primary, false))
         return;
+    detail::mark_responsive(s, server, *s.servers.find(server));
     if (it.is_from_primary)
         return detail::add_primary_sample(s, *group, sent_at, it.position);
     detail::back_off_from_primary(s, group_id);
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -203,7 +203,7 @@
         server.window.record_refusal(sent_at, s.now);
     if (proof != answer_proof::none)
         return;
-    server.queue->record_service(1, s.now - sent_at);
+    server.queue->record_service(s.now - sent_at);
     server.window.record_answer(outstanding, s.now - sent_at);
     server.queue->set_slots(server.window.size());
 }
@@ -332,11 +332,11 @@
     if (request.has_rate_token && request.rate_token_taken_at == s.now &&
         !request.was_sent)
         s.rate_limiter.refund(s.sessions.find(request.session)->workspace, 1);
-    auto const refused_session = s.sessions.find(request.session)->id;
+    refuse const refusal{s.sessions.find(request.session)->id, outcome, reason,
+                         close_session, retry_after(s, request, reason)};
     s.actions.emplace_back(
-        log_decision{refused_session, request.number, decision_kind::refuse,
-                     decision_reason::refused, std::nullopt,
-                     refuse{refused_session, outcome, reason, close_session}});
+        log_decision{refusal.session, request.number, decision_kind::refuse,
+                     decision_reason::refused, std::nullopt, refusal});
     auto* session = s.sessions.find(request.session);
     // The client takes its transaction for failed, so it must not stay open at
     // the server: the next one would run inside it.
@@ -345,7 +345,7 @@
     ++(outcome == refusal_outcome::not_run ? s.counts.refused_not_run
                                            : s.counts.outcome_unknown);
     session->is_ending = session->is_ending || close_session;
-    s.actions.emplace_back(refuse{session->id, outcome, reason, close_session});
+    s.actions.emplace_back(refusal);
     finish_request(s, id);
 }
 
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -214,7 +214,7 @@
             it.outstanding + it.queue->size() + penalty +
             (it.data_centre != s.settings.data_centre ? remote_penalty : 0) +
             (group.primary == id ? primary_penalty : 0);
-        return std::tuple(it.is_reported_silent,
+        return std::tuple(it.is_reported_silent, it.is_suspect,
                           it.next_open > s.now && it.idle.empty(), load,
                           penalty, it.name);
     };
@@ -247,16 +247,14 @@
              bool at_primary)
 {
     auto* server = s.servers.find(server_id);
-    auto const& workspace = s.sessions.find(request.session)->workspace;
-    auto const entry =
-        server->queue->push(workspace, 1, request.deadline, id, s.now);
+    request.server = server_id;
+    auto const entry = server->queue->push(queue_terms(s, request), id, s.now);
     if (!entry)
         return refuse_request(s, id, refusal_outcome::not_run,
                               entry.error() == limits::queue_refusal::queue_full
                                   ? refusal_reason::queue_full
                                   : refusal_reason::deadline);
     withdraw_expectations(s, id);
-    request.server = server_id;
     request.at_primary = at_primary;
     request.state = request_state::queued;
     request.queue_entry = entry.value();
@@ -267,7 +265,10 @@
 {
     withdraw_expectations(s, id);
     auto* group = s.groups.find(request.group);
-    if (group->waiting_primary.size() >= s.settings.queue_limit)
+    if (!can_wait_for_primary(s, *group, request))
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::no_primary);
+    if (!make_room_for_primary(s, *group, request))
         return refuse_request(s, id, refusal_outcome::not_run,
                               refusal_reason::queue_full);
     request.state = request_state::waiting_primary;
@@ -353,6 +354,31 @@
     s.to_dispatch.push_back(*group.primary);
 }
 
+// Queries the position of a silent primary, over a new connection if there is
+// none, as a trial of whether it answers again.
+void probe_primary(state& s, group_row& group, workspace_name const& workspace)
+{
+    auto const id = *group.primary;
+    auto& server = *s.servers.find(id);
+    if (!admit_trial(s, server))
+        return;
+    request_sample(s, group);
+    if (server.connections.empty() && s.now >= server.next_open)
+        start_connection(s, id, server, workspace);
+}
+
+// Whether the read needs a position of a primary that is silent. Where this
+// daemon may not connect to the primary, the read itself is the trial: the
+// daemon asks for a connection only while a statement waits for one.
+bool needs_silent_primary(state const& s, group_row const& group)
+{
+    if (!group.primary)
+        return false;
+    auto const& server = *s.servers.find(*group.primary);
+    return server.is_reported_silent && accepts_statements(server) &&
+           (server.connection_share > 0 || !server.connections.empty());
+}
+
 bool has_reachable_primary(state const& s, group_row const& group)
 {
     return group.primary &&
@@ -411,6 +437,12 @@
             group.samples.back().queried_at + *request.max_age / 2 < s.now)
             request_sample(s, group);
     }
+    if (uses_samples && !after && needs_silent_primary(s, group))
+    {
+        probe_primary(s, group, session.workspace);
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::server_silent);
+    }
     auto const server =
         after ? choose_server(s, request) : std::optional<server_row_id>{};
     if (!server)
--- a/packages/traffic/src/workspace_dispatch.cpp
+++ b/packages/traffic/src/workspace_dispatch.cpp
@@ -35,6 +35,7 @@
         server.idle.pop_back();
         group.needs_primary_query = false;
         group.is_querying_primary = true;
+        start_silence_timer(s, id, server);
         return send_positions_query(s, connection, true);
     }
     if (!server.connections.empty() || server.connection_share == 0 ||
@@ -56,7 +57,7 @@
     };
     while (server.window.admits(server.outstanding, s.now))
     {
-        auto const request_id = server.queue->pop_if(has_idle);
+        auto const request_id = server.queue->pop_if(has_idle, s.now);
         if (!request_id)
             return;
         auto& request = *s.requests.find(*request_id);
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -925,6 +925,83 @@
     CHECK(f.find<send_statement>().has_value());
 }
 
+// Guards against reads that wait until their deadline for the position of a
+// primary that has become unreachable, and against reads that are sent to it as
+// trials.
+TEST_CASE("a read without a recent position does not wait for a silent primary")
+{
+    fixture f(8);
+    f.open_session(1, "intake");
+    f.open_session(2, "lookup");
+    f.open_session(3, "lookup");
+    auto const first = f.send(1, statement_verb::write);
+    f.now += 10ms;
+    f.answer(first, {3, 9}, true);
+    f.now += 3s;
+    f.it->push(statement_received{session_id{2}, statement_verb::read});
+    f.run();
+    auto const query = f.find<query_position>();
+    REQUIRE(query.has_value());
+    f.now += 600ms;
+    f.run();
+    auto refused = f.find<refuse>();
+    REQUIRE(refused.has_value());
+    CHECK(refused->outcome == refusal_outcome::not_run);
+    CHECK(refused->reason == refusal_reason::server_silent);
+    f.now += 300ms;
+    f.it->push(statement_received{session_id{3}, statement_verb::read});
+    f.run();
+    refused = f.find<refuse>();
+    REQUIRE(refused.has_value());
+    CHECK(refused->reason == refusal_reason::server_silent);
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    // The answer to the query ends the silence.
+    f.it->push(position_observed{query->connection, {3, 30}, true});
+    f.run();
+    CHECK(f.send(3, statement_verb::read).after == log_position{3, 30});
+}
+
+// Guards against reads that wait for the answer, or for a connection, of a
+// server that has become unreachable, although another server can run them.
+TEST_CASE("reads leave a server that has stopped answering")
+{
+    fixture f(1);
+    auto view = make_view();
+    view.revision = 2;
+    view.servers.at(server_name("s1")).data_centre = data_centre_name("b");
+    view.servers.at(server_name("s2")).data_centre = data_centre_name("a");
+    f.adopt(view);
+    f.open_session(1, "ledger");
+    for (std::uint64_t id = 2; id != 5; ++id)
+        f.open_session(id, "lookup");
+    for (std::uint64_t n = 1; n != 20; ++n)
+    {
+        auto const sent = f.send(1, statement_verb::write);
+        f.now += 10ms;
+        f.answer(sent, {3, n}, true);
+    }
+    auto const sent = f.send(2, statement_verb::read);
+    CHECK(f.server_of(sent) == "s1");
+    f.it->push(statement_received{session_id{3}, statement_verb::read});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    f.now += 150ms;
+    f.run();
+    std::set<std::string> servers;
+    std::vector<send_statement> reads;
+    for (auto const& a : f.actions)
+        if (auto const* it = std::get_if<send_statement>(&a))
+        {
+            reads.push_back(*it);
+            servers.insert(f.server_of(*it));
+        }
+    REQUIRE(reads.size() == 2);
+    CHECK_FALSE(servers.contains("s1"));
+    CHECK_FALSE(f.find<server_reachability>().has_value());
+    f.answer(reads.back(), {3, 20}, false);
+    CHECK(f.server_of(f.send(4, statement_verb::read)) != "s1");
+}
+
 // Guards against a server that counts as silent although it is only slow, or
 // although all daemons open connections to it after its start.
 TEST_CASE("a slow server and one that has not answered yet are not silent")
