--- a/packages/traffic/src/overload.cpp
+++ b/packages/traffic/src/overload.cpp
@@ -141,8 +141,10 @@
     request.target.reset();
     if (!s.view->has_priorities)
         return;
-    auto const workspace = find_workspace_priority(s, session.workspace);
-    auto const stated = std::max(route.priority, workspace);
+    // A workspace's own class must not put all its routes into one class.
+    auto const stated = route.priority
+                            ? route.priority
+                            : find_workspace_priority(s, session.workspace);
     request.priority = stated.value_or(rules::default_priority);
     if (route.target)
         request.target = request.arrived_at + *route.target;
