traffic, daemon: Report refusals and waits by class

A refusal states in its error text in the line protocol and in its log line when the client should try again: when the queue will have drained, the rate has a token, or a primary is expected, spread over clients. Decision lines have the class of the statement, and the metrics page has totals by class: answered, answered before the target, refused by reason, and waits.

--- a/packages/daemon/include/basilreach/daemon/statement_errors.hpp
+++ b/packages/daemon/include/basilreach/daemon/statement_errors.hpp
@@ -40,6 +40,10 @@
 to_statement_error(traffic::refusal_reason reason,
                    traffic::refusal_outcome outcome);
 
+// Returns the text that states when the client of a refused statement should
+// try again, for instance "retry_after_ms=120"; empty for a time of 0.
+[[nodiscard]] std::string describe_retry(duration after);
+
 } // namespace basilreach::daemon
 
 #endif
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -616,6 +616,8 @@
         sum.counts.outcome_unknown += c.outcome_unknown;
         sum.counts.silent_connections += c.silent_connections;
         sum.counts.connections_opened += c.connections_opened;
+        for (auto const& [priority, counts] : c.by_class)
+            sum.counts.by_class[priority] += counts;
         sum.reads += it.reads;
         sum.writes += it.writes;
     }
--- a/packages/daemon/src/line_client_connection.cpp
+++ b/packages/daemon/src/line_client_connection.cpp
@@ -330,7 +330,8 @@
                               : transaction_status::failed_transaction);
     phase_ = phase::ready;
     codec_.append_error(socket_.out(),
-                        {to_statement_error(it.reason, it.outcome), {}});
+                        {to_statement_error(it.reason, it.outcome),
+                         describe_retry(it.retry_after)});
     append_ready(std::nullopt);
     write();
     process();
--- a/packages/daemon/src/metrics_page.cpp
+++ b/packages/daemon/src/metrics_page.cpp
@@ -3,6 +3,9 @@
 #include <array>
 #include <chrono>
 #include <sstream>
+#include <string>
+
+#include "refusal_text.hpp"
 
 namespace basilreach::daemon
 {
@@ -60,6 +63,14 @@
     std::ostringstream out_;
 };
 
+std::string class_label(rules::priority priority, std::string const& reason)
+{
+    auto out = "{class=\"" + std::to_string(priority) + '"';
+    if (!reason.empty())
+        out += ",reason=\"" + reason + '"';
+    return out + '}';
+}
+
 void write_gauges(page_writer& page, metrics_sample const& it)
 {
     auto const& counts = it.traffic.counts;
@@ -126,6 +137,36 @@
     page.sample("decisions_dropped_total", "", it.decisions_dropped);
 }
 
+// Writes the totals of each priority class, in rules that state priorities.
+void write_classes(page_writer& page, traffic::counts_by_class const& classes)
+{
+    if (classes.empty())
+        return;
+    auto const write = [&](char const* name, char const* help, auto value_of)
+    {
+        page.family(name, "counter", help);
+        for (auto const& [priority, it] : classes)
+            page.sample(name, class_label(priority, "").c_str(), value_of(it));
+    };
+    write("class_served_total", "Statements answered, by class.",
+          [](auto const& it) { return it.served; });
+    write("class_within_target_total",
+          "Statements answered before their target, by class.",
+          [](auto const& it) { return it.within_target; });
+    write("class_sent_total", "Statements sent to servers, by class.",
+          [](auto const& it) { return it.sent; });
+    write("class_wait_seconds_total",
+          "Sum of the times from arrival to sending, by class.",
+          [](auto const& it)
+          { return std::chrono::duration<double>(it.waited).count(); });
+    page.family("class_refused_total", "counter",
+                "Statements refused, by class and reason.");
+    for (auto const& [priority, it] : classes)
+        for (auto const& [reason, n] : it.refused)
+            page.sample("class_refused_total",
+                        class_label(priority, name_of(reason)).c_str(), n);
+}
+
 } // namespace
 
 std::string write_metrics(metrics_sample const& it)
@@ -133,6 +174,7 @@
     page_writer page;
     write_gauges(page, it);
     write_counters(page, it);
+    write_classes(page, it.traffic.counts.by_class);
     write_distribution(page, it);
     page.family("statement_seconds", "histogram",
                 "Time from a statement's arrival to its answer, in seconds.");
--- a/packages/daemon/src/refusal_text.cpp
+++ b/packages/daemon/src/refusal_text.cpp
@@ -38,6 +38,26 @@
               static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
                   1);
 
+// Indexed by traffic::refusal_reason.
+constexpr std::array cause_names = {"unknown_route",
+                                    "key_withdrawn",
+                                    "workspace_not_allowed",
+                                    "session_state_unsupported",
+                                    "rate_exceeded",
+                                    "queue_full",
+                                    "deadline",
+                                    "no_lease",
+                                    "connection_lost",
+                                    "transaction_lost",
+                                    "superseded",
+                                    "not_replicated",
+                                    "draining",
+                                    "server_silent",
+                                    "no_primary"};
+
+static_assert(cause_names.size() ==
+              static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
+                  1);
 constexpr char unknown_outcome_sqlstate[] = "08007";
 
 } // namespace
@@ -56,4 +76,9 @@
     return fields;
 }
 
+char const* name_of(traffic::refusal_reason reason)
+{
+    return cause_names[static_cast<std::size_t>(reason)];
+}
+
 } // namespace basilreach::daemon
--- a/packages/daemon/src/refusal_text.hpp
+++ b/packages/daemon/src/refusal_text.hpp
@@ -13,6 +13,9 @@
 describe_refusal(traffic::refusal_reason reason,
                  traffic::refusal_outcome outcome);
 
+// Returns the name of a reason in log lines and metrics.
+[[nodiscard]] char const* name_of(traffic::refusal_reason reason);
+
 } // namespace basilreach::daemon
 
 #endif
--- a/packages/daemon/src/statement_errors.cpp
+++ b/packages/daemon/src/statement_errors.cpp
@@ -1,6 +1,7 @@
 #include <basilreach/daemon/statement_errors.hpp>
 
 #include <array>
+#include <chrono>
 
 namespace basilreach::daemon
 {
@@ -68,4 +69,12 @@
                : not_run_errors[static_cast<std::size_t>(reason)];
 }
 
+std::string describe_retry(duration after)
+{
+    if (after <= duration{})
+        return {};
+    auto const time = std::chrono::ceil<std::chrono::milliseconds>(after);
+    return "retry_after_ms=" + std::to_string(time.count());
+}
+
 } // namespace basilreach::daemon
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -14,6 +14,8 @@
 #include <basilreach/rules/name_syntax.hpp>
 #include <basilreach/settings/endpoint.hpp>
 
+#include "refusal_text.hpp"
+
 namespace basilreach::daemon
 {
 
@@ -64,26 +66,6 @@
                                      "read_answer",
                                      "refused"};
 
-// Indexed by traffic::refusal_reason.
-constexpr std::array cause_names = {"unknown_route",
-                                    "key_withdrawn",
-                                    "workspace_not_allowed",
-                                    "session_state_unsupported",
-                                    "rate_exceeded",
-                                    "queue_full",
-                                    "deadline",
-                                    "no_lease",
-                                    "connection_lost",
-                                    "transaction_lost",
-                                    "superseded",
-                                    "not_replicated",
-                                    "draining",
-                                    "server_silent",
-                                    "no_primary"};
-
-static_assert(cause_names.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
-                  1);
 static_assert(decision_names.size() ==
               static_cast<std::size_t>(traffic::decision_kind::refuse) + 1);
 static_assert(reason_names.size() ==
@@ -420,7 +402,7 @@
     record.decision = decision_names[static_cast<std::size_t>(
         traffic::decision_kind::refuse)];
     record.outcome = "not_run";
-    record.cause = cause_names[static_cast<std::size_t>(reason)];
+    record.cause = name_of(reason);
     record.revision = view_->revision;
     // A name that is no route is any text that the client sent.
     if (route_name const name(database); view_->routes.contains(name))
@@ -630,10 +612,13 @@
     record.session = static_cast<std::uint64_t>(it.session);
     if (it.server)
         record.server = *it.server;
+    record.priority = it.priority;
     if (it.refusal)
     {
-        record.cause =
-            cause_names[static_cast<std::size_t>(it.refusal->reason)];
+        record.retry_after =
+            std::chrono::duration_cast<std::chrono::milliseconds>(
+                it.refusal->retry_after);
+        record.cause = name_of(it.refusal->reason);
         record.outcome =
             it.refusal->outcome == traffic::refusal_outcome::unknown
                 ? "unknown"
--- a/packages/daemon/test/metrics_page_test.cpp
+++ b/packages/daemon/test/metrics_page_test.cpp
@@ -18,6 +18,10 @@
     metrics_sample it;
     it.traffic.clients = 7;
     it.traffic.counts.refused_not_run = 3;
+    auto& counts = it.traffic.counts.by_class[2];
+    counts.served = 5;
+    counts.waited = 1500ms;
+    counts.refused[basilreach::traffic::refusal_reason::deadline] = 4;
     it.traffic.reads.record(2ms);
     it.traffic.reads.record(30ms);
     it.revision = 12;
@@ -54,6 +58,11 @@
     auto const page = write_metrics(example());
     CHECK(has_line(page, "basilreach_callers 7"));
     CHECK(has_line(page, "basilreach_refused_total{outcome=\"not_run\"} 3"));
+    CHECK(has_line(page, "basilreach_class_served_total{class=\"2\"} 5"));
+    CHECK(
+        has_line(page, "basilreach_class_wait_seconds_total{class=\"2\"} 1.5"));
+    CHECK(has_line(page, "basilreach_class_refused_total{class=\"2\","
+                         "reason=\"deadline\"} 4"));
     CHECK(has_line(page, "basilreach_control_revision 12"));
     CHECK(has_line(page, "basilreach_ready 1"));
     CHECK(has_line(page, "basilreach_statement_seconds_bucket{kind=\"read\","
--- a/packages/daemon/test/statement_errors_test.cpp
+++ b/packages/daemon/test/statement_errors_test.cpp
@@ -85,3 +85,13 @@
               statement_error::in_doubt);
     }
 }
+
+// Guards against a time of 0 for clients that try again at once, and against
+// text for refusals without a time, which had none.
+TEST_CASE("the text of a refusal states when to try again")
+{
+    using namespace std::chrono_literals;
+    CHECK(describe_retry({}).empty());
+    CHECK(describe_retry(1us) == "retry_after_ms=1");
+    CHECK(describe_retry(120ms) == "retry_after_ms=120");
+}
--- a/packages/telemetry/include/basilreach/telemetry/decision_log.hpp
+++ b/packages/telemetry/include/basilreach/telemetry/decision_log.hpp
@@ -1,10 +1,12 @@
 #ifndef BASILREACH_TELEMETRY_DECISION_LOG_HPP
 #define BASILREACH_TELEMETRY_DECISION_LOG_HPP
 
+#include <chrono>
 #include <condition_variable>
 #include <cstddef>
 #include <cstdint>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <thread>
 #include <vector>
@@ -34,6 +36,10 @@
     char const* outcome = "";
     // For a refusal: its reason.
     char const* cause = "";
+    // For a refusal: the class of the statement, and the time after which its
+    // client was told to try again.
+    std::optional<std::uint8_t> priority{};
+    std::chrono::milliseconds retry_after{};
     // For a refused connection: the revision of the control state that decided.
     std::uint64_t revision = 0;
 
--- a/packages/telemetry/src/decision_log.cpp
+++ b/packages/telemetry/src/decision_log.cpp
@@ -53,6 +53,11 @@
     append_field(line, "reason", it.reason);
     append_field(line, "outcome", it.outcome);
     append_field(line, "cause", it.cause);
+    append_field(line, "priority",
+                 it.priority ? std::to_string(*it.priority) : std::string());
+    append_field(
+        line, "retry_after_ms",
+        print_nonzero(static_cast<std::uint64_t>(it.retry_after.count())));
     append_field(line, "revision", print_nonzero(it.revision));
     return line;
 }
--- a/packages/telemetry/test/decision_log_test.cpp
+++ b/packages/telemetry/test/decision_log_test.cpp
@@ -30,6 +30,19 @@
                                     "cause=key_withdrawn revision=791");
 }
 
+// Guards against a refusal whose line does not tell which class was refused,
+// and against a highest class that is left out like an absent one.
+TEST_CASE("a refusal has its class and the time to try again")
+{
+    decision_record it;
+    it.decision = "refuse";
+    it.cause = "deadline";
+    it.priority = 0;
+    it.retry_after = std::chrono::milliseconds(120);
+    CHECK(telemetry::to_line(it) ==
+          "decision=refuse cause=deadline priority=0 retry_after_ms=120");
+}
+
 TEST_CASE("records beyond the limit are dropped and counted")
 {
     telemetry::decision_log log(0);
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -11,6 +11,7 @@
 #include <basilreach/base/log_position.hpp>
 #include <basilreach/base/name.hpp>
 #include <basilreach/limits/token_messages.hpp>
+#include <basilreach/rules/rule_set.hpp>
 #include <basilreach/traffic/event.hpp>
 
 namespace basilreach::traffic
@@ -226,6 +227,8 @@
     std::optional<server_name> server;
     // Reason and outcome, for the kind `refuse`.
     std::optional<refuse> refusal{};
+    // The statement's class, in rules that state priorities.
+    std::optional<rules::priority> priority{};
 
     friend bool operator==(log_decision const&, log_decision const&) = default;
 };
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -483,6 +483,11 @@
 [[nodiscard]] duration
 retry_after(state const& s, request_row const& request, refusal_reason reason);
 
+// Count a statement in the totals of its class.
+void count_served(state& s, request_row const& request);
+void count_sent(state& s, request_row const& request);
+void count_refused(state& s, request_row const& request, refusal_reason reason);
+
 // Whether the group's servers check positions and terms themselves.
 [[nodiscard]] inline bool is_server_checked(group_row const& group)
 {
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -8,6 +8,7 @@
 
 #include <basilreach/base/instant.hpp>
 #include <basilreach/base/name.hpp>
+#include <basilreach/traffic/class_counts.hpp>
 
 namespace basilreach::traffic
 {
@@ -115,6 +116,8 @@
     std::uint64_t outcome_unknown = 0;
     std::uint64_t silent_connections = 0;
     std::uint64_t connections_opened = 0;
+    // Only statements that have a class.
+    counts_by_class by_class{};
 
     friend bool operator==(engine_counts const&,
                            engine_counts const&) = default;
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -243,6 +243,7 @@
     // An earlier attempt may have been rejected after its group was fenced.
     request->is_fenced = false;
     request->connection = connection;
+    count_sent(s, *request);
     auto* server = s.servers.find(row->server);
     ++server->outstanding;
     server->window.record_send(s.now);
--- a/packages/traffic/src/overload.cpp
+++ b/packages/traffic/src/overload.cpp
@@ -249,4 +249,44 @@
     return wait + duration(static_cast<duration::rep>(spread));
 }
 
+void count_served(state& s, request_row const& request)
+{
+    if (!request.priority)
+        return;
+    auto& counts = s.counts.by_class[*request.priority];
+    ++counts.served;
+    counts.within_target += !request.target || s.now <= *request.target ? 1 : 0;
+}
+
+void count_sent(state& s, request_row const& request)
+{
+    if (!request.priority)
+        return;
+    auto& counts = s.counts.by_class[*request.priority];
+    ++counts.sent;
+    counts.waited += s.now - request.arrived_at;
+}
+
+void count_refused(state& s, request_row const& request, refusal_reason reason)
+{
+    if (request.priority)
+        ++s.counts.by_class[*request.priority].refused[reason];
+}
+
 } // namespace basilreach::traffic::detail
+
+namespace basilreach::traffic
+{
+
+class_counts& class_counts::operator+=(class_counts const& it)
+{
+    served += it.served;
+    within_target += it.within_target;
+    sent += it.sent;
+    waited += it.waited;
+    for (auto const& [reason, n] : it.refused)
+        refused[reason] += n;
+    return *this;
+}
+
+} // namespace basilreach::traffic
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -313,6 +313,7 @@
                   : request.at_primary ? s.counts.reads_at_primaries
                                        : s.counts.reads_at_replicas;
     ++count;
+    count_served(s, request);
     s.actions.emplace_back(relay_answer{session->id, changed, request.is_read});
     finish_request(s, id);
 }
@@ -332,11 +333,12 @@
     if (request.has_rate_token && request.rate_token_taken_at == s.now &&
         !request.was_sent)
         s.rate_limiter.refund(s.sessions.find(request.session)->workspace, 1);
+    count_refused(s, request, reason);
     refuse const refusal{s.sessions.find(request.session)->id, outcome, reason,
                          close_session, retry_after(s, request, reason)};
-    s.actions.emplace_back(
-        log_decision{refusal.session, request.number, decision_kind::refuse,
-                     decision_reason::refused, std::nullopt, refusal});
+    s.actions.emplace_back(log_decision{
+        refusal.session, request.number, decision_kind::refuse,
+        decision_reason::refused, std::nullopt, refusal, request.priority});
     auto* session = s.sessions.find(request.session);
     // The client takes its transaction for failed, so it must not stay open at
     // the server: the next one would run inside it.
@@ -430,7 +432,8 @@
     if (server)
         name = s.servers.find(*server)->name;
     s.actions.emplace_back(log_decision{s.sessions.find(request.session)->id,
-                                        request.number, kind, reason, name});
+                                        request.number, kind, reason, name,
+                                        std::nullopt, request.priority});
 }
 
 } // namespace basilreach::traffic::detail
