tools: Measure an overload by class

tools/measure overload replays three times the load that a group can run, with clients that try twice again, through the engines of three hosts, with and without priorities: goodput, share served and within target by route, and the time until the group has recovered.

--- a/tools/measure_program/main.cpp
+++ b/tools/measure_program/main.cpp
@@ -19,6 +19,7 @@
     {"failover", basilreach::measure::measure_failover},
     {"fairness", basilreach::measure::measure_fairness},
     {"limits", basilreach::measure::measure_limits},
+    {"overload", basilreach::measure::measure_overload},
     {"pool", basilreach::measure::measure_pool},
     {"reads", basilreach::measure::measure_reads},
 };
--- a/tools/measure_program/subcommands.hpp
+++ b/tools/measure_program/subcommands.hpp
@@ -11,6 +11,7 @@
 int measure_failover(std::uint64_t seed);
 int measure_fairness(std::uint64_t seed);
 int measure_limits(std::uint64_t seed);
+int measure_overload(std::uint64_t seed);
 int measure_pool(std::uint64_t seed);
 int measure_reads(std::uint64_t seed);
 
