dispatch: Place workspaces at holders

Nearly every statement opens a connection and waits for a token, because each of up to 73 daemons needs connections and tokens of every workspace. The view carries the members, connection limits and bursts that it needs; the members are still empty. The settings object 'dispatch' selects the mode, "local" by default.

--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -49,6 +49,7 @@
         if (limit != limits.end())
         {
             group.slots = limit->second.slots;
+            group.connections = limit->second.connections;
             group.checked_by = limit->second.checked_by;
             group.sync_replicas = limit->second.sync_replicas;
         }
@@ -82,7 +83,10 @@
     view->routes = state.rules()->routes;
     view->keys = state.rules()->keys;
     for (auto const& [name, rule] : state.rules()->workspaces)
+    {
         view->workspaces.insert(name);
+        view->bursts.emplace(name, rule.burst);
+    }
     add_priorities(*state.rules(), *view);
     for (auto const& it : denied)
         view->keys.erase(it);
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -10,6 +10,7 @@
 
 #include <basilreach/base/instant.hpp>
 #include <basilreach/base/name.hpp>
+#include <basilreach/dispatch/dispatch_mode.hpp>
 #include <basilreach/rules/rule_set.hpp>
 
 namespace basilreach::settings
@@ -126,6 +127,17 @@
     friend bool operator==(log_settings const&, log_settings const&) = default;
 };
 
+// Statements that daemons run for each other.
+struct dispatch_settings
+{
+    // IP address and port for statements from other daemons.
+    std::optional<std::string> listen;
+    dispatch::dispatch_mode mode = dispatch::dispatch_mode::local;
+
+    friend bool operator==(dispatch_settings const&,
+                           dispatch_settings const&) = default;
+};
+
 // The content of a daemon's settings file.
 struct daemon_settings
 {
@@ -180,6 +192,7 @@
     std::optional<std::string> initial_rules_file;
     duration_settings durations;
     limit_settings limits;
+    dispatch_settings dispatch;
     log_settings log;
 
     friend bool operator==(daemon_settings const&,
--- a/packages/settings/src/fields.hpp
+++ b/packages/settings/src/fields.hpp
@@ -78,6 +78,7 @@
                                 bool Owner::*,
                                 double Owner::*,
                                 statement_protocol Owner::*,
+                                dispatch::dispatch_mode Owner::*,
                                 std::vector<std::string> Owner::*,
                                 duration Owner::*,
                                 daemon_name Owner::*,
@@ -88,6 +89,7 @@
                                 std::vector<control_host_settings> Owner::*,
                                 duration_settings Owner::*,
                                 limit_settings Owner::*,
+                                dispatch_settings Owner::*,
                                 log_settings Owner::*>;
 
     std::string_view name;
@@ -180,6 +182,16 @@
     });
 };
 
+template <>
+struct fields_of<dispatch_settings>
+{
+    using self = dispatch_settings;
+    static constexpr auto table = std::to_array<field<self>>({
+        {"listen", &self::listen, {}, {&endpoint_format}},
+        {"mode", &self::mode},
+    });
+};
+
 template <>
 struct fields_of<log_settings>
 {
@@ -226,6 +238,7 @@
         {"initial_rules_file", &self::initial_rules_file},
         {"durations", &self::durations},
         {"limits", &self::limits},
+        {"dispatch", &self::dispatch},
         {"log", &self::log},
     });
 };
@@ -249,6 +262,12 @@
         {{"postgresql", statement_protocol::postgresql},
          {"lines", statement_protocol::lines}});
 
+inline constexpr auto dispatch_keywords =
+    std::to_array<std::pair<std::string_view, dispatch::dispatch_mode>>(
+        {{"local", dispatch::dispatch_mode::local},
+         {"holders", dispatch::dispatch_mode::holders},
+         {"auto", dispatch::dispatch_mode::automatic}});
+
 inline constexpr auto level_keywords =
     std::to_array<std::pair<std::string_view, log_level>>(
         {{"debug", log_level::debug},
--- a/packages/settings/src/parse.cpp
+++ b/packages/settings/src/parse.cpp
@@ -21,6 +21,7 @@
 
 using json = nlohmann::json;
 using detail::bounds;
+using detail::dispatch_keywords;
 using detail::document;
 using detail::fields_of;
 using detail::join;
@@ -155,6 +156,11 @@
     out = read_keyword(at, protocol_keywords).value_or(out);
 }
 
+void read_value(field_value const& at, dispatch::dispatch_mode& out)
+{
+    out = read_keyword(at, dispatch_keywords).value_or(out);
+}
+
 void read_value(field_value const& at, double& out)
 {
     auto const& [format, low, high] = at.accepted;
@@ -282,6 +288,13 @@
     std::string_view expected;
 };
 
+// Returns whether the daemon runs statements for others.
+bool is_holder(daemon_settings const& it)
+{
+    return it.dispatch.mode != dispatch::dispatch_mode::local &&
+           it.roles.contains(daemon_role::entry);
+}
+
 constexpr auto consistency_checks = std::to_array<consistency_check>({
     {"data_directory", "roles", settings_reason::missing_field,
      [](daemon_settings const& it)
@@ -307,6 +320,19 @@
      [](daemon_settings const& it)
      { return it.seeds.empty() || it.peer_port != 0; },
      "a port, because seeds are given"},
+    {"dispatch.listen", "dispatch.mode", settings_reason::missing_field,
+     [](daemon_settings const& it)
+     { return !is_holder(it) || it.dispatch.listen; },
+     "an address, because the mode is not local"},
+    {"dispatch.mode", "protocol", settings_reason::inconsistent,
+     [](daemon_settings const& it)
+     { return !is_holder(it) || it.protocol == statement_protocol::lines; },
+     "\"local\", because the protocol is not lines"},
+    // The links belong to the one traffic thread.
+    {"dispatch.mode", "traffic_threads", settings_reason::inconsistent,
+     [](daemon_settings const& it)
+     { return !is_holder(it) || it.traffic_threads == 1; },
+     "\"local\", because traffic_threads is not 1"},
     // A daemon must keep its lease if one renewal is lost.
     {"durations.lease_renewal_ms", "durations.control_lease_ms",
      settings_reason::inconsistent,
--- a/packages/settings/test/parse_test.cpp
+++ b/packages/settings/test/parse_test.cpp
@@ -127,6 +127,30 @@
                              "9 colour unknown field\n");
 }
 
+// Guards against a daemon that others expect to run statements and that
+// cannot be reached or does not speak their protocol.
+TEST_CASE("a holder has an address, the line protocol and one traffic thread")
+{
+    std::string const lines = R"(,
+  "protocol": "lines", "traffic_threads": 1)";
+    auto const address = R"(, "listen": "127.0.0.1:6500"})";
+    auto const holders = R"(, "dispatch": {"mode": "holders")";
+    auto const parsed =
+        parse_daemon_settings("f", minimal_settings(lines + holders + address));
+    REQUIRE(parsed.has_value());
+    CHECK(
+        parsed.value().dispatch ==
+        dispatch_settings{"127.0.0.1:6500", dispatch::dispatch_mode::holders});
+    CHECK(errors_of(minimal_settings(lines + holders + "}")) ==
+          "10 dispatch.listen missing field\n");
+    CHECK(errors_of(minimal_settings(std::string{holders} + address)) ==
+          "9 dispatch.mode inconsistent\n");
+    CHECK(errors_of(minimal_settings(R"(, "dispatch": {"mode": "local"})")) ==
+          "");
+    CHECK(errors_of(minimal_settings(R"(, "dispatch": {"mode": "all"})")) ==
+          "9 dispatch.mode bad format\n");
+}
+
 TEST_CASE("a syntax error is reported once, with its line")
 {
     CHECK(errors_of("{\n\"name\": \n]") == "3  syntax error\n");
--- a/packages/traffic/include/basilreach/traffic/control_view.hpp
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -9,6 +9,7 @@
 #include <string>
 
 #include <basilreach/base/name.hpp>
+#include <basilreach/dispatch/placement.hpp>
 #include <basilreach/rules/rule_set.hpp>
 
 namespace basilreach::traffic
@@ -36,6 +37,8 @@
     std::optional<server_name> primary;
     // Statements that each server of the group runs at the same time.
     std::uint32_t slots = 3;
+    // Connections that each server of the group accepts.
+    std::uint32_t connections = 25;
     rules::position_check checked_by = rules::position_check::proxy;
     // Replicas that receive a commit before it is acknowledged, in a
     // server-checked group.
@@ -59,8 +62,12 @@
     bool has_priorities = false;
     // The rules of workspaces, if a rule states a priority.
     std::map<workspace_name, rules::workspace_rule> workspace_rules;
+    // The burst of each workspace, by which its statements are placed.
+    std::map<workspace_name, std::uint64_t> bursts;
     std::map<server_name, server_view> servers;
     std::map<group_name, group_view> groups;
+    // The daemons that run statements for others.
+    dispatch::member_map members;
 
     friend bool operator==(control_view const&, control_view const&) = default;
 };
