--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -217,7 +217,10 @@
     &control_host::on_admin_request,      &control_host::on_unexpected_message,
     &control_host::on_limit_requests,     &control_host::on_unexpected_message,
     &control_host::on_peer_message,       &control_host::on_join_request,
-    &control_host::on_reach_report};
+    &control_host::on_reach_report,       &control_host::on_unexpected_message,
+    &control_host::on_unexpected_message, &control_host::on_unexpected_message,
+    &control_host::on_unexpected_message, &control_host::on_unexpected_message,
+    &control_host::on_unexpected_message, &control_host::on_unexpected_message};
 
 // Indexed by the alternatives of control::leader_output.
 control_host::output_handler const control_host::output_handlers[] = {
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -113,14 +113,21 @@
         &control_thread::forward_to_control_host,
         &control_thread::on_lease_grant,
         &control_thread::forward_to_control_host,
-        &control_thread::on_state_update,
-        &control_thread::on_not_leader,
+        &control_thread::on_state_update, &control_thread::on_not_leader,
         &control_thread::forward_to_control_host,
         &control_thread::on_admin_reply,
         &control_thread::forward_to_control_host,
         &control_thread::on_limit_grants,
         &control_thread::forward_to_control_host,
         &control_thread::forward_to_control_host,
+        &control_thread::forward_to_control_host,
+        // Statements of other daemons arrive over links of the traffic thread.
+        &control_thread::forward_to_control_host,
+        &control_thread::forward_to_control_host,
+        &control_thread::forward_to_control_host,
+        &control_thread::forward_to_control_host,
+        &control_thread::forward_to_control_host,
+        &control_thread::forward_to_control_host,
         &control_thread::forward_to_control_host};
 
 control_thread::control_thread(daemon_context& context)
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -148,6 +148,133 @@
     friend bool operator==(join_request const&, join_request const&) = default;
 };
 
+// ---- Statements that a daemon runs for another, the holder ----
+
+// A variable that a session has set.
+struct session_variable
+{
+    std::string name;
+    std::string value;
+
+    friend bool operator==(session_variable const&,
+                           session_variable const&) = default;
+};
+
+// What a prepared statement runs.
+struct forwarded_shape
+{
+    bool writes = false;
+    std::string shape;
+
+    friend bool operator==(forwarded_shape const&,
+                           forwarded_shape const&) = default;
+};
+
+// A statement for the holder to run. It carries all that the holder needs to
+// know of the session, so that the holder keeps nothing between transactions.
+// Enumerations are numbers here: their types belong to the packages traffic and
+// daemon.
+struct forward_statement
+{
+    // The sender's numbers. The answer repeats them.
+    std::uint64_t session = 0;
+    std::uint64_t request = 0;
+    // The revision of the control view by which the sender chose the holder.
+    std::uint64_t revision = 0;
+    route_name route;
+    // The group of the route at the sender, to which the position belongs.
+    group_name group;
+    workspace_name workspace;
+    // The digest of the client's key. The key itself is not sent.
+    std::optional<rules::key_digest> key;
+    // The session's position in the group.
+    std::optional<log_position> position;
+    duration time_left{};
+    duration time_since_arrival{};
+    std::uint8_t verb = 0;
+    std::uint8_t opening = 0;
+    // The client's command.
+    std::uint8_t kind = 0;
+    std::string id;
+    std::string text;
+    std::string name;
+    std::string value;
+    std::vector<session_variable> variables;
+    // What the command runs, if it runs a prepared statement.
+    std::optional<forwarded_shape> shape;
+
+    friend bool operator==(forward_statement const&,
+                           forward_statement const&) = default;
+};
+
+struct forward_answer
+{
+    std::uint64_t session = 0;
+    std::uint64_t request = 0;
+    std::vector<std::string> rows;
+    bool is_error = false;
+    std::uint8_t error = 0;
+    // The server's proof, or the detail of the error.
+    std::string text;
+    std::uint8_t status = 0;
+    std::optional<log_position> position;
+    // The session's new position in the group, if it has changed.
+    std::optional<log_position> session_position;
+    bool is_read = false;
+
+    friend bool operator==(forward_answer const&,
+                           forward_answer const&) = default;
+};
+
+// The holder refuses the statement. With session 0, the holder has begun a
+// planned stop and takes no more statements.
+struct forward_refusal
+{
+    std::uint64_t session = 0;
+    std::uint64_t request = 0;
+    std::uint8_t outcome = 0;
+    std::uint8_t reason = 0;
+    bool ends_session = false;
+    // Time during which the sender refuses statements of the workspace itself.
+    duration retry_after{};
+
+    friend bool operator==(forward_refusal const&,
+                           forward_refusal const&) = default;
+};
+
+// The client has left, or its transaction is to be rolled back.
+struct forward_end
+{
+    std::uint64_t session = 0;
+
+    friend bool operator==(forward_end const&, forward_end const&) = default;
+};
+
+// The session's transaction was lost while no statement was in progress.
+struct forward_lost
+{
+    std::uint64_t session = 0;
+
+    friend bool operator==(forward_lost const&, forward_lost const&) = default;
+};
+
+// Asks whether the holder still answers.
+struct forward_probe
+{
+    std::uint64_t number = 0;
+
+    friend bool operator==(forward_probe const&,
+                           forward_probe const&) = default;
+};
+
+struct forward_probe_answer
+{
+    std::uint64_t number = 0;
+
+    friend bool operator==(forward_probe_answer const&,
+                           forward_probe_answer const&) = default;
+};
+
 using message = std::variant<control::lease_renewal,
                              control::lease_returned,
                              control::grant_lease,
@@ -160,7 +287,14 @@
                              limit_grants,
                              consensus::peer_message,
                              join_request,
-                             control::reach_report>;
+                             control::reach_report,
+                             forward_statement,
+                             forward_answer,
+                             forward_refusal,
+                             forward_end,
+                             forward_lost,
+                             forward_probe,
+                             forward_probe_answer>;
 
 namespace detail
 {
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -170,6 +170,21 @@
     out = {in->term(), in->offset()};
 }
 
+// An absent position has no struct.
+void encode_field(std::optional<log_position> const& in,
+                  std::unique_ptr<wire::position>& out)
+{
+    if (in)
+        encode_field(*in, out);
+}
+
+void decode_field(std::unique_ptr<wire::position> const& in,
+                  std::optional<log_position>& out)
+{
+    if (in)
+        decode_field(in, out.emplace());
+}
+
 void encode_field(limits::grant_id in, std::unique_ptr<wire::grant_id>& out)
 {
     out = std::make_unique<wire::grant_id>(in.term, in.number);
@@ -785,6 +800,130 @@
     d(v.round, w.round);
 }
 
+// ---- Statements that a daemon runs for another ----
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::session_variableT& w)
+{
+    d(v.name, w.name);
+    d(v.value, w.value);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::prepared_shapeT& w)
+{
+    d(v.writes, w.writes);
+    d(v.shape, w.shape);
+}
+
+// Maps the fields of a statement that are encoded in the same way in both
+// directions.
+template <class D, class V, class W>
+void map_statement(D d, V& v, W& w)
+{
+    d(v.session, w.session);
+    d(v.request, w.request);
+    d(v.revision, w.revision);
+    d(v.route, w.route);
+    d(v.group, w.group);
+    d(v.workspace, w.workspace);
+    d(v.position, w.reached);
+    d(v.time_left, w.time_left);
+    d(v.time_since_arrival, w.time_since_arrival);
+    d(v.verb, w.verb);
+    d(v.opening, w.opening);
+    d(v.kind, w.kind);
+    d(v.id, w.id);
+    d(v.text, w.text);
+    d(v.name, w.name);
+    d(v.value, w.value);
+}
+
+void map_fields(to_wire d,
+                forward_statement const& v,
+                wire::forward_statementT& w)
+{
+    map_statement(d, v, w);
+    if (v.key)
+        d(*v.key, w.key);
+    w.variables = encode_list<wire::session_variableT>(v.variables);
+    if (v.shape)
+        w.shape = encode_table<wire::prepared_shapeT>(*v.shape);
+}
+
+void map_fields(from_wire d,
+                forward_statement& v,
+                wire::forward_statementT const& w)
+{
+    map_statement(d, v, w);
+    if (w.key)
+        d(v.key.emplace(), w.key);
+    v.variables = decode_list<session_variable>(w.variables);
+    if (w.shape)
+        v.shape = decode_table<forwarded_shape>(*w.shape);
+}
+
+template <class D, class V, class W>
+void map_answer(D d, V& v, W& w)
+{
+    d(v.session, w.session);
+    d(v.request, w.request);
+    d(v.is_error, w.is_error);
+    d(v.error, w.error);
+    d(v.text, w.text);
+    d(v.status, w.status);
+    d(v.position, w.reached);
+    d(v.session_position, w.session_position);
+    d(v.is_read, w.is_read);
+}
+
+void map_fields(to_wire d, forward_answer const& v, wire::forward_answerT& w)
+{
+    map_answer(d, v, w);
+    w.rows = v.rows;
+}
+
+void map_fields(from_wire d, forward_answer& v, wire::forward_answerT const& w)
+{
+    map_answer(d, v, w);
+    v.rows = w.rows;
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::forward_refusalT& w)
+{
+    d(v.session, w.session);
+    d(v.request, w.request);
+    d(v.outcome, w.outcome);
+    d(v.reason, w.reason);
+    d(v.ends_session, w.ends_session);
+    d(v.retry_after, w.retry_after);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::forward_endT& w)
+{
+    d(v.session, w.session);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::forward_lostT& w)
+{
+    d(v.session, w.session);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::forward_probeT& w)
+{
+    d(v.number, w.number);
+}
+
+template <class D, class V>
+void map_fields(D d, V& v, wire::forward_probe_answerT& w)
+{
+    d(v.number, w.number);
+}
+
 // ---- Unions ----
 
 // Decodes alternative N of a variant from a union. The schema lists the types
@@ -878,7 +1017,14 @@
                                       wire::limit_grantsT,
                                       wire::peer_messageT,
                                       wire::join_requestT,
-                                      wire::reach_reportT>;
+                                      wire::reach_reportT,
+                                      wire::forward_statementT,
+                                      wire::forward_answerT,
+                                      wire::forward_refusalT,
+                                      wire::forward_endT,
+                                      wire::forward_lostT,
+                                      wire::forward_probeT,
+                                      wire::forward_probe_answerT>;
 
 void map_fields(to_wire d, command const& v, wire::commandT& w)
 {
