--- a/packages/daemon/include/basilreach/daemon/line_client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/line_client_connection.hpp
@@ -3,29 +3,18 @@
 
 #include <memory>
 #include <string>
-#include <vector>
 
 #include <basilreach/daemon/buffered_socket.hpp>
-#include <basilreach/daemon/client_connection.hpp>
-#include <basilreach/daemon/line_codec.hpp>
-#include <basilreach/daemon/line_session.hpp>
+#include <basilreach/daemon/line_client.hpp>
 
 namespace basilreach::daemon
 {
 
-// The answer to one statement in a line protocol.
-struct line_answer : answer_payload
-{
-    std::vector<row_message> rows;
-    std::variant<complete_message, error_message> outcome;
-    ready_message ready;
-};
-
 // A client's connection in a line protocol. A transaction is begun at the
 // server together with its first statement. Variables and prepared statements
 // belong to the session: a server connection gets them before it runs one of
 // the session's statements.
-class line_client_connection : public client_connection
+class line_client_connection : public line_client
 {
 public:
     line_client_connection(ACE_SOCK_Stream const& stream,
@@ -72,13 +61,12 @@
         return submitted_at_;
     }
 
-    // The statement in progress.
-    [[nodiscard]] client_command const& current() const
+    [[nodiscard]] client_command const& current() const override
     {
         return current_;
     }
 
-    [[nodiscard]] session_variables const& variables() const
+    [[nodiscard]] session_variables const& variables() const override
     {
         return variables_;
     }
--- a/packages/daemon/include/basilreach/daemon/line_server_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/line_server_connection.hpp
@@ -10,7 +10,7 @@
 #include <ace/Event_Handler.h>
 
 #include <basilreach/daemon/buffered_socket.hpp>
-#include <basilreach/daemon/line_client_connection.hpp>
+#include <basilreach/daemon/line_client.hpp>
 #include <basilreach/daemon/line_codec.hpp>
 #include <basilreach/daemon/line_session.hpp>
 #include <basilreach/daemon/server_connection.hpp>
@@ -88,7 +88,7 @@
     void finish_status();
 
     void process();
-    void queue_variable_changes(line_client_connection const& client,
+    void queue_variable_changes(line_client const& client,
                                 std::optional<prepared_shape> const& shape);
     void send_statement();
     void send_rollback();
--- a/packages/daemon/src/line_server_connection.cpp
+++ b/packages/daemon/src/line_server_connection.cpp
@@ -170,7 +170,7 @@
 void line_server_connection::send(client_connection const& client,
                                   send_options const& options)
 {
-    auto const& session = static_cast<line_client_connection const&>(client);
+    auto const& session = static_cast<line_client const&>(client);
     auto const& command = session.current();
     pending_ = {command.id, command.text, options.after, options.wrapping,
                 false};
@@ -204,8 +204,7 @@
 }
 
 void line_server_connection::queue_variable_changes(
-    line_client_connection const& client,
-    std::optional<prepared_shape> const& shape)
+    line_client const& client, std::optional<prepared_shape> const& shape)
 {
     auto const changes =
         find_changes(connection_variables_, client.variables().values, shape);
