traffic, daemon: Forward statements to the holders of their workspaces

A statement whose workspace another daemon holds is sent there over a link of the traffic threads, before it takes a rate token. To the engine a holder is a server without limits and a forwarded statement or transaction is a connection, so that deadlines, retries and transactions need no second implementation. Whether a statement ran is known over both hops: bytes that were not handed to the link were not run, and a refusal says what the holder knows. Nothing changes with the dispatch mode "local".

--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -37,6 +37,8 @@
     std::optional<traffic::key_digest> key;
     // The client is connected to the admin console.
     bool is_admin = false;
+    // Another daemon has forwarded the client's statement.
+    bool is_forwarded = false;
 
     friend bool operator==(client_identity const&,
                            client_identity const&) = default;
--- a/packages/daemon/include/basilreach/daemon/server_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/server_connection.hpp
@@ -41,6 +41,8 @@
     std::function<void()> lost;
     std::function<void(server_answer)> answered;
     std::function<void(position_answer)> position_read;
+    // A holder refused the statement, or it did not reach the holder.
+    std::function<void(traffic::forward_refused)> refused;
 };
 
 // How a statement is to be sent.
@@ -53,6 +55,8 @@
     bool on_read_only_connection = false;
     // The route declares its statements to be reads.
     bool on_read_route = false;
+    // Set if the connection leads to a holder.
+    std::optional<traffic::forward_details> forwarding;
 
     friend bool operator==(send_options const&, send_options const&) = default;
 };
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -10,11 +10,12 @@
 #include <vector>
 
 #include <ace/Event_Handler.h>
-#include <ace/SOCK_Acceptor.h>
 
 #include <basilreach/daemon/client_connection.hpp>
+#include <basilreach/daemon/client_listener.hpp>
 #include <basilreach/daemon/deployment_adapter.hpp>
 #include <basilreach/daemon/event_loop.hpp>
+#include <basilreach/daemon/forward_links.hpp>
 #include <basilreach/daemon/inbox.hpp>
 #include <basilreach/daemon/protocol.hpp>
 #include <basilreach/daemon/thread_messages.hpp>
@@ -47,30 +48,6 @@
 // adapter, which must be set before.
 void choose_protocol(daemon_context& context);
 
-// Accepts client connections. Once it is closed, the load balancer chooses
-// another entry host.
-class client_listener : public ACE_Event_Handler
-{
-public:
-    client_listener(event_loop& loop,
-                    std::function<void(ACE_SOCK_Stream const&)> accepted);
-    ~client_listener() override;
-
-    // Listens on IP:PORT; returns whether that succeeded.
-    [[nodiscard]] bool open(std::string const& address);
-
-    void close();
-
-    int handle_input(ACE_HANDLE) override;
-    ACE_HANDLE get_handle() const override;
-
-private:
-    event_loop& loop_;
-    std::function<void(ACE_SOCK_Stream const&)> accepted_;
-    ACE_SOCK_Acceptor acceptor_;
-    bool is_open_ = false;
-};
-
 // A traffic thread: runs a traffic::engine and the sockets of its clients and
 // servers. It serves the groups whose names hash to its index.
 class traffic_thread
@@ -127,10 +104,13 @@
     void perform(traffic::control_view_adopted const& it);
     void perform(traffic::log_decision const& it);
     void perform(traffic::abort_transaction const& it);
+    void perform(traffic::probe_holder const& it);
 
     void run();
     void tick();
     void set_callbacks();
+    [[nodiscard]] forward_owner make_forward_owner();
+    void add_forwarded_client(std::unique_ptr<forwarded_client> client);
     void accept(ACE_SOCK_Stream const& stream);
     void open_session(client_connection& client);
     void hand_over(client_connection* key);
@@ -154,6 +134,8 @@
     inbox<traffic_message> inbox_;
     client_listener listener_;
     client_owner owner_;
+    // Destroyed after the clients and connections, which refer to it.
+    forward_links forward_links_;
     traffic::engine engine_;
     traffic::control_view_ptr view_;
     // The end of the daemon's control lease.
--- a/packages/daemon/src/refusal_text.cpp
+++ b/packages/daemon/src/refusal_text.cpp
@@ -32,11 +32,11 @@
     refusal_entry{"57P01", "the entry host is stopping"},
     refusal_entry{"57P03", "the primary does not answer"},
     refusal_entry{"57P03", "the primary is being replaced"},
+    refusal_entry{"57P03", "the control state of the host is not current"},
 };
 
 static_assert(refusals.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
-                  1);
+              static_cast<std::size_t>(traffic::refusal_reason::behind) + 1);
 
 // Indexed by traffic::refusal_reason.
 constexpr std::array cause_names = {"unknown_route",
@@ -53,11 +53,11 @@
                                     "not_replicated",
                                     "draining",
                                     "server_silent",
-                                    "no_primary"};
+                                    "no_primary",
+                                    "behind"};
 
 static_assert(cause_names.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
-                  1);
+              static_cast<std::size_t>(traffic::refusal_reason::behind) + 1);
 constexpr char unknown_outcome_sqlstate[] = "08007";
 
 } // namespace
--- a/packages/daemon/src/statement_errors.cpp
+++ b/packages/daemon/src/statement_errors.cpp
@@ -48,11 +48,11 @@
     statement_error::aborted,          // draining
     statement_error::busy,             // server_silent
     statement_error::busy,             // no_primary
+    statement_error::busy,             // behind
 };
 
 static_assert(not_run_errors.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::no_primary) +
-                  1);
+              static_cast<std::size_t>(traffic::refusal_reason::behind) + 1);
 
 } // namespace
 
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -44,6 +44,8 @@
     out.probe_after = it.durations.probe_after;
     out.queue_limit = it.limits.queue_per_workspace;
     out.serves_without_lease = it.serve_without_lease;
+    out.dispatch = it.dispatch.mode;
+    out.self = it.name;
     return out;
 }
 
@@ -64,6 +66,7 @@
                                      "lease_missing",
                                      "majority_reached",
                                      "read_answer",
+                                     "workspace_holder",
                                      "refused"};
 
 static_assert(decision_names.size() ==
@@ -149,6 +152,7 @@
 traffic_thread::traffic_thread(std::size_t index, daemon_context const& context)
     : index_(index), context_(context), inbox_(loop_),
       listener_(loop_, [this](ACE_SOCK_Stream const& it) { accept(it); }),
+      forward_links_(loop_, make_forward_owner()),
       engine_(engine_settings_of(context.settings, index)),
       view_(std::make_shared<traffic::control_view const>()),
       next_session_(std::uint64_t{index + 1} << session_index_shift)
@@ -211,8 +215,44 @@
     };
 }
 
+forward_owner traffic_thread::make_forward_owner()
+{
+    forward_owner it;
+    it.opened = [this](std::unique_ptr<forwarded_client> client)
+    {
+        add_forwarded_client(std::move(client));
+    };
+    it.submitted =
+        [this](forwarded_client& client, forwarded_statement const& statement)
+    {
+        engine_.push(traffic::statement_received{
+            traffic::session_id{client.session()}, statement.verb,
+            statement.opens, statement.origin});
+    };
+    it.push = [this](traffic::event event)
+    {
+        engine_.push(std::move(event));
+    };
+    return it;
+}
+
+void traffic_thread::add_forwarded_client(
+    std::unique_ptr<forwarded_client> client)
+{
+    auto* const raw = client.get();
+    auto const session = ++next_session_;
+    raw->attach(owner_);
+    clients_.emplace(session, std::move(client));
+    raw->start_session(session);
+    open_session(*raw);
+}
+
 bool traffic_thread::listen(std::string const& address)
 {
+    auto const& dispatch = context_.settings.dispatch;
+    if (dispatch.mode != dispatch::dispatch_mode::local && dispatch.listen &&
+        !forward_links_.listen(*dispatch.listen))
+        return false;
     return listener_.open(address);
 }
 
@@ -242,6 +282,7 @@
         loop_.run_once(std::min(engine_.next_deadline(), next_publication_));
     }
     listener_.close();
+    forward_links_.close();
     clients_.clear();
     pending_clients_.clear();
     server_connections_.clear();
@@ -257,8 +298,10 @@
         hand_over(client);
     retired_clients_.clear();
     retired_server_connections_.clear();
+    forward_links_.tick(now);
     publish_metrics(now);
-    if (is_draining_ && !is_drained_ && clients_.empty())
+    if (is_draining_ && !is_drained_ && clients_.empty() &&
+        forward_links_.is_stopped(now))
     {
         is_drained_ = true;
         context_.control->push(thread_drained{index_});
@@ -280,7 +323,10 @@
 {
     auto& event = std::get<traffic::event>(it);
     if (auto const* change = std::get_if<traffic::control_changed>(&event))
+    {
         view_ = change->view;
+        forward_links_.set_member_count(view_->members.size());
+    }
     if (auto const* lease = std::get_if<traffic::lease_changed>(&event))
         lease_until_ = lease->valid_until;
     engine_.push(std::move(event));
@@ -313,6 +359,7 @@
     if (std::exchange(is_draining_, true))
         return;
     listener_.close();
+    forward_links_.begin_stop(read_clock());
     std::vector<client_connection*> consoles;
     for (auto const& [session, client] : clients_)
         if (client->identity().is_admin)
@@ -444,6 +491,7 @@
     event.key = identity.key;
     event.positions = client.presented_positions();
     event.read_only = client.is_read_only();
+    event.is_forwarded = identity.is_forwarded;
     engine_.push(event);
 }
 
@@ -483,6 +531,11 @@
     {
         engine_.push(traffic::connection_failed{id});
     };
+    it.refused = [this, id](traffic::forward_refused refusal)
+    {
+        refusal.connection = id;
+        engine_.push(refusal);
+    };
     it.position_read = [this, id](position_answer answer)
     {
         if (answer.position)
@@ -507,8 +560,10 @@
 
 void traffic_thread::perform(traffic::open_connection const& it)
 {
-    auto connection = context_.protocol->make_server_connection(
-        loop_, make_observer(it.connection));
+    auto connection =
+        it.holder ? forward_links_.make_connection(make_observer(it.connection))
+                  : context_.protocol->make_server_connection(
+                        loop_, make_observer(it.connection));
     auto* const raw = connection.get();
     server_connections_.emplace(
         it.connection, connection_entry{it.connection, std::move(connection), 0,
@@ -537,6 +592,7 @@
     send_options options;
     options.wrapping = it.wrapping;
     options.after = it.after;
+    options.forwarding = it.forwarding;
     options.on_read_only_connection = entry->second.read_only;
     options.on_read_route = route != view_->routes.end() &&
                             route->second.kind == rules::route_class::read;
@@ -555,8 +611,10 @@
     auto* client = find_client(static_cast<std::uint64_t>(it.session));
     if (client == nullptr)
         return;
+    // The time of a forwarded statement is recorded where its client is.
     auto& histogram = it.is_read ? reads_ : writes_;
-    histogram.record(read_clock() - client->submitted_at());
+    if (!client->identity().is_forwarded)
+        histogram.record(read_clock() - client->submitted_at());
     client->relay(it.position);
 }
 
@@ -603,6 +661,11 @@
         client->abort_transaction();
 }
 
+void traffic_thread::perform(traffic::probe_holder const& it)
+{
+    forward_links_.probe(it.holder);
+}
+
 void traffic_thread::perform(traffic::log_decision const& it)
 {
     telemetry::decision_record record;
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -85,6 +85,7 @@
     for (auto const& [name, rule] : state.rules()->workspaces)
     {
         view->workspaces.insert(name);
+        view->rates.emplace(name, rule.rate);
         view->bursts.emplace(name, rule.burst);
     }
     add_priorities(*state.rules(), *view);
--- a/packages/messages/include/basilreach/messages/message.hpp
+++ b/packages/messages/include/basilreach/messages/message.hpp
@@ -218,9 +218,6 @@
     std::string text;
     std::uint8_t status = 0;
     std::optional<log_position> position;
-    // The session's new position in the group, if it has changed.
-    std::optional<log_position> session_position;
-    bool is_read = false;
 
     friend bool operator==(forward_answer const&,
                            forward_answer const&) = default;
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -873,8 +873,6 @@
     d(v.text, w.text);
     d(v.status, w.status);
     d(v.position, w.reached);
-    d(v.session_position, w.session_position);
-    d(v.is_read, w.is_read);
 }
 
 void map_fields(to_wire d, forward_answer const& v, wire::forward_answerT& w)
--- a/packages/traffic/include/basilreach/traffic/action.hpp
+++ b/packages/traffic/include/basilreach/traffic/action.hpp
@@ -13,6 +13,8 @@
 #include <basilreach/limits/token_messages.hpp>
 #include <basilreach/rules/rule_set.hpp>
 #include <basilreach/traffic/event.hpp>
+#include <basilreach/traffic/refusal.hpp>
+#include <basilreach/traffic/statement.hpp>
 
 namespace basilreach::traffic
 {
@@ -29,6 +31,9 @@
     // On a read-only connection, a write that was declared as a read fails at
     // the server.
     bool read_only = false;
+    // The daemon that runs the statement, if it is forwarded; `server` is its
+    // name then.
+    std::optional<daemon_name> holder{};
 
     friend bool operator==(open_connection const&,
                            open_connection const&) = default;
@@ -56,6 +61,26 @@
     primary_check
 };
 
+// What a holder is told of a statement that is forwarded to it.
+struct forward_details
+{
+    // Number of the statement within the traffic thread.
+    std::uint64_t request = 0;
+    // The revision of the control view by which the holder was chosen.
+    std::uint64_t revision = 0;
+    // The group in which the statement is to run, and the session's position in
+    // it.
+    group_name group;
+    std::optional<log_position> position;
+    duration time_left{};
+    duration time_since_arrival{};
+    statement_verb verb = statement_verb::other;
+    transaction_opening opens = transaction_opening::none;
+
+    friend bool operator==(forward_details const&,
+                           forward_details const&) = default;
+};
+
 // Sends the session's statement. The answer includes the server's position, for
 // which a positions query follows where the protocol needs one.
 struct send_statement
@@ -65,6 +90,8 @@
     transaction_wrapping wrapping = transaction_wrapping::none;
     // The position that the server must have reached to run the statement.
     std::optional<log_position> after{};
+    // Set if the connection leads to a holder.
+    std::optional<forward_details> forwarding{};
 
     friend bool operator==(send_statement const&,
                            send_statement const&) = default;
@@ -92,36 +119,6 @@
     friend bool operator==(relay_answer const&, relay_answer const&) = default;
 };
 
-// What is known about the effect of a statement that is refused.
-enum class refusal_outcome : std::uint8_t
-{
-    // The statement certainly had no effect.
-    not_run,
-    // The statement may or may not have had its effect.
-    unknown
-};
-
-enum class refusal_reason : std::uint8_t
-{
-    unknown_route,
-    key_withdrawn,
-    workspace_not_allowed,
-    session_state_unsupported,
-    rate_exceeded,
-    queue_full,
-    deadline,
-    no_lease,
-    connection_lost,
-    transaction_lost,
-    superseded,
-    not_replicated,
-    draining,
-    // The only server that may run the statement is silent.
-    server_silent,
-    // The group has no primary, and is not expected to have one in time.
-    no_primary
-};
-
 // Replies to the session's statement with an error.
 struct refuse
 {
@@ -132,6 +129,9 @@
     bool close_session = false;
     // Time after which the client should try again, or 0 if it is not known.
     duration retry_after{};
+    // Time during which further statements of the workspace would be refused
+    // too, or 0 if it is not known.
+    duration rate_wait{};
 
     friend bool operator==(refuse const&, refuse const&) = default;
 };
@@ -213,6 +213,8 @@
     lease_missing,
     majority_reached,
     read_answer,
+    // Another daemon holds the workspace.
+    workspace_holder,
     refused
 };
 
@@ -243,6 +245,14 @@
                            abort_transaction const&) = default;
 };
 
+// Asks a daemon at which statements are outstanding whether it still answers.
+struct probe_holder
+{
+    daemon_name holder;
+
+    friend bool operator==(probe_holder const&, probe_holder const&) = default;
+};
+
 using action = std::variant<open_connection,
                             close_connection,
                             send_statement,
@@ -256,7 +266,8 @@
                             term_ended,
                             control_view_adopted,
                             log_decision,
-                            abort_transaction>;
+                            abort_transaction,
+                            probe_holder>;
 
 } // namespace basilreach::traffic
 
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -13,6 +13,7 @@
 
 #include <basilreach/base/deadline_queue.hpp>
 #include <basilreach/base/table.hpp>
+#include <basilreach/dispatch/holder_table.hpp>
 #include <basilreach/limits/class_queue.hpp>
 #include <basilreach/limits/concurrency_window.hpp>
 #include <basilreach/limits/connection_pacer.hpp>
@@ -52,6 +53,8 @@
     workspace_name workspace;
     std::optional<key_digest> key;
     bool read_only = false;
+    // Another daemon has forwarded the session's statements to this one.
+    bool is_forwarded = false;
     bool is_ending = false;
     std::optional<refusal_reason> end_reason;
     group_positions positions;
@@ -90,6 +93,14 @@
     // A commit whose group has lost its primary since it was sent, so that its
     // success can't be relied on.
     bool is_fenced = false;
+    // Whether the statement may still be sent to a holder; it runs here
+    // otherwise.
+    bool may_forward = true;
+    // The statement is at a holder, or its answer came from there.
+    bool is_forwarded = false;
+    // The statement waits for the primary and has not been admitted yet, since
+    // the holder depends on the primary's data centre.
+    bool awaits_admission = false;
     // Set when a read first waits for a position: it waits only once.
     bool has_waited = false;
     group_row_id group;
@@ -159,6 +170,9 @@
     bool is_down = false;
     bool is_leaving = false;
     bool is_removed = false;
+    // The row is a daemon that runs forwarded statements. It belongs to no
+    // group of the control view, and has no limit of connections and no queue.
+    bool is_holder = false;
     std::optional<log_position> position;
     // Connections that this thread may have open to the server.
     std::uint32_t connection_share = 0;
@@ -260,7 +274,7 @@
 {
     explicit state(engine_settings it)
         : settings(std::move(it)), rate_limiter({}, settings.holder, 1),
-          retry_budget(settings.retry_budget_limit)
+          holders(settings.self), retry_budget(settings.retry_budget_limit)
     {
     }
 
@@ -284,6 +298,17 @@
     limits::rate_limiter rate_limiter;
     std::map<workspace_name, std::deque<request_row_id>> waiting_rate_token;
 
+    // Which daemons hold the workspaces, and their rows in `servers`.
+    dispatch::holder_table holders;
+    std::map<daemon_name, server_row_id> holder_by_name;
+    std::optional<group_row_id> holder_group;
+    // The groups of the view whose statements run at holders, and the data
+    // centres that have holders.
+    std::set<group_name> groups_with_holders;
+    std::size_t data_centres_with_holders = 0;
+    // Until when a holder has no rate token for a workspace.
+    std::map<std::pair<server_row_id, workspace_name>, instant> rate_refused;
+
     std::unordered_map<std::uint64_t, session_row_id> session_by_id;
     std::map<key_digest, std::set<session_row_id>> sessions_by_key;
     std::map<server_name, server_row_id> server_by_name;
@@ -366,6 +391,45 @@
 // Refuses a request that a server has not answered, and closes its connection.
 void abandon_request(state& s, request_row_id id, refusal_reason reason);
 
+// Sends the statement to the daemon that holds its workspace, if that is
+// another one. Returns false if the statement is to run here; otherwise it is
+// sent, waits for a primary, or is refused.
+bool forward_request(state& s, request_row_id id);
+
+// Sends a statement over a connection to a holder.
+void send_to_holder(state& s, request_row_id id, connection_id connection);
+
+// Records that a statement is no longer outstanding at a holder.
+void settle_at_holder(state& s, server_row& holder, bool is_answered);
+
+// Sends no more statements to a holder that has begun a planned stop, until it
+// is tried again.
+void leave_holder(state& s, daemon_name const& holder);
+
+// Returns the time during which further statements of the workspace would be
+// refused for lack of a rate token, as far as that is certain.
+[[nodiscard]] duration rate_retry_time(state const& s,
+                                       workspace_name const& workspace);
+
+// Admits a statement again that a holder did not answer, to run here.
+void run_here(state& s, request_row_id id);
+
+void handle_forward_refusal(state& s, forward_refused const& it);
+
+// Handles the end of a connection to a holder. A read is retried here within
+// the retry budget.
+void handle_holder_loss(state& s, connection_id id);
+
+// Adopts the members of the control view.
+void adopt_members(state& s);
+
+// Returns why a forwarded statement must not run at this daemon, or nothing.
+[[nodiscard]] std::optional<refusal_reason> check_origin(
+    state const& s, session_row const& session, statement_origin const& origin);
+
+// Probes holders that are quiet, and retries the reads at silent ones here.
+void check_holders(state& s);
+
 // Rolls back the session's transaction, if there is one, by closing its
 // connection.
 void abort_transaction_of(state& s, session_row& session);
@@ -464,6 +528,9 @@
                            group_row& group,
                            std::optional<server_row_id> primary);
 
+// Lets a statement wait for a primary, or refuses it if it cannot run in time.
+void wait_for_primary(state& s, request_row_id id, request_row& request);
+
 // Whether the statement can still run in time once a primary is expected.
 [[nodiscard]] bool can_wait_for_primary(state const& s,
                                         group_row const& group,
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -8,6 +8,7 @@
 
 #include <basilreach/base/instant.hpp>
 #include <basilreach/base/name.hpp>
+#include <basilreach/dispatch/dispatch_mode.hpp>
 #include <basilreach/traffic/class_counts.hpp>
 
 namespace basilreach::traffic
@@ -97,6 +98,12 @@
     bool limits_enabled = true;
     // Name of this engine as a holder of rate tokens; unique in each thread.
     daemon_name holder{};
+    // Whether statements run at the daemons that hold their workspaces.
+    dispatch::dispatch_mode dispatch = dispatch::dispatch_mode::local;
+    // Name of this daemon as a member.
+    daemon_name self{};
+    // Most statements outstanding at one holder.
+    std::uint32_t forward_limit = 256;
 
     friend bool operator==(engine_settings const&,
                            engine_settings const&) = default;
@@ -118,6 +125,16 @@
     std::uint64_t connections_opened = 0;
     // Only statements that have a class.
     counts_by_class by_class{};
+    // Statements sent to holders, and statements received from other daemons.
+    std::uint64_t forwarded = 0;
+    std::uint64_t received = 0;
+    // Statements that ran here although another daemon holds the workspace:
+    // the holder rejected them, could not be reached, was given up, or too many
+    // were outstanding there.
+    std::uint64_t local_after_rejection = 0;
+    std::uint64_t local_after_undelivered = 0;
+    std::uint64_t local_after_loss = 0;
+    std::uint64_t local_above_limit = 0;
 
     friend bool operator==(engine_counts const&,
                            engine_counts const&) = default;
--- a/packages/traffic/include/basilreach/traffic/event.hpp
+++ b/packages/traffic/include/basilreach/traffic/event.hpp
@@ -12,6 +12,7 @@
 #include <basilreach/base/table.hpp>
 #include <basilreach/limits/token_messages.hpp>
 #include <basilreach/traffic/control_view.hpp>
+#include <basilreach/traffic/refusal.hpp>
 #include <basilreach/traffic/statement.hpp>
 
 namespace basilreach::traffic
@@ -40,6 +41,9 @@
     // The positions in the client's session token.
     group_positions positions;
     bool read_only = false;
+    // Another daemon forwards the session's statements. They run here, and are
+    // never forwarded again.
+    bool is_forwarded = false;
 
     friend bool operator==(session_opened const&,
                            session_opened const&) = default;
@@ -64,6 +68,20 @@
                            session_token_presented const&) = default;
 };
 
+// What the sender of a forwarded statement has told of it.
+struct statement_origin
+{
+    // The revision of the sender's control view.
+    std::uint64_t revision = 0;
+    // The group of the route at the sender.
+    group_name group;
+    duration time_left{};
+    duration time_since_arrival{};
+
+    friend bool operator==(statement_origin const&,
+                           statement_origin const&) = default;
+};
+
 // A client sent a statement. A session has at most one statement in progress;
 // the front end stores its text.
 struct statement_received
@@ -75,6 +93,8 @@
     // transaction that is not. Protocols that end a session with its lost
     // transaction need not set it.
     transaction_opening opens = transaction_opening::none;
+    // Set for a statement of a forwarded session.
+    std::optional<statement_origin> origin{};
 
     friend bool operator==(statement_received const&,
                            statement_received const&) = default;
@@ -214,6 +234,44 @@
                            drain_advanced const&) = default;
 };
 
+// A statement that was forwarded to a holder was refused there, or did not
+// reach it.
+struct forward_refused
+{
+    connection_id connection;
+    refusal_outcome outcome = refusal_outcome::not_run;
+    refusal_reason reason = refusal_reason::connection_lost;
+    // The statement was not handed to the link to the holder.
+    bool is_undelivered = false;
+    bool ends_session = false;
+    // Time during which statements of the workspace are refused without asking
+    // the holder.
+    duration retry_after{};
+
+    friend bool operator==(forward_refused const&,
+                           forward_refused const&) = default;
+};
+
+// Anything was received from a holder other than an answer or a refusal.
+struct holder_answered
+{
+    daemon_name holder;
+
+    friend bool operator==(holder_answered const&,
+                           holder_answered const&) = default;
+};
+
+// The link to a holder ended or could not be opened, or the holder has begun a
+// planned stop.
+struct holder_failed
+{
+    daemon_name holder;
+    bool is_stopping = false;
+
+    friend bool operator==(holder_failed const&,
+                           holder_failed const&) = default;
+};
+
 using event = std::variant<session_opened,
                            session_closed,
                            session_token_presented,
@@ -227,7 +285,10 @@
                            lease_changed,
                            leader_reach_changed,
                            connection_share_changed,
-                           drain_advanced>;
+                           drain_advanced,
+                           forward_refused,
+                           holder_answered,
+                           holder_failed>;
 
 } // namespace basilreach::traffic
 
--- a/packages/traffic/src/admission.cpp
+++ b/packages/traffic/src/admission.cpp
@@ -135,6 +135,8 @@
     classify(s, *request, session, route->second);
     if (!s.has_lease() && needs_lease_to_commit(s, *request))
         return wait_for_lease(s, id);
+    if (forward_request(s, id))
+        return;
     if (!consume_rate_token(s, id, *request, session))
         return;
     s.timers.erase({timer_kind::token_wait, id});
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -231,6 +231,7 @@
         if (server->is_down || server->is_leaving)
             reroute_queued(s, id);
     }
+    adopt_members(s);
     schedule_confirmation(s, view->revision);
 }
 
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -171,7 +171,7 @@
 
 void start_silence_timer(state& s, server_row_id id, server_row& server)
 {
-    if (server.silent_since)
+    if (server.silent_since || server.is_holder)
         return;
     server.silent_since = s.now;
     s.timers.set({timer_kind::server_silence, id},
@@ -206,14 +206,20 @@
 
 void handle_missing_lease(state& s, request_row_id id)
 {
-    if (!s.settings.serves_without_lease)
+    auto& session = *s.sessions.find(s.requests.find(id)->session);
+    // The sender of a forwarded statement can run it itself.
+    if (!s.settings.serves_without_lease && !session.is_forwarded)
         return wait_for_lease(s, id);
-    abort_transaction_of(s, *s.sessions.find(s.requests.find(id)->session));
+    abort_transaction_of(s, session);
     refuse_request(s, id, refusal_outcome::not_run, refusal_reason::no_lease);
 }
 
 void wait_for_lease(state& s, request_row_id id)
 {
+    auto const& session = *s.sessions.find(s.requests.find(id)->session);
+    if (session.is_forwarded && !session.in_transaction)
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::no_lease);
     s.requests.find(id)->state = request_state::waiting_lease;
     s.waiting_lease.push_back(id);
     record_decision(s, id, decision_kind::wait, decision_reason::lease_missing);
@@ -253,6 +259,8 @@
     if (is_retryable(*request, session.in_transaction.has_value()))
         s.timers.set({timer_kind::read_try, id},
                      s.now + s.settings.read_try_timeout);
+    if (server->is_holder)
+        return send_to_holder(s, id, connection);
     s.actions.emplace_back(send_statement{
         session.id, connection, choose_wrapping(s, *request, session),
         session.in_transaction ? std::nullopt : request->after});
@@ -276,8 +284,9 @@
     row->state = connection_state::idle;
     row->pinned_by.reset();
     auto* server = s.servers.find(row->server);
+    // A connection to a holder serves one statement or transaction.
     bool const is_surplus =
-        server->is_leaving || server->is_removed ||
+        server->is_holder || server->is_leaving || server->is_removed ||
         server->connections.size() > server->connection_share;
     if (is_surplus)
         return drop_connection(s, id);
@@ -293,7 +302,10 @@
         return;
     auto* server = s.servers.find(row->server);
     server->opening -= row->state == connection_state::opening ? 1 : 0;
-    server->outstanding -= row->state == connection_state::busy ? 1 : 0;
+    if (row->state == connection_state::busy && server->is_holder)
+        settle_at_holder(s, *server, false);
+    else if (row->state == connection_state::busy)
+        --server->outstanding;
     if (row->state == connection_state::querying_position)
     {
         server->is_queried = false;
@@ -336,6 +348,11 @@
         s.timers.erase({timer_kind::read_try, *row.request});
         if (is_retryable(*request, in_transaction))
         {
+            if (request->is_forwarded)
+            {
+                ++s.counts.local_after_loss;
+                return run_here(s, *row.request);
+            }
             request->state = request_state::arrived;
             s.to_route.push_back(*row.request);
             return;
@@ -378,6 +395,8 @@
     for (auto const id : std::exchange(s.to_report, {}))
     {
         auto* server = s.servers.find(id);
+        if (server->is_holder)
+            continue;
         auto const open =
             static_cast<std::uint32_t>(server->connections.size());
         auto const busy = open - server->idle.size() - server->opening;
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -23,6 +23,7 @@
     row.key = it.key;
     row.positions = it.positions;
     row.read_only = it.read_only;
+    row.is_forwarded = it.is_forwarded;
     auto const id = s.sessions.insert(std::move(row));
     s.session_by_id.emplace(static_cast<std::uint64_t>(it.session), id);
     if (it.key)
@@ -110,6 +111,12 @@
     row.opens = is_continued ? transaction_opening::none : it.opens;
     row.arrived_at = s.now;
     row.timeout = statement_timeout(s, *session);
+    if (it.origin)
+    {
+        row.arrived_at -= it.origin->time_since_arrival;
+        row.timeout = it.origin->time_left;
+        ++s.counts.received;
+    }
     row.deadline = s.now + row.timeout;
     auto const deadline = row.deadline;
     auto const request = s.requests.insert(std::move(row));
@@ -126,6 +133,11 @@
     if (is_continued && !session->in_transaction)
         return detail::refuse_request(s, request, refusal_outcome::not_run,
                                       refusal_reason::transaction_lost);
+    if (auto const reason = it.origin && !is_continued
+                                ? detail::check_origin(s, *session, *it.origin)
+                                : std::nullopt)
+        return detail::refuse_request(s, request, refusal_outcome::not_run,
+                                      *reason);
     s.to_admit.push_back(request);
 }
 
@@ -144,6 +156,9 @@
 
 void on(state& s, connection_failed const& it)
 {
+    auto const* connection = s.connections.find(it.connection);
+    if (connection != nullptr && s.servers.find(connection->server)->is_holder)
+        return detail::handle_holder_loss(s, it.connection);
     detail::handle_connection_loss(s, it.connection,
                                    refusal_reason::connection_lost);
 }
@@ -260,6 +275,24 @@
         detail::abandon_request(s, id, refusal_reason::draining);
 }
 
+void on(state& s, forward_refused const& it)
+{
+    detail::handle_forward_refusal(s, it);
+}
+
+void on(state& s, holder_answered const& it)
+{
+    s.holders.record_received(it.holder, s.now);
+}
+
+void on(state& s, holder_failed const& it)
+{
+    if (it.is_stopping)
+        detail::leave_holder(s, it.holder);
+    else
+        s.holders.record_failure(it.holder, s.now);
+}
+
 using handler = void (*)(state&, event const&);
 
 template <std::size_t... N>
@@ -277,11 +310,11 @@
 using stage = void (*)(state&);
 
 constexpr std::array stages = {
-    &detail::expire_deadlines,     &detail::admit_requests,
-    &detail::route_requests,       &detail::dispatch_requests,
-    &detail::release_held_answers, &detail::poll_positions,
-    &detail::request_rate_tokens,  &detail::confirm_view,
-    &detail::report_connections,
+    &detail::expire_deadlines,  &detail::check_holders,
+    &detail::admit_requests,    &detail::route_requests,
+    &detail::dispatch_requests, &detail::release_held_answers,
+    &detail::poll_positions,    &detail::request_rate_tokens,
+    &detail::confirm_view,      &detail::report_connections,
 };
 
 bool has_work(state const& s)
@@ -324,8 +357,9 @@
 {
     if (!pending_events_.empty())
         return instant{};
-    return std::min(state_->timers.next(),
-                    state_->rate_limiter.next_deadline());
+    return std::min({state_->timers.next(),
+                     state_->rate_limiter.next_deadline(),
+                     state_->holders.next_deadline()});
 }
 
 engine_counts engine::counts() const
@@ -334,6 +368,8 @@
     counts.sessions = state_->sessions.size();
     counts.requests = state_->requests.size();
     counts.connections = state_->connections.size();
+    for (auto const& [name, id] : state_->holder_by_name)
+        counts.connections -= state_->servers.find(id)->connections.size();
     return counts;
 }
 
--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -250,8 +250,13 @@
     auto const server_id = connection->server;
     connection->request.reset();
     auto* server = s.servers.find(server_id);
-    record_answer(s, *server, sent_at, it.proof);
-    mark_responsive(s, server_id, *server);
+    if (server->is_holder)
+        settle_at_holder(s, *server, true);
+    else
+    {
+        record_answer(s, *server, sent_at, it.proof);
+        mark_responsive(s, server_id, *server);
+    }
     s.retry_budget = std::min(s.retry_budget + s.settings.retry_budget_ratio,
                               s.settings.retry_budget_limit);
     // The outstanding statement has been subtracted; a busy connection would
@@ -312,7 +317,8 @@
     auto& count = !request.is_read     ? s.counts.writes
                   : request.at_primary ? s.counts.reads_at_primaries
                                        : s.counts.reads_at_replicas;
-    ++count;
+    // The holder counts what it runs.
+    count += request.is_forwarded ? 0 : 1;
     count_served(s, request);
     s.actions.emplace_back(relay_answer{session->id, changed, request.is_read});
     finish_request(s, id);
@@ -334,8 +340,16 @@
         !request.was_sent)
         s.rate_limiter.refund(s.sessions.find(request.session)->workspace, 1);
     count_refused(s, request, reason);
-    refuse const refusal{s.sessions.find(request.session)->id, outcome, reason,
-                         close_session, retry_after(s, request, reason)};
+    auto const& workspace = s.sessions.find(request.session)->workspace;
+    auto const rate_wait = reason == refusal_reason::rate_exceeded
+                               ? rate_retry_time(s, workspace)
+                               : duration{};
+    refuse const refusal{s.sessions.find(request.session)->id,
+                         outcome,
+                         reason,
+                         close_session,
+                         retry_after(s, request, reason),
+                         rate_wait};
     s.actions.emplace_back(log_decision{
         refusal.session, request.number, decision_kind::refuse,
         decision_reason::refused, std::nullopt, refusal, request.priority});
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -261,21 +261,6 @@
     s.to_dispatch.push_back(server_id);
 }
 
-void wait_for_primary(state& s, request_row_id id, request_row& request)
-{
-    withdraw_expectations(s, id);
-    auto* group = s.groups.find(request.group);
-    if (!can_wait_for_primary(s, *group, request))
-        return refuse_request(s, id, refusal_outcome::not_run,
-                              refusal_reason::no_primary);
-    if (!make_room_for_primary(s, *group, request))
-        return refuse_request(s, id, refusal_outcome::not_run,
-                              refusal_reason::queue_full);
-    request.state = request_state::waiting_primary;
-    group->waiting_primary.push_back(id);
-    record_decision(s, id, decision_kind::wait, decision_reason::no_primary);
-}
-
 // Returns whether a statement may be sent to the server. A silent server gets
 // one statement per interval, as a trial of whether it answers again.
 bool admit_trial(state& s, server_row& server)
@@ -473,6 +458,8 @@
     auto* request = s.requests.find(id);
     if (request == nullptr)
         return;
+    if (std::exchange(request->awaits_admission, false))
+        return s.to_admit.push_back(id);
     auto const& session = *s.sessions.find(request->session);
     if (session.in_transaction && commits(s, *request) &&
         is_fenced(*s.groups.find(request->group)))
@@ -527,6 +514,21 @@
 
 } // namespace
 
+void wait_for_primary(state& s, request_row_id id, request_row& request)
+{
+    withdraw_expectations(s, id);
+    auto* group = s.groups.find(request.group);
+    if (!can_wait_for_primary(s, *group, request))
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::no_primary);
+    if (!make_room_for_primary(s, *group, request))
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::queue_full);
+    request.state = request_state::waiting_primary;
+    group->waiting_primary.push_back(id);
+    record_decision(s, id, decision_kind::wait, decision_reason::no_primary);
+}
+
 void route_requests(state& s)
 {
     for (auto const id : std::exchange(s.to_route, {}))
