--- a/packages/traffic/src/forwarding.cpp
+++ b/packages/traffic/src/forwarding.cpp
@@ -286,10 +286,13 @@
     auto const rate = s.view->rates.find(workspace);
     auto const waiting = s.waiting_rate_token.find(workspace);
     if (rate == s.view->rates.end() || rate->second == 0 ||
-        waiting == s.waiting_rate_token.end())
+        waiting == s.waiting_rate_token.end() || waiting->second.empty())
         return {};
+    // The statement that is being refused is still one of those that wait.
+    auto const others = static_cast<std::int64_t>(waiting->second.size()) - 1;
+    duration const second = std::chrono::seconds(1);
     duration const needed =
-        std::chrono::seconds(waiting->second.size()) / rate->second;
+        second * others / static_cast<std::int64_t>(rate->second);
     return std::max(needed - s.settings.token_wait, duration{});
 }
 
