limits: Divide floors among the holders of a placed workspace

A workspace that many daemons are registered for had no floor, because an equal part of it held less than one token, and no holder could keep a reserve, because the burst was below two tokens for each daemon.

token_allocator::configure takes the holders of the floor. The floor is then divided among them, and reserves are limited by the holders that use the workspace. A part moves to another holder only after the former one has confirmed that it has none; idle holders are asked for this report. Since most daemons never report a placed workspace, a daemon states in its contact reports that it has nothing of earlier terms; from then on it ignores grants of earlier terms.

The random traces now also freeze, add and remove hosts. They found that a process that was stopped while grants were on their way used their expired tokens as part of its empty floor. Tokens of late grants are now dropped.

--- a/packages/limits/include/basilreach/limits/contact_messages.hpp
+++ b/packages/limits/include/basilreach/limits/contact_messages.hpp
@@ -21,6 +21,10 @@
     // The last contact grant that the holder accepted.
     std::uint64_t term = 0;
     instant heard;
+    // Whether the holder has no tokens and no floors but those of workspaces in
+    // which it has accepted a grant of `term`. It accepts no grants of earlier
+    // terms any more, so this stays true.
+    bool is_current = false;
 
     friend auto operator<=>(contact_report const&,
                             contact_report const&) = default;
--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -146,6 +146,8 @@
         // What the last request stated.
         std::int64_t reported_waiting = 0;
         instant expiry;
+        // Whether `expiry` is that of tokens of the floor.
+        bool is_floor_expiry = false;
         grant_id last_grant;
         instant last_grant_sent;
         rate_floor floor;
@@ -181,6 +183,7 @@
     [[nodiscard]] static bool is_urgent(local_bucket const& it);
     [[nodiscard]] static bool has_nothing_to_report(local_bucket const& it);
     [[nodiscard]] instant next_contact() const;
+    [[nodiscard]] bool is_current() const;
     void request_reports(contact_grant const& grant, instant now);
     [[nodiscard]] bool is_due_soon(local_bucket const& it, instant now) const;
     void schedule(row_id id, local_bucket const& it);
--- a/packages/limits/include/basilreach/limits/token_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/token_allocator.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <deque>
 #include <map>
+#include <optional>
 #include <set>
 #include <utility>
 #include <vector>
@@ -68,10 +69,16 @@
     // leader must configure the limits of earlier rules first, oldest to
     // latest: a holder that cannot be reached may still have a floor that they
     // set.
+    //
+    // The floor is divided among `floor_holders`, and reserves are limited by
+    // the holders that use the workspace. Without `floor_holders`, both depend
+    // on all registered holders. A part of the floor moves to another holder
+    // only after the former one has confirmed that it no longer has it.
     void configure(workspace_name const& workspace,
                    std::int64_t rate,
                    std::int64_t burst,
-                   instant now);
+                   instant now,
+                   std::optional<std::set<daemon_name>> floor_holders = {});
 
     // Adds or removes a registered holder.
     void register_holder(daemon_name const& holder, instant now);
@@ -150,6 +157,13 @@
         instant level_expiry = never;
         // Holders that have reported to this term.
         std::size_t reported = 0;
+        // Allocations of holders that have not reported to this term and may
+        // have tokens or a floor of an earlier one.
+        std::size_t unknown_allocations = 0;
+        // Allocations of holders that use the workspace.
+        std::size_t users = 0;
+        // Holders among which the floor is divided, if not among all.
+        std::optional<std::set<daemon_name>> floor_holders;
         // Allocations of the holders that have sent a request.
         std::map<daemon_name, row_id> allocations;
         // Allocations that wait for tokens, in order of service.
@@ -202,6 +216,13 @@
         instant received_at;
         bool is_busy = false;
         bool floor_suspended = false;
+        // Whether the holder may have tokens or a floor of an earlier term that
+        // it has not reported.
+        bool is_unknown = false;
+        // Whether the holder's last requests stated demand or tokens. A holder
+        // returns its reserve when it has not used the workspace for
+        // rate_limiter_settings::recent_time (10 s).
+        bool is_user = false;
     };
 
     // What a holder has heard of the contact grants of this term.
@@ -224,6 +245,15 @@
     void clamp(bucket& it) const;
     [[nodiscard]] bool has_unreported_holder(bucket const& it) const;
     [[nodiscard]] std::int64_t holder_count() const;
+    [[nodiscard]] std::int64_t floor_parts(bucket const& it) const;
+    [[nodiscard]] rate_floor floor_part(bucket const& it,
+                                        daemon_name const& holder) const;
+    void set_floor_holders(row_id id,
+                           std::optional<std::set<daemon_name>> floor_holders);
+    void set_unknown(bucket& it, allocation& to, bool is_unknown) const;
+    void set_user(bucket& it, allocation& to, bool is_user) const;
+    void settle(row_id id, instant now);
+    void remove_unknown_holder(daemon_name const& holder, instant now);
     [[nodiscard]] rate_floor floor_total(bucket const& it) const;
     [[nodiscard]] rate_floor reserved_floors(bucket const& it) const;
     [[nodiscard]] std::int64_t grantable(bucket const& it) const;
@@ -251,7 +281,10 @@
 
     [[nodiscard]] static duration acknowledged_suspension(allocation const& it);
     duration update_suspension(bucket const& it, allocation& to) const;
-    void add_missing_floors(contact_grant& to) const;
+    void add_missing_floors(contact_grant& to);
+    [[nodiscard]] bool has_no_part(bucket const& it,
+                                   daemon_name const& holder) const;
+    void add_missing_floor(contact_grant& to, bucket const& it) const;
     void advance(instant now);
     void expire_allocations(instant now);
     void resume_floors(instant now);
@@ -274,6 +307,15 @@
     table<allocation> allocations_;
     std::map<workspace_name, row_id> by_name_;
     std::set<daemon_name> holders_;
+    // Holders that may have tokens or floors of an earlier term in workspaces
+    // of which they have sent no request to this term.
+    std::set<daemon_name> unknown_holders_;
+    bool has_earlier_grants_ = true;
+    // Buckets of which the floor is divided among all holders.
+    std::set<row_id> undivided_;
+    // Other buckets of which the holder has, or is to have, a part of the
+    // floor.
+    std::map<daemon_name, std::set<row_id>> divided_;
     std::set<row_id> changed_;
     std::map<daemon_name, contact> contacts_;
     std::set<daemon_name> unanswered_contacts_;
--- a/packages/limits/replay/rate_replay.cpp
+++ b/packages/limits/replay/rate_replay.cpp
@@ -4,6 +4,7 @@
 #include <deque>
 #include <memory>
 #include <optional>
+#include <set>
 #include <utility>
 
 #include <basilreach/limits/token_transfer.hpp>
@@ -129,6 +130,8 @@
     host_clock clock;
     std::uint64_t incarnation = 0;
     bool lost = false;
+    bool registered = true;
+    instant frozen_until;
     std::vector<std::unique_ptr<admission_queue>> admission_queues;
     // With traffic threads: the daemon's limiter, and the allocator of its
     // threads.
@@ -159,15 +162,26 @@
             it.name = daemon_name("host" + std::to_string(n));
             it.clock = make_clock();
         }
+        for (auto const& rule : trace_.faults)
+            if (rule.what == fault_rule::kind::add)
+                for (auto n = rule.first_host; n <= rule.last_host; ++n)
+                {
+                    hosts_[n].lost = true;
+                    hosts_[n].registered = false;
+                }
         elect();
         for (unsigned n = 0; n != trace_.hosts; ++n)
-            start(n);
+            if (!hosts_[n].lost)
+                start(n);
         for (auto const& rule : trace_.limits)
             at(rule.at, [this, &rule] { configure(rule); });
+        for (auto const& rule : trace_.placements)
+            at(rule.at, [this] { configure_last(); });
         for (auto const& rule : trace_.faults)
             at(rule.from, [this, &rule] { apply(rule); });
         for (std::size_t n = 0; n != arrivals_.size(); ++n)
-            at(arrivals_[n].at, [this, n] { arrive(n); });
+            at_host(arrivals_[n].host, arrivals_[n].at,
+                    [this, n] { arrive(n); });
         simulation_.run(instant(trace_.length));
         return outcome();
     }
@@ -178,6 +192,19 @@
         simulation_.at(time, std::move(event));
     }
 
+    // Runs an event of a host, after its freeze if it is frozen.
+    void at_host(unsigned n, instant time, std::function<void()> event)
+    {
+        at(time,
+           [this, n, event = std::move(event)]() mutable
+           {
+               if (hosts_[n].frozen_until > simulation_.now())
+                   at_host(n, hosts_[n].frozen_until, std::move(event));
+               else
+                   event();
+           });
+    }
+
     host_clock make_clock()
     {
         return {duration(static_cast<duration::rep>(random_.below(1'000'000))),
@@ -194,13 +221,49 @@
             leader_->assume_no_earlier_grants(now);
         next_leader_tick_ = never;
         for (auto const& it : hosts_)
-            leader_->register_holder(it.name, now);
+            if (it.registered)
+                leader_->register_holder(it.name, now);
         for (auto const& rule : trace_.limits)
             if (rule.at <= simulation_.now())
-                leader_->configure(workspace, rule.rate, rule.burst, now);
+                leader_->configure(workspace, rule.rate, rule.burst, now,
+                                   floor_holders());
         tick_leader();
     }
 
+    // Returns the holders of the last placement.
+    [[nodiscard]] std::optional<std::set<daemon_name>> floor_holders() const
+    {
+        std::optional<std::set<daemon_name>> out;
+        for (auto const& rule : trace_.placements)
+        {
+            if (rule.at > simulation_.now())
+                continue;
+            out.reset();
+            for (auto const n : rule.holders)
+                out = with(std::move(out), hosts_[n].name);
+        }
+        return out;
+    }
+
+    static std::optional<std::set<daemon_name>>
+    with(std::optional<std::set<daemon_name>> names, daemon_name const& name)
+    {
+        if (!names)
+            names.emplace();
+        names->insert(name);
+        return names;
+    }
+
+    // Applies the last limit and placement.
+    void configure_last()
+    {
+        configure_rule last;
+        for (auto const& rule : trace_.limits)
+            if (rule.at <= simulation_.now())
+                last = rule;
+        configure(last);
+    }
+
     void start(unsigned n)
     {
         auto& it = hosts_[n];
@@ -241,7 +304,8 @@
         if (leader_)
         {
             leader_->configure(workspace, rule.rate, rule.burst,
-                               leader_clock_.local(simulation_.now()));
+                               leader_clock_.local(simulation_.now()),
+                               floor_holders());
             tick_leader();
         }
     }
@@ -258,14 +322,39 @@
             return;
         for (auto n = rule.first_host; n <= rule.last_host; ++n)
         {
+            if (rule.what == fault_rule::kind::freeze)
+            {
+                hosts_[n].frozen_until =
+                    std::max(hosts_[n].frozen_until, rule.to);
+                continue;
+            }
             hosts_[n].admission_queues.clear();
             ++hosts_[n].incarnation;
             hosts_[n].lost = true;
-            if (rule.what == fault_rule::kind::restart)
+            if (rule.what == fault_rule::kind::remove)
+                set_registered(n, false);
+            if (rule.what == fault_rule::kind::add)
+                set_registered(n, true);
+            if (rule.what == fault_rule::kind::restart ||
+                rule.what == fault_rule::kind::add)
                 start(n);
         }
     }
 
+    void set_registered(unsigned n, bool is_registered)
+    {
+        auto& it = hosts_[n];
+        if (std::exchange(it.registered, is_registered) == is_registered ||
+            !leader_)
+            return;
+        auto const now = leader_clock_.local(simulation_.now());
+        if (is_registered)
+            leader_->register_holder(it.name, now);
+        else
+            leader_->remove_holder(it.name, now);
+        tick_leader();
+    }
+
     [[nodiscard]] bool message_passes(unsigned n)
     {
         auto const now = simulation_.now();
@@ -324,9 +413,9 @@
             if (trace_.threads == 0)
                 send(n, request);
             else
-                at(virtual_now + thread_latency,
-                   [this, n, incarnation = it.incarnation, request]
-                   { receive_thread_request(n, incarnation, request); });
+                at_host(n, virtual_now + thread_latency,
+                        [this, n, incarnation = it.incarnation, request]
+                        { receive_thread_request(n, incarnation, request); });
         if (trace_.threads == 0)
             if (auto const contact = s.limiter.tick_contact(now))
                 send(n, *contact);
@@ -338,12 +427,12 @@
         if (next_tick >= s.next_tick && s.next_tick > virtual_now)
             return;
         s.next_tick = next_tick;
-        at(next_tick,
-           [this, n, k, incarnation = it.incarnation]
-           {
-               if (hosts_[n].incarnation == incarnation)
-                   tick_queue(n, k);
-           });
+        at_host(n, next_tick,
+                [this, n, k, incarnation = it.incarnation]
+                {
+                    if (hosts_[n].incarnation == incarnation)
+                        tick_queue(n, k);
+                });
     }
 
     void receive_thread_request(unsigned n,
@@ -371,16 +460,16 @@
         {
             auto const k =
                 static_cast<unsigned>(grant.holder.str().back() - '0');
-            at(virtual_now + thread_latency,
-               [this, n, k, incarnation = it.incarnation, grant]
-               {
-                   auto& to = hosts_[n];
-                   if (to.incarnation != incarnation || to.lost)
-                       return;
-                   to.admission_queues[k]->limiter.receive(
-                       grant, to.clock.local(simulation_.now()));
-                   tick_queue(n, k);
-               });
+            at_host(n, virtual_now + thread_latency,
+                    [this, n, k, incarnation = it.incarnation, grant]
+                    {
+                        auto& to = hosts_[n];
+                        if (to.incarnation != incarnation || to.lost)
+                            return;
+                        to.admission_queues[k]->limiter.receive(
+                            grant, to.clock.local(simulation_.now()));
+                        tick_queue(n, k);
+                    });
         }
         for (auto const& request : it.daemon_limiter->tick(now))
             send(n, request);
@@ -393,12 +482,12 @@
         if (next_tick >= it.next_tick && it.next_tick > virtual_now)
             return;
         it.next_tick = next_tick;
-        at(next_tick,
-           [this, n, incarnation = it.incarnation]
-           {
-               if (hosts_[n].incarnation == incarnation)
-                   tick_control(n);
-           });
+        at_host(n, next_tick,
+                [this, n, incarnation = it.incarnation]
+                {
+                    if (hosts_[n].incarnation == incarnation)
+                        tick_control(n);
+                });
     }
 
     // Sends a token request or a contact report.
@@ -427,8 +516,8 @@
             static_cast<unsigned>(std::stoul(grant.holder.str().substr(4)));
         ++messages_;
         if (message_passes(n))
-            at(simulation_.now() + delay(),
-               [this, n, grant] { receive_grant(n, grant); });
+            at_host(n, simulation_.now() + delay(),
+                    [this, n, grant] { receive_grant(n, grant); });
     }
 
     void tick_leader()
--- a/packages/limits/replay/rate_replay.hpp
+++ b/packages/limits/replay/rate_replay.hpp
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <istream>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -43,7 +44,13 @@
         // The hosts stop at `from`.
         lose,
         // The leader is lost at `from` and another one is elected.
-        leader
+        leader,
+        // The hosts do nothing from `from` to `to` and then go on.
+        freeze,
+        // The hosts start and are registered at `from`.
+        add,
+        // The hosts stop at `from` and are no longer registered.
+        remove
     };
 
     kind what = kind::cut;
@@ -60,6 +67,13 @@
     std::int64_t burst = 0;
 };
 
+// Hosts among which the floor is divided from `at` on; all if there are none.
+struct placement_rule
+{
+    instant at;
+    std::set<unsigned> holders;
+};
+
 struct rate_trace
 {
     // Each host runs one daemon.
@@ -77,6 +91,7 @@
     duration max_wait = std::chrono::milliseconds(20);
     duration length = std::chrono::seconds(10);
     std::vector<configure_rule> limits;
+    std::vector<placement_rule> placements;
     std::vector<arrival_rule> arrivals;
     std::vector<fault_rule> faults;
     // Expected outcomes: name and maximum value.
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -124,13 +124,23 @@
 {
     auto* const it = find(grant.workspace);
     if (it == nullptr || grant.holder != holder_ ||
-        grant.incarnation != incarnation_ || grant.id <= it->last_grant)
+        grant.incarnation != incarnation_ || grant.id <= it->last_grant ||
+        grant.id.term < last_contact_.first)
         return;
     refresh(*it, now);
     // The allocator asks for a report: it counts the floor as in use.
     bool const is_probe = grant.tokens == 0 && has_nothing_to_report(*it);
-    it->expiry = std::max(it->expiry, grant.echo + grant.lifetime);
-    it->left += grant.tokens * nanotokens_per_token;
+    // The tokens of a grant that came late, or to a process that was stopped
+    // for a while, must not live as long as those of the floor: the allocator
+    // has written them off.
+    auto const grant_expiry = grant.echo + grant.lifetime;
+    bool const outlives_floor =
+        grant_expiry >= it->expiry || !it->is_floor_expiry;
+    if (grant_expiry > now && outlives_floor)
+        it->left += grant.tokens * nanotokens_per_token;
+    if (grant_expiry >= it->expiry)
+        it->is_floor_expiry = false;
+    it->expiry = std::max(it->expiry, grant_expiry);
     // A new leader grants nothing before the holder has reported to it, and
     // without traffic the next report would be due after idle_interval only.
     it->request_urgent =
@@ -164,9 +174,11 @@
     if (grant.holder != holder_ || grant.incarnation != incarnation_ ||
         std::pair(grant.term, grant.sent) <= last_contact_)
         return;
-    // A new allocator prolongs nothing before its first grant is acknowledged.
+    // A new allocator prolongs nothing before its first grant is acknowledged,
+    // and moves no floors before all holders have reported to it.
     if (grant.term != last_contact_.first)
-        contact_sent_ = now - settings_.idle_interval;
+        contact_sent_ =
+            now - std::max(settings_.idle_interval, settings_.contact_interval);
     last_contact_ = {grant.term, grant.sent};
     is_contact_answered_ = true;
     request_reports(grant, now);
@@ -304,7 +316,23 @@
     contact_sent_ = now;
     is_contact_answered_ = false;
     return contact_report{holder_, incarnation_, last_contact_.first,
-                          last_contact_.second};
+                          last_contact_.second, is_current()};
+}
+
+// Returns whether the holder has nothing of terms before that of the last
+// contact grant.
+bool rate_limiter::is_current() const
+{
+    return std::all_of(by_name_.begin(), by_name_.end(),
+                       [this](auto const& name)
+                       {
+                           auto const& it = *buckets_.find(name.second);
+                           bool const is_empty = it.left == 0 &&
+                                                 it.delegated == 0 &&
+                                                 it.floor == rate_floor{};
+                           return is_empty ||
+                                  it.last_grant.term >= last_contact_.first;
+                       });
 }
 
 instant rate_limiter::next_contact() const
@@ -347,6 +375,7 @@
     auto const elapsed = (now - it.floor_refilled_until).count();
     it.floor_refilled_until = now;
     it.expiry = now + floor_token_lifetime;
+    it.is_floor_expiry = true;
     auto const room = it.floor.burst * nanotokens_per_microtoken - it.left -
                       it.delegated * nanotokens_per_token;
     if (room <= 0 || it.floor.rate <= 0)
--- a/packages/limits/src/token_allocator.cpp
+++ b/packages/limits/src/token_allocator.cpp
@@ -46,12 +46,16 @@
 void token_allocator::assume_no_earlier_grants(instant now)
 {
     recovery_end_ = now;
+    has_earlier_grants_ = false;
+    unknown_holders_.clear();
 }
 
-void token_allocator::configure(workspace_name const& workspace,
-                                std::int64_t rate,
-                                std::int64_t burst,
-                                instant now)
+void token_allocator::configure(
+    workspace_name const& workspace,
+    std::int64_t rate,
+    std::int64_t burst,
+    instant now,
+    std::optional<std::set<daemon_name>> floor_holders)
 {
     if (auto* const it = find(workspace))
     {
@@ -62,6 +66,7 @@
             component_max(it->earlier_floors, floor_total(*it));
         it->rate = rate;
         it->burst = burst * nanotokens_per_token;
+        set_floor_holders(by_name_.at(workspace), std::move(floor_holders));
         clamp(*it);
         changed_.insert(by_name_.at(workspace));
         return;
@@ -75,12 +80,35 @@
     auto const id = buckets_.insert(std::move(row));
     by_name_.emplace(workspace, id);
     recoveries_.set(id, buckets_.find(id)->recovery_end);
+    undivided_.insert(id);
+    set_floor_holders(id, std::move(floor_holders));
+}
+
+void token_allocator::set_floor_holders(
+    row_id id, std::optional<std::set<daemon_name>> floor_holders)
+{
+    auto& it = *buckets_.find(id);
+    it.floor_holders = std::move(floor_holders);
+    if (!it.floor_holders)
+    {
+        undivided_.insert(id);
+        return;
+    }
+    undivided_.erase(id);
+    for (auto const& holder : *it.floor_holders)
+        divided_[holder].insert(id);
+    // Former holders are asked for the report with which they confirm that they
+    // have no floor any more.
+    for (auto const& [holder, row] : it.allocations)
+        if (!has_no_part(it, holder))
+            divided_[holder].insert(id);
 }
 
 void token_allocator::register_holder(daemon_name const& holder,
                                       instant /*now*/)
 {
-    holders_.insert(holder);
+    if (holders_.insert(holder).second && has_earlier_grants_)
+        unknown_holders_.insert(holder);
 }
 
 void token_allocator::remove_holder(daemon_name const& holder, instant now)
@@ -89,6 +117,7 @@
         return;
     contacts_.erase(holder);
     unanswered_contacts_.erase(holder);
+    divided_.erase(holder);
     for (auto const& [workspace, id] : by_name_)
     {
         auto& it = *buckets_.find(id);
@@ -101,6 +130,7 @@
         drop_allocation(found->second);
         it.allocations.erase(found);
     }
+    remove_unknown_holder(holder, now);
 }
 
 void token_allocator::receive(token_request const& request, instant now)
@@ -147,6 +177,8 @@
         auto const demand = std::max<std::int64_t>(
             request.waiting + request.reserve - in_flight, 0);
         set_demand(*it, id, from, waiting, demand - waiting);
+        set_user(*it, from,
+                 request.waiting + request.reserve + request.left > 0);
     }
     it->unanswered.insert(id);
     changed_.insert(by_name_.at(request.workspace));
@@ -164,6 +196,8 @@
     if (report.incarnation > it.incarnation)
         it = {report.incarnation, {}, {}};
     unanswered_contacts_.insert(report.holder);
+    if (report.term == term_ && report.is_current)
+        remove_unknown_holder(report.holder, now);
     if (report.term != term_ || report.heard <= it.heard)
         return;
     if (now >= it.heard + settings_.floor_suspension)
@@ -215,23 +249,60 @@
 
 // A holder that reported a workspace before others did got no floor, and would
 // not report it again while it is not used.
-void token_allocator::add_missing_floors(contact_grant& to) const
+void token_allocator::add_missing_floors(contact_grant& to)
 {
-    for (auto const& [workspace, id] : by_name_)
+    for (auto const id : undivided_)
     {
         auto const& it = *buckets_.find(id);
-        if (floor_total(it) == rate_floor{})
-            continue;
-        auto const found = it.allocations.find(to.holder);
-        auto const* const row = found == it.allocations.end()
-                                    ? nullptr
-                                    : allocations_.find(found->second);
-        if (row == nullptr || !row->reported ||
-            next_floor(it, *row) != row->granted_floor)
-            to.unreported.push_back(workspace);
-        if (row == nullptr || row->granted_floor == rate_floor{})
-            to.lacks_floors = true;
+        if (floor_total(it) != rate_floor{})
+            add_missing_floor(to, it);
     }
+    auto const found = divided_.find(to.holder);
+    if (found == divided_.end())
+        return;
+    std::erase_if(found->second, [&](row_id id)
+                  { return has_no_part(*buckets_.find(id), to.holder); });
+    for (auto const id : found->second)
+        add_missing_floor(to, *buckets_.find(id));
+}
+
+// Returns whether a holder neither has a part of a divided floor nor will get
+// one.
+bool token_allocator::has_no_part(bucket const& it,
+                                  daemon_name const& holder) const
+{
+    if (!it.floor_holders)
+        return true;
+    if (it.floor_holders->contains(holder))
+        return false;
+    auto const found = it.allocations.find(holder);
+    if (found == it.allocations.end())
+        return true;
+    auto const& row = *allocations_.find(found->second);
+    return !row.is_unknown && row.confirmed_floor == rate_floor{} &&
+           row.granted_floor == rate_floor{};
+}
+
+void token_allocator::add_missing_floor(contact_grant& to,
+                                        bucket const& it) const
+{
+    auto const part = floor_part(it, to.holder);
+    auto const found = it.allocations.find(to.holder);
+    auto const* const row = found == it.allocations.end()
+                                ? nullptr
+                                : allocations_.find(found->second);
+    if (row == nullptr && part == rate_floor{})
+        return;
+    // A holder that is not used does not confirm a smaller floor by itself, and
+    // the part that it had stays reserved until it does.
+    bool const is_unconfirmed = it.floor_holders && row != nullptr &&
+                                row->confirmed_floor != row->granted_floor;
+    if (row == nullptr || !row->reported || is_unconfirmed ||
+        next_floor(it, *row) != row->granted_floor)
+        to.unreported.push_back(it.workspace);
+    if (part != rate_floor{} &&
+        (row == nullptr || row->granted_floor == rate_floor{}))
+        to.lacks_floors = true;
 }
 
 void token_allocator::apply_report(bucket& it,
@@ -277,11 +348,8 @@
         ++it.reported;
     }
     from.reported = true;
-    if (!has_unreported_holder(it))
-    {
-        it.earlier_floors = {};
-        recoveries_.set(by_name_.at(it.workspace), now);
-    }
+    set_unknown(it, from, false);
+    settle(by_name_.at(it.workspace), now);
 
     from.acknowledged_number = request.last_grant.number;
     auto const suspended_until =
@@ -295,9 +363,46 @@
     }
     set_floor(it, from, request.floor, granted_floor,
               from.floor_suspended_until > now);
+    if (!has_no_part(it, from.holder))
+        divided_[from.holder].insert(by_name_.at(it.workspace));
     clamp(it);
 }
 
+// Ends the recovery of a bucket, and drops what was reserved for floors of
+// earlier limits, once everything that was granted in earlier terms is known.
+void token_allocator::settle(row_id id, instant now)
+{
+    auto& it = *buckets_.find(id);
+    if (has_unreported_holder(it))
+        return;
+    it.earlier_floors = {};
+    recoveries_.set(id, now);
+}
+
+// States that a holder has nothing of earlier terms in workspaces of which it
+// has sent no request.
+void token_allocator::remove_unknown_holder(daemon_name const& holder,
+                                            instant now)
+{
+    if (!unknown_holders_.contains(holder))
+        return;
+    bool const is_last = unknown_holders_.size() == 1;
+    // What was reserved for unknown floors is reserved until now.
+    if (is_last)
+        for (auto const& [workspace, id] : by_name_)
+            refill(*buckets_.find(id), now);
+    unknown_holders_.erase(holder);
+    if (!is_last)
+        return;
+    for (auto const& [workspace, id] : by_name_)
+    {
+        if (!buckets_.find(id)->floor_holders)
+            continue;
+        settle(id, now);
+        changed_.insert(id);
+    }
+}
+
 void token_allocator::set_leader_until(instant until)
 {
     leader_until_ = until;
@@ -402,6 +507,7 @@
     row.bucket = id;
     row.holder = holder;
     row.expiry = it.recovering ? it.recovery_end : now;
+    set_unknown(it, row, unknown_holders_.contains(holder));
     auto const added = allocations_.insert(std::move(row));
     it.allocations.emplace(holder, added);
     return added;
@@ -414,6 +520,8 @@
     set_demand(it, id, row, 0, 0);
     set_outstanding(it, row, 0);
     set_floor(it, row, {}, {}, false);
+    set_unknown(it, row, false);
+    set_user(it, row, false);
     it.unanswered.erase(id);
     expiries_.erase(id);
     floor_resumptions_.erase(id);
@@ -454,7 +562,9 @@
 
 bool token_allocator::has_unreported_holder(bucket const& it) const
 {
-    return it.reported < holders_.size();
+    if (!it.floor_holders)
+        return it.reported < holders_.size();
+    return it.unknown_allocations > 0 || !unknown_holders_.empty();
 }
 
 std::int64_t token_allocator::holder_count() const
@@ -462,6 +572,24 @@
     return static_cast<std::int64_t>(holders_.size());
 }
 
+// Returns the number of holders among which the floor is divided.
+std::int64_t token_allocator::floor_parts(bucket const& it) const
+{
+    return it.floor_holders
+               ? static_cast<std::int64_t>(it.floor_holders->size())
+               : holder_count();
+}
+
+rate_floor token_allocator::floor_part(bucket const& it,
+                                       daemon_name const& holder) const
+{
+    if (it.floor_holders && !it.floor_holders->contains(holder))
+        return {};
+    auto const all = floor_total(it);
+    auto const parts = floor_parts(it);
+    return {all.rate / parts, all.burst / parts};
+}
+
 rate_floor token_allocator::floor_total(bucket const& it) const
 {
     rate_floor const all{it.rate * settings_.floor_rate_per_mille *
@@ -470,7 +598,9 @@
                              settings_.floor_burst_per_mille};
     // A floor that cannot hold one token is not granted, so nothing is reserved
     // for it: a holder that never reports would keep the whole rate.
-    if (all.burst < holder_count() * microtokens_per_token)
+    auto const parts = floor_parts(it);
+    if ((it.floor_holders && parts == 0) ||
+        all.burst < parts * microtokens_per_token)
         return {};
     // If the floors left less than one whole token of the burst, nothing could
     // be granted. The holders then have no floor.
@@ -512,7 +642,9 @@
 // in a reserve is of no use to other holders.
 std::int64_t token_allocator::reservable(bucket const& it) const
 {
-    if (it.burst < holder_count() * min_burst_per_holder * nanotokens_per_token)
+    auto const holders =
+        it.floor_holders ? static_cast<std::int64_t>(it.users) : holder_count();
+    if (it.burst < holders * min_burst_per_holder * nanotokens_per_token)
         return 0;
     auto const room =
         (max_outstanding(it) / 2 - it.outstanding) / nanotokens_per_token;
@@ -527,6 +659,22 @@
     to.outstanding = new_outstanding;
 }
 
+void token_allocator::set_unknown(bucket& it,
+                                  allocation& to,
+                                  bool is_unknown) const
+{
+    it.unknown_allocations += is_unknown ? 1 : 0;
+    it.unknown_allocations -= to.is_unknown ? 1 : 0;
+    to.is_unknown = is_unknown;
+}
+
+void token_allocator::set_user(bucket& it, allocation& to, bool is_user) const
+{
+    it.users += is_user ? 1 : 0;
+    it.users -= to.is_user ? 1 : 0;
+    to.is_user = is_user;
+}
+
 void token_allocator::set_demand(bucket& it,
                                  row_id id,
                                  allocation& to,
@@ -570,8 +718,7 @@
                                        allocation const& to) const
 {
     auto const all = floor_total(it);
-    rate_floor const next{all.rate / holder_count(),
-                          all.burst / holder_count()};
+    auto const next = floor_part(it, to.holder);
     // The floor changes again only after the holder has confirmed the last
     // change, so that the greater of two floors covers what it may use.
     if (to.confirmed_floor != to.granted_floor)
@@ -630,6 +777,7 @@
         refill(it, now);
         row.unacknowledged.clear();
         set_outstanding(it, row, 0);
+        set_user(it, row, false);
         changed_.insert(row.bucket);
     }
 }
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -8,6 +8,7 @@
 #include <rate_replay.hpp>
 #include <simulation.hpp>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
 #include <map>
@@ -17,6 +18,7 @@
 using basilreach::daemon_name;
 using basilreach::instant;
 using basilreach::workspace_name;
+using basilreach::limits::contact_grant;
 using basilreach::limits::first_report_delay;
 using basilreach::limits::first_report_time_per_row;
 using basilreach::limits::first_reports_per_group;
@@ -77,6 +79,52 @@
     return trace;
 }
 
+// Returns a trace in which the floor moves between hosts while they are killed,
+// frozen, cut off, added and removed, and while leaders are lost.
+rate_trace random_placed_trace(std::uint64_t seed)
+{
+    auto trace = random_trace(seed);
+    random_source random(seed + 1'000'000);
+    auto const random_host = [&]
+    {
+        return static_cast<unsigned>(random.below(trace.hosts));
+    };
+    trace.faults.clear();
+    // Demand beyond the rate at all hosts, so that each token is used.
+    trace.arrivals.push_back(
+        {{}, instant(trace.length), 0, trace.hosts - 1, 400, {}});
+    trace.latency = std::chrono::milliseconds(1 + random.below(3) * 40);
+    for (unsigned n = 0; n != 6; ++n)
+    {
+        auto const start = random.below(10000);
+        auto const first = random_host();
+        auto const kind = random.below(7);
+        trace.faults.push_back({static_cast<fault_rule::kind>(kind),
+                                at_ms(start), at_ms(start + random.below(6000)),
+                                first, kind < 4 ? random_host() : first});
+        // A leader is lost in the middle of a move of the floor.
+        auto const moved = random.below(10000);
+        trace.placements.push_back({at_ms(n == 0 ? 0 : moved), {}});
+        auto const holders = random.below(6) == 0 ? 0 : 1 + random.below(3);
+        for (std::uint64_t k = 0; k != holders; ++k)
+            trace.placements.back().holders.insert(random_host());
+        if (random.below(4) == 0)
+            trace.faults.push_back({fault_rule::kind::leader,
+                                    at_ms(moved + random.below(600)),
+                                    {},
+                                    0,
+                                    0});
+        // A holder loses contact before it knows that its part has moved.
+        auto const cut = moved + random.below(1500);
+        auto const host = random_host();
+        trace.faults.push_back({fault_rule::kind::cut, at_ms(cut),
+                                at_ms(cut + random.below(4000)), host, host});
+    }
+    std::sort(trace.placements.begin(), trace.placements.end(),
+              [](auto const& a, auto const& b) { return a.at < b.at; });
+    return trace;
+}
+
 } // namespace
 
 TEST_CASE("random faults never admit more than rate and burst")
@@ -109,6 +157,28 @@
     }
 }
 
+// Guards the bound if the floor moves. A new holder that got its part before
+// the former one had confirmed that it has none used it a second time.
+TEST_CASE("floors that move never admit more than rate and burst")
+{
+    token_allocator_settings settings;
+    settings.floor_rate_per_mille = 1000;
+    settings.floor_burst_per_mille = 400;
+    rate_limiter_settings batched;
+    batched.batch_reports = true;
+    batched.min_reserve = 1;
+    batched.contact_interval = std::chrono::seconds(2);
+    for (std::uint64_t seed = 1; seed <= 400; ++seed)
+    {
+        CAPTURE(seed);
+        auto trace = random_placed_trace(seed);
+        CHECK(replay_rate(trace, seed).over_rate == 0);
+        trace.limits.resize(1);
+        CHECK(replay_rate(trace, seed, settings).over_rate == 0);
+        CHECK(replay_rate(trace, seed, settings, batched).over_rate == 0);
+    }
+}
+
 // Guards against refusals within the rate while a data centre is cut off. With
 // the default settings, the floors of its hosts are only a fifth of an equal
 // part of the rate.
@@ -235,6 +305,41 @@
     CHECK(requests.front().last_grant == grant.id);
 }
 
+// Guards against a floor that a leader does not know: a grant of its
+// predecessor arrived after the holder had stated that it has nothing of
+// earlier terms.
+TEST_CASE("a limiter in contact with a leader takes no grants of earlier terms")
+{
+    workspace_name const w("w");
+    daemon_name const d("d");
+    rate_limiter limiter({}, d, 1);
+    limiter.add_workspace(w, at_ms(0));
+    REQUIRE(limiter.tick(at_ms(0)).size() == 1);
+    token_grant grant;
+    grant.workspace = w;
+    grant.holder = d;
+    grant.incarnation = 1;
+    grant.id = {2, 1};
+    grant.lifetime = std::chrono::milliseconds(800);
+    grant.tokens = 3;
+    contact_grant contact{d, 1, 3, at_ms(0), {}, {}, true};
+    limiter.receive(contact, at_ms(1));
+    auto const report = limiter.tick_contact(at_ms(1));
+    REQUIRE(report);
+    CHECK(report->is_current);
+    limiter.receive(grant, at_ms(2));
+    CHECK(limiter.available(w, at_ms(2)) == 0);
+    // What came before the contact grant makes the holder unknown until it has
+    // a grant of the new term.
+    grant.id = {3, 1};
+    limiter.receive(grant, at_ms(3));
+    contact.term = 4;
+    limiter.receive(contact, at_ms(4));
+    auto const next_report = limiter.tick_contact(at_ms(4));
+    REQUIRE(next_report);
+    CHECK_FALSE(next_report->is_current);
+}
+
 // Guards against a leader that withdraws the floor granted by its predecessor
 // and is lost right after its election. A daemon without contact to the control
 // hosts then had no tokens at all.
@@ -772,3 +877,98 @@
     // Half of the rate is used.
     CHECK(admitted >= statements * 9 / 10);
 }
+
+namespace
+{
+
+// Holders that ask with contact reports which workspaces to report.
+std::vector<rate_limiter> idle_limiters()
+{
+    auto settings = daemon_settings();
+    settings.contact_interval = std::chrono::seconds(2);
+    std::vector<rate_limiter> out;
+    for (std::size_t n = 0; n != many_holders; ++n)
+    {
+        out.emplace_back(settings, holder_of(n), 1);
+        out.back().add_workspace(workspace_of(0), at_ms(0), basilreach::never);
+        out.back().set_first_contact(at_ms(10 * n));
+    }
+    return out;
+}
+
+// Delivers messages for a time, in steps of 10 ms. Returns its end.
+std::uint64_t exchange_for(std::vector<rate_limiter>& limiters,
+                           token_allocator& allocator,
+                           std::uint64_t from_ms,
+                           std::uint64_t ms)
+{
+    for (auto now = from_ms; now != from_ms + ms; now += 10)
+        exchange_messages(limiters, allocator, now);
+    return from_ms + ms;
+}
+
+// Whether a holder that loses contact has tokens. It works on a copy.
+bool has_tokens_without_contact(rate_limiter it, std::uint64_t ms)
+{
+    (void)it.available(workspace_of(0), at_ms(ms + 2000));
+    return it.available(workspace_of(0), at_ms(ms + 4000)) > 0;
+}
+
+} // namespace
+
+// Guards against a data centre that is cut off before the first statement of a
+// workspace there and then has no tokens for it, and against a floor that stays
+// with a former holder because an idle holder confirms nothing.
+TEST_CASE("idle floor holders have their floor, also after a move")
+{
+    auto allocator = allocator_of_many(0);
+    auto limiters = idle_limiters();
+    std::set<daemon_name> floor_holders{holder_of(0), holder_of(30),
+                                        holder_of(60)};
+    allocator.configure(workspace_of(0), 40, 60, at_ms(0), floor_holders);
+    auto now = exchange_for(limiters, allocator, 0, 5000);
+    CHECK(has_tokens_without_contact(limiters[0], now));
+    CHECK(has_tokens_without_contact(limiters[60], now));
+    CHECK_FALSE(has_tokens_without_contact(limiters[1], now));
+
+    floor_holders.erase(holder_of(0));
+    floor_holders.insert(holder_of(1));
+    allocator.configure(workspace_of(0), 40, 60, at_ms(now), floor_holders);
+    now = exchange_for(limiters, allocator, now, 5000);
+    CHECK(has_tokens_without_contact(limiters[1], now));
+    CHECK_FALSE(has_tokens_without_contact(limiters[0], now));
+
+    // The next leader moves it again.
+    token_allocator next(whole_floors(), 2, at_ms(now));
+    for (std::size_t n = 0; n != many_holders; ++n)
+        next.register_holder(holder_of(n), at_ms(now));
+    floor_holders.erase(holder_of(1));
+    floor_holders.insert(holder_of(2));
+    next.configure(workspace_of(0), 40, 60, at_ms(now), floor_holders);
+    for (auto& it : limiters)
+        it.change_allocator(at_ms(now));
+    now = exchange_for(limiters, next, now, 5000);
+    CHECK(has_tokens_without_contact(limiters[2], now));
+    CHECK_FALSE(has_tokens_without_contact(limiters[1], now));
+}
+
+// Guards against a wait for each statement: with as many registered holders as
+// tokens of the burst, none could keep a reserve, although only one used the
+// workspace.
+TEST_CASE("the holder that uses a placed workspace has a reserve")
+{
+    auto allocator = allocator_of_many(0);
+    auto limiters = idle_limiters();
+    allocator.configure(workspace_of(0), 40, 60, at_ms(0),
+                        std::set{holder_of(0)});
+    auto now = exchange_for(limiters, allocator, 0, 3000);
+    limiters[0].set_waiting(workspace_of(0), 1, at_ms(now));
+    now = exchange_for(limiters, allocator, now, 50);
+    REQUIRE(limiters[0].try_consume(workspace_of(0), 1, at_ms(now)));
+    limiters[0].set_waiting(workspace_of(0), 0, at_ms(now));
+    for (int n = 0; n != 20; ++n)
+    {
+        now = exchange_for(limiters, allocator, now, 400);
+        CHECK(limiters[0].try_consume(workspace_of(0), 1, at_ms(now)));
+    }
+}
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -644,6 +644,7 @@
 {
     d(v.term, w.term);
     d(v.heard, w.heard);
+    d(v.is_current, w.is_current);
 }
 
 template <class D, class V>
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -120,7 +120,7 @@
                            instant(duration(5)),
                            {},
                            limits::contact_report{daemon_name("d"), 3, 7,
-                                                  instant(duration(6))},
+                                                  instant(duration(6)), true},
                            {shares},
                            10,
                            11,
