limits: Say when a rate that is used up has the next token

A statement that got no token in time was refused with rate_exceeded at a daemon with a lease, also when the leader was recovering or its answer was late.

A grant now says whether the bucket is used up, and when the refill is expected to have one more token; rate_limiter::next_token returns this, at the daemon and at its threads. rate_exceeded is said only if it is known that the rate is used up. All other refusals for a missing token have the reason no_lease, so that another host may try the statement.

A limiter whose number of waiting statements has more than doubled reports this at once.

The stand-in for the leader in operation_tokens_test answers requests that it has no tokens for, as the leader does.

--- a/packages/limits/include/basilreach/limits/rate_limiter.hpp
+++ b/packages/limits/include/basilreach/limits/rate_limiter.hpp
@@ -113,6 +113,13 @@
     [[nodiscard]] std::int64_t available(workspace_name const& workspace,
                                          instant now);
 
+    // Returns when the allocator expects to have a token for one more statement
+    // of a workspace of which the rate is used up. Returns nothing if the rate
+    // is not known to be used up: the allocator has tokens, recovers, or has
+    // not been heard of lately.
+    [[nodiscard]] std::optional<instant>
+    next_token(workspace_name const& workspace, instant now) const;
+
     // Returns when the tokens of a workspace expire.
     [[nodiscard]] instant expiry(workspace_name const& workspace) const;
 
@@ -170,6 +177,10 @@
         // Tokens a second at `demand_at`, averaged over demand_window_s.
         double demand = 0;
         instant demand_at;
+        // When the last grant arrived that stated that the rate is used up,
+        // unless a later one stated otherwise, and what it stated.
+        std::optional<instant> used_up_at;
+        instant next_token;
     };
 
     local_bucket* find(workspace_name const& workspace);
--- a/packages/limits/include/basilreach/limits/token_allocator.hpp
+++ b/packages/limits/include/basilreach/limits/token_allocator.hpp
@@ -102,6 +102,11 @@
                     instant expiry,
                     instant now);
 
+    // Sets when the daemon's leader is expected to have one more token, or that
+    // this is not known. Used for the threads of a daemon.
+    void set_next_token(workspace_name const& workspace,
+                        std::optional<instant> next_token);
+
     // Removes up to this many unallocated tokens and returns how many.
     std::int64_t take_unallocated(workspace_name const& workspace,
                                   std::int64_t tokens,
@@ -155,6 +160,9 @@
         instant recovery_end;
         // When the level expires; set for the threads of a daemon only.
         instant level_expiry = never;
+        // When the leader is expected to have one more token; for the threads
+        // of a daemon only.
+        std::optional<instant> next_token;
         // Holders that have reported to this term.
         std::size_t reported = 0;
         // Allocations of holders that have not reported to this term and may
@@ -292,6 +300,8 @@
     [[nodiscard]] bool is_in_contact(allocation const& it, instant now) const;
     void end_recoveries(instant now);
     void allocate(row_id id, instant now, std::vector<token_grant>& grants);
+    [[nodiscard]] std::optional<duration> time_to_next_token(bucket const& it,
+                                                             instant now) const;
     void add_grant(bucket& it,
                    row_id id,
                    std::int64_t tokens,
--- a/packages/limits/include/basilreach/limits/token_messages.hpp
+++ b/packages/limits/include/basilreach/limits/token_messages.hpp
@@ -74,6 +74,10 @@
     // arrives.
     rate_floor floor;
     duration floor_suspension{};
+    // Whether the rate is used up, and the time until the refill is expected
+    // to have a token for one more statement.
+    bool is_used_up = false;
+    duration next_token{};
 
     friend auto operator<=>(token_grant const&, token_grant const&) = default;
 };
--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -33,6 +33,15 @@
 // its own: contact has not prolonged it.
 constexpr duration suspension_margin = std::chrono::milliseconds(200);
 
+// Time for which a grant's statement that the rate is used up is relied on. A
+// holder that waits for tokens gets a grant at least every report_interval.
+constexpr duration used_up_validity = std::chrono::milliseconds(500);
+
+// A holder that waits for tokens reports at once when it waits for more than
+// this many times as many as it has stated. Then a burst of statements does not
+// wait for report_interval, and a workspace over its rate costs few reports.
+constexpr std::int64_t urgent_growth = 2;
+
 double seconds(duration it)
 {
     return std::chrono::duration<double>(it).count();
@@ -112,9 +121,10 @@
     if (it == nullptr || it->waiting == tokens)
         return;
     refresh(*it, now);
-    // A holder that waits already has its place in the allocator's queue, so a
-    // change of the number is not urgent.
-    it->request_urgent = it->request_urgent || (it->waiting == 0 && tokens > 0);
+    bool const has_grown = it->waiting == 0
+                               ? tokens > 0
+                               : tokens > urgent_growth * it->reported_waiting;
+    it->request_urgent = it->request_urgent || has_grown;
     it->use_unreported = it->use_unreported || tokens > it->waiting;
     it->waiting = tokens;
     schedule(by_name_.at(workspace), *it);
@@ -145,6 +155,8 @@
     // without traffic the next report would be due after idle_interval only.
     it->request_urgent =
         it->request_urgent || is_probe || it->last_grant.term != grant.id.term;
+    it->used_up_at = grant.is_used_up ? std::optional(now) : std::nullopt;
+    it->next_token = now + grant.next_token;
     it->last_grant = grant.id;
     it->last_grant_sent = grant.sent;
     // The first grant of a leader has no lifetime and an empty floor: the
@@ -268,6 +280,16 @@
     return it->left / nanotokens_per_token;
 }
 
+std::optional<instant> rate_limiter::next_token(workspace_name const& workspace,
+                                                instant now) const
+{
+    auto const* const it = find(workspace);
+    if (it == nullptr || !it->used_up_at ||
+        now >= *it->used_up_at + used_up_validity)
+        return std::nullopt;
+    return std::max(it->next_token, now);
+}
+
 instant rate_limiter::expiry(workspace_name const& workspace) const
 {
     auto const* const it = find(workspace);
--- a/packages/limits/src/token_allocator.cpp
+++ b/packages/limits/src/token_allocator.cpp
@@ -22,6 +22,11 @@
 // for requests that wait.
 constexpr std::int64_t min_burst_per_holder = 2;
 
+constexpr std::int64_t nanoseconds_per_s = 1'000'000'000;
+
+// Longest time until a token is available that a grant states.
+constexpr duration max_time_to_next_token = std::chrono::seconds(10);
+
 rate_floor component_max(rate_floor const& a, rate_floor const& b)
 {
     return {std::max(a.rate, b.rate), std::max(a.burst, b.burst)};
@@ -423,6 +428,22 @@
     changed_.insert(by_name_.at(workspace));
 }
 
+void token_allocator::set_next_token(workspace_name const& workspace,
+                                     std::optional<instant> next_token)
+{
+    auto* const it = find(workspace);
+    if (it == nullptr)
+        return;
+    bool const was_known = it->next_token.has_value();
+    it->next_token = next_token;
+    if (was_known || !next_token)
+        return;
+    // Threads that wait learn it before their statements are refused.
+    for (auto const& [order, id] : it->queue)
+        it->unanswered.insert(id);
+    changed_.insert(by_name_.at(workspace));
+}
+
 std::int64_t token_allocator::take_unallocated(workspace_name const& workspace,
                                                std::int64_t tokens,
                                                instant now)
@@ -873,6 +894,29 @@
     }
 }
 
+// Returns the time until the bucket has a token beyond those that holders wait
+// for, if the rate is used up.
+std::optional<duration> token_allocator::time_to_next_token(bucket const& it,
+                                                            instant now) const
+{
+    if (it.next_token)
+        return std::max(*it.next_token - now, duration{});
+    // The buckets for the threads of a daemon have no rate of their own.
+    if (it.recovering || grantable(it) > 0 || it.level_expiry != never)
+        return std::nullopt;
+    auto const rate =
+        it.rate * microtokens_per_token - reserved_floors(it).rate;
+    auto const missing = (it.waiting + 1) * nanotokens_per_token - it.level;
+    if (rate <= 0)
+        return max_time_to_next_token;
+    auto const seconds = static_cast<double>(missing) /
+                         static_cast<double>(nanotokens_per_microtoken) /
+                         static_cast<double>(rate);
+    return std::min(max_time_to_next_token,
+                    duration(static_cast<duration::rep>(
+                        seconds * static_cast<double>(nanoseconds_per_s))));
+}
+
 void token_allocator::add_grant(bucket& it,
                                 row_id id,
                                 std::int64_t tokens,
@@ -902,6 +946,7 @@
         to.expiry = std::max(to.expiry, now + with_clock_margin(lifetime));
         expiries_.set(id, to.expiry);
     }
+    auto const next_token = time_to_next_token(it, now);
     grants.push_back({it.workspace,
                       to.holder,
                       to.incarnation,
@@ -911,7 +956,9 @@
                       lifetime,
                       tokens,
                       to.granted_floor,
-                      with_clock_margin(update_suspension(it, to))});
+                      with_clock_margin(update_suspension(it, to)),
+                      next_token.has_value(),
+                      next_token.value_or(duration{})});
 }
 
 } // namespace basilreach::limits
--- a/packages/limits/src/token_transfer.cpp
+++ b/packages/limits/src/token_transfer.cpp
@@ -29,6 +29,8 @@
     auto const delegated = daemon_limiter.delegate(workspace, wanted, now);
     thread_allocator.add_tokens(workspace, delegated,
                                 daemon_limiter.expiry(workspace), now);
+    thread_allocator.set_next_token(workspace,
+                                    daemon_limiter.next_token(workspace, now));
     daemon_limiter.set_waiting(
         workspace, std::max<std::int64_t>(waiting - delegated, 0), now);
 }
--- a/packages/limits/test/rate_test.cpp
+++ b/packages/limits/test/rate_test.cpp
@@ -972,3 +972,103 @@
         CHECK(limiters[0].try_consume(workspace_of(0), 1, at_ms(now)));
     }
 }
+
+// Guards against a refusal that blames the rate of the workspace although the
+// leader recovers or is not reached, and against one without the time after
+// which a retry is of use.
+TEST_CASE("a limiter knows when a rate that is used up has the next token")
+{
+    workspace_name const w = workspace_of(0);
+    auto const allocator_of = [&](std::uint64_t term, std::uint64_t ms)
+    {
+        token_allocator out({}, term, at_ms(ms));
+        if (term == 1)
+            out.assume_no_earlier_grants(at_ms(ms));
+        out.register_holder(holder_of(0), at_ms(ms));
+        out.register_holder(holder_of(1), at_ms(ms));
+        out.configure(w, 10, 100, at_ms(ms));
+        return out;
+    };
+    auto allocator = allocator_of(1, 0);
+    std::vector<rate_limiter> limiters;
+    limiters.emplace_back(daemon_settings(), holder_of(0), 1);
+    limiters[0].add_workspace(w, at_ms(0));
+    auto now = exchange_for(limiters, allocator, 0, 1000);
+    CHECK_FALSE(limiters[0].next_token(w, at_ms(now)));
+    // The bucket is filled at 8 tokens a second, as the other holder may use
+    // its floor.
+    limiters[0].set_waiting(w, 50, at_ms(now));
+    now = exchange_for(limiters, allocator, now, 200);
+    auto const next = limiters[0].next_token(w, at_ms(now));
+    REQUIRE(next);
+    CHECK(*next > at_ms(now + 6000));
+    CHECK(*next < at_ms(now + 6500));
+    // Nothing has been heard of the leader for a while.
+    CHECK_FALSE(limiters[0].next_token(w, at_ms(now + 600)));
+
+    auto successor = allocator_of(2, now);
+    limiters[0].change_allocator(at_ms(now));
+    now = exchange_for(limiters, successor, now, 500);
+    CHECK_FALSE(limiters[0].next_token(w, at_ms(now)));
+}
+
+// Guards against a thread that learns only after the wait for a token that the
+// rate is used up.
+TEST_CASE("the threads of a daemon know when there is a next token")
+{
+    workspace_name const w = workspace_of(0);
+    rate_limiter daemon_limiter(daemon_settings(), holder_of(0), 1);
+    daemon_limiter.add_workspace(w, at_ms(0), basilreach::never);
+    token_allocator allocator(thread_level_settings(), 1, at_ms(0));
+    allocator.assume_no_earlier_grants(at_ms(0));
+    allocator.register_holder(daemon_name("thread-0"), at_ms(0));
+    allocator.configure(w, 0, thread_level_burst, at_ms(0));
+    rate_limiter thread_limiter({}, daemon_name("thread-0"), 1);
+    thread_limiter.add_workspace(w, at_ms(0));
+    auto const exchange_in_daemon = [&](std::uint64_t ms)
+    {
+        for (auto const& it : thread_limiter.tick(at_ms(ms)))
+            allocator.receive(it, at_ms(ms));
+        transfer_tokens(daemon_limiter, allocator, w, at_ms(ms));
+        for (auto const& it : allocator.tick(at_ms(ms)))
+            thread_limiter.receive(it, at_ms(ms));
+    };
+    exchange_in_daemon(0);
+    thread_limiter.set_waiting(w, 1, at_ms(10));
+    exchange_in_daemon(10);
+    REQUIRE(daemon_limiter.tick(at_ms(10)).size() == 1);
+    token_grant grant;
+    grant.workspace = w;
+    grant.holder = holder_of(0);
+    grant.incarnation = 1;
+    grant.id = {1, 1};
+    grant.echo = at_ms(10);
+    grant.lifetime = std::chrono::milliseconds(800);
+    grant.is_used_up = true;
+    grant.next_token = std::chrono::milliseconds(300);
+    daemon_limiter.receive(grant, at_ms(12));
+    exchange_in_daemon(12);
+    CHECK(thread_limiter.next_token(w, at_ms(13)) == at_ms(312));
+}
+
+// Guards against a burst of statements of which all but the first wait for the
+// next regular report.
+TEST_CASE("a limiter reports a burst that arrives while a statement waits")
+{
+    rate_limiter limiter(daemon_settings(), holder_of(0), 1);
+    limiter.add_workspace(workspace_of(0), at_ms(0));
+    limiter.set_waiting(workspace_of(0), 1, at_ms(0));
+    REQUIRE(limiter.tick(at_ms(0)).size() == 1);
+    limiter.set_waiting(workspace_of(0), 10, at_ms(1));
+    token_grant grant;
+    grant.workspace = workspace_of(0);
+    grant.holder = holder_of(0);
+    grant.incarnation = 1;
+    grant.id = {1, 1};
+    grant.echo = at_ms(0);
+    limiter.receive(grant, at_ms(4));
+    limiter.set_waiting(workspace_of(0), 9, at_ms(4));
+    auto const requests = limiter.tick(at_ms(5));
+    REQUIRE(requests.size() == 1);
+    CHECK(requests.front().waiting == 9);
+}
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -458,6 +458,8 @@
     d(v.tokens, w.tokens);
     d(v.floor, w.floor);
     d(v.floor_suspension, w.floor_rest);
+    d(v.is_used_up, w.is_used_up);
+    d(v.next_token, w.next_token);
 }
 
 template <class D, class V>
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -60,6 +60,9 @@
     limits::token_request tokens;
     tokens.last_grant = {1, 2};
     tokens.floor = {3, 4};
+    limits::token_grant used_up;
+    used_up.is_used_up = true;
+    used_up.next_token = duration(9);
     limits::share_request shares;
     shares.server = server_name("s");
     shares.sequence = 2;
@@ -129,7 +132,7 @@
             limit_grants{daemon_name("d"),
                          3,
                          instant(duration(5)),
-                         {limits::token_grant{}},
+                         {used_up},
                          limits::contact_grant{daemon_name("d"),
                                                3,
                                                7,
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -65,10 +65,14 @@
     if (request == nullptr ||
         request->state != request_state::waiting_rate_token)
         return;
-    // Without a lease there is no contact to the leader, which grants tokens.
+    // Without a lease there is no contact to the leader, which grants tokens. A
+    // new leader grants none while it recovers.
+    auto const& workspace = s.sessions.find(request->session)->workspace;
+    bool const is_used_up =
+        s.has_lease() && s.rate_limiter.next_token(workspace, s.now);
     refuse_request(s, id, refusal_outcome::not_run,
-                   s.has_lease() ? refusal_reason::rate_exceeded
-                                 : refusal_reason::no_lease);
+                   is_used_up ? refusal_reason::rate_exceeded
+                              : refusal_reason::no_lease);
 }
 
 void expire_connection(state& s, row_id id)
--- a/packages/traffic/test/operation_tokens_test.cpp
+++ b/packages/traffic/test/operation_tokens_test.cpp
@@ -228,20 +228,23 @@
     bool on(limits::token_request const& it)
     {
         request_ = it;
-        if (it.waiting == 0 || granted_ + it.waiting > most_tokens)
+        if (it.waiting == 0)
             return false;
-        grant(it);
+        // As the leader does, it answers a request that it has no tokens for.
+        bool const is_used_up = granted_ + it.waiting > most_tokens;
+        grant(it, is_used_up ? 0 : it.waiting);
         return true;
     }
 
-    void grant(limits::token_request const& request)
+    void grant(limits::token_request const& request, std::int64_t tokens)
     {
         limits::token_grant it;
         it.workspace = workspace_name("w");
         it.holder = daemon_name("thread-0");
         it.incarnation = request.incarnation;
         it.id = {1, ++last_grant_};
-        it.tokens = request.waiting;
+        it.tokens = tokens;
+        it.is_used_up = tokens == 0;
         it.lifetime = 1h;
         it.echo = now_;
         it.sent = now_;
--- a/packages/traffic/test/rate_tokens_test.cpp
+++ b/packages/traffic/test/rate_tokens_test.cpp
@@ -107,7 +107,8 @@
 // come, although the rate is not used up.
 TEST_CASE("a statement that gets no token without a lease is not over its rate")
 {
-    auto const refusal_of_waiting_statement = [](instant lease_end)
+    auto const refusal_of_waiting_statement =
+        [](instant lease_end, bool is_used_up)
     {
         auto settings = fixture::make_settings();
         settings.serves_without_lease = true;
@@ -122,14 +123,27 @@
         it.push(session);
         it.push(statement_received{session_id{1}, statement_verb::other});
         (void)it.tick(instant{1s});
-        for (auto const& action : it.tick(instant{1s} + settings.token_wait))
+        limits::token_grant grant;
+        grant.workspace = workspace_name("w");
+        grant.holder = daemon_name("thread-0");
+        grant.incarnation = 1;
+        grant.id = {1, 1};
+        grant.is_used_up = is_used_up;
+        auto const end = instant{1s} + settings.token_wait;
+        it.push(grant);
+        (void)it.tick(end - 10ms);
+        for (auto const& action : it.tick(end))
             if (auto const* refusal = std::get_if<refuse>(&action))
                 return std::optional(refusal->reason);
         return std::optional<refusal_reason>();
     };
-    CHECK(refusal_of_waiting_statement(instant{10s}) ==
+    CHECK(refusal_of_waiting_statement(instant{10s}, true) ==
           refusal_reason::rate_exceeded);
-    CHECK(refusal_of_waiting_statement(instant{}) == refusal_reason::no_lease);
+    CHECK(refusal_of_waiting_statement(instant{}, true) ==
+          refusal_reason::no_lease);
+    // The leader recovers, or its grant is late.
+    CHECK(refusal_of_waiting_statement(instant{10s}, false) ==
+          refusal_reason::no_lease);
 }
 
 TEST_CASE("a statement whose session has ended waits for no rate token")
