--- a/packages/limits/replay/rate_replay.cpp
+++ b/packages/limits/replay/rate_replay.cpp
@@ -264,6 +264,16 @@
         configure(last);
     }
 
+    // With contact reports, a workspace is reported when a statement waits or
+    // the leader asks for it, as in a daemon.
+    void add_workspace(rate_limiter& to, instant now)
+    {
+        bool const is_asked_for =
+            limiter_settings_.contact_interval > duration{};
+        to.add_workspace(workspace, now, is_asked_for ? never : now);
+        to.set_first_contact(now);
+    }
+
     void start(unsigned n)
     {
         auto& it = hosts_[n];
@@ -276,13 +286,13 @@
         {
             it.admission_queues.push_back(std::make_unique<admission_queue>(
                 limiter_settings_, it.name, it.incarnation));
-            it.admission_queues.front()->limiter.add_workspace(workspace, now);
+            add_workspace(it.admission_queues.front()->limiter, now);
             tick_queue(n, 0);
             return;
         }
         it.daemon_limiter = std::make_unique<rate_limiter>(
             limiter_settings_, it.name, it.incarnation);
-        it.daemon_limiter->add_workspace(workspace, now);
+        add_workspace(*it.daemon_limiter, now);
         it.thread_allocator =
             std::make_unique<token_allocator>(thread_level_settings(), 1, now);
         it.thread_allocator->configure(workspace, 0, thread_level_burst, now);
