control: Take data centres out of service

An operator had no way to keep statements from the servers of a data centre: each server had to announce itself as leaving, and one that reported later was not covered.

The view marks the servers of such a data centre as leaving. Transactions that are open there end after 2.5 s. Their primaries are replaced, two groups at a time, and the servers are no candidates. What only the primary can run is refused at once as out_of_service if no server elsewhere can become the primary.

Statements that wait for a leaving primary are routed again when it is no longer leaving; until now they waited until their deadline.

--- a/packages/control/include/basilreach/control/command.hpp
+++ b/packages/control/include/basilreach/control/command.hpp
@@ -183,6 +183,18 @@
     friend auto operator<=>(offer_rules const&, offer_rules const&) = default;
 };
 
+// Takes the servers of a data centre out of service, or back into service.
+// The data centre need not be known: the command also applies to servers that
+// report from it later.
+struct set_data_centre_service
+{
+    data_centre_name data_centre;
+    bool in_service = true;
+
+    friend auto operator<=>(set_data_centre_service const&,
+                            set_data_centre_service const&) = default;
+};
+
 using command_body = std::variant<apply_rules,
                                   withdraw_key,
                                   register_daemon,
@@ -195,7 +207,8 @@
                                   begin_fencing,
                                   choose_primary,
                                   confirm_primary,
-                                  offer_rules>;
+                                  offer_rules,
+                                  set_data_centre_service>;
 
 // A command for the control state; the payload of a log entry.
 struct command
--- a/packages/control/include/basilreach/control/control_parts.hpp
+++ b/packages/control/include/basilreach/control/control_parts.hpp
@@ -67,6 +67,14 @@
     friend bool operator==(group_entry const&, group_entry const&) = default;
 };
 
+struct data_centre_entry
+{
+    bool in_service = true;
+
+    friend bool operator==(data_centre_entry const&,
+                           data_centre_entry const&) = default;
+};
+
 // A command that had an id, and the answer to it.
 struct history_entry
 {
@@ -103,6 +111,8 @@
     std::map<group_name, group_entry> groups;
     // Oldest first.
     std::deque<history_entry> history;
+    // The data centres that have been out of service. Others are in service.
+    std::map<data_centre_name, data_centre_entry> data_centres;
 
     friend bool operator==(control_parts const&,
                            control_parts const&) = default;
--- a/packages/control/include/basilreach/control/control_state.hpp
+++ b/packages/control/include/basilreach/control/control_state.hpp
@@ -101,6 +101,22 @@
     [[nodiscard]] std::set<server_name> const&
     servers_of(group_name const& it) const;
 
+    // Whether the data centre is in service. An unknown one is.
+    [[nodiscard]] bool is_in_service(data_centre_name const& it) const;
+
+    [[nodiscard]] std::size_t count_out_of_service() const;
+
+    // Whether the server receives no new work, because it is leaving or because
+    // its data centre is out of service.
+    [[nodiscard]] bool is_leaving(server_entry const& it) const;
+
+    // Whether the server may become the primary of its group.
+    [[nodiscard]] bool is_eligible_primary(server_entry const& it) const;
+
+    // Whether the group can have no primary as long as a data centre is out of
+    // service: a server there could be the primary, and no other server can.
+    [[nodiscard]] bool is_out_of_service(group_name const& it) const;
+
     // Returns a hash of the contents in a canonical order. It is equal for
     // equal states on every machine.
     [[nodiscard]] std::uint64_t digest() const;
@@ -128,6 +144,7 @@
     first_answer apply_choice(command const& it);
     first_answer apply_confirmation(command const& it);
     first_answer apply_offer(command const& it);
+    first_answer apply_data_centre_service(command const& it);
 
     [[nodiscard]] first_answer accept() const;
     [[nodiscard]] first_answer conflict_with(std::uint64_t base) const;
@@ -153,6 +170,7 @@
     change_index<server_name> changed_servers_;
     change_index<group_name> changed_groups_;
     change_index<key_digest> withdrawn_keys_;
+    change_index<data_centre_name> changed_data_centres_;
 };
 
 } // namespace basilreach::control
--- a/packages/control/include/basilreach/control/leader.hpp
+++ b/packages/control/include/basilreach/control/leader.hpp
@@ -42,6 +42,16 @@
     // this many servers, so that the first one announced is no majority on its
     // own.
     std::size_t first_servers = 3;
+    // Primaries of data centres out of service that are replaced at the same
+    // time, so that the groups do not lose their primaries all at once.
+    std::size_t planned_changes = 2;
+    // A planned change that takes longer, for example because no candidate
+    // answers, no longer counts, so that it does not stop the others.
+    duration planned_change_timeout = std::chrono::milliseconds{2000};
+    // Groups that one tick examines after a data centre went out of service or
+    // returned. With 17,000 databases, a tick over all groups would delay the
+    // leases of the daemons.
+    std::size_t groups_per_tick = 512;
 
     friend bool operator==(leader_settings const&,
                            leader_settings const&) = default;
@@ -137,6 +147,10 @@
     no_primary,
     primary_down,
     primary_leaving,
+    // The primary's data centre is out of service.
+    data_centre_stopped,
+    // As many planned changes of primary as allowed are in progress.
+    waiting_for_turn,
     // A daemon that still holds a lease has not confirmed the end of the term.
     waiting_for_daemons,
     // The servers that answered do not yet prove that a candidate has all
@@ -284,6 +298,15 @@
     void on_promotion_answer(leader_input const& it, instant now);
 
     void expire_leases(instant now);
+    void examine_groups();
+    void resume_planned_changes(instant now);
+    void expire_planned_changes(instant now);
+    void wake_waiting_changes(instant now);
+    [[nodiscard]] bool can_start_waiting_change() const;
+    // Whether the planned change of the group may run now. Otherwise it waits
+    // for its turn.
+    bool start_planned_change(group_name const& group, instant now);
+    void end_planned_change(group_name const& group);
     void update_revision_in_force(instant now);
     void run_promotions(instant now);
 
@@ -322,6 +345,9 @@
                       std::optional<server_name> server,
                       promotion_reason reason);
     [[nodiscard]] bool is_eligible_primary(server_name const& server) const;
+    [[nodiscard]] bool has_eligible_primary(group_name const& group) const;
+    // Whether a chosen server may still become the primary.
+    [[nodiscard]] bool is_valid_candidate(server_name const& server) const;
 
     control_state const& state_;
     leader_settings settings_;
@@ -351,6 +377,15 @@
     // come into force first.
     std::set<std::pair<std::uint64_t, group_name>> fencing_groups_;
     deadline_queue<group_name> group_deadlines_;
+    // The next group to examine after a data centre went out of service or
+    // returned.
+    std::optional<group_name> next_examined_;
+    // Groups whose planned change of primary is in progress, by its timeout.
+    std::set<group_name> planned_changes_;
+    deadline_queue<group_name> planned_deadlines_;
+    // Groups that wait for their planned change, by the time since which they
+    // wait.
+    deadline_queue<group_name> waiting_changes_;
 
     std::uint64_t rows_visited_ = 0;
     std::vector<leader_input> inbox_;
--- a/packages/control/include/basilreach/control/state_update.hpp
+++ b/packages/control/include/basilreach/control/state_update.hpp
@@ -38,6 +38,7 @@
     std::set<key_digest> withdrawn;
     std::map<server_name, server_entry> servers;
     std::map<group_name, group_entry> groups;
+    std::map<data_centre_name, data_centre_entry> data_centres;
 
     friend bool operator==(state_update const&, state_update const&) = default;
 };
--- a/packages/control/src/control_state.cpp
+++ b/packages/control/src/control_state.cpp
@@ -79,6 +79,11 @@
     h.add(it.version).add(it.text);
 }
 
+void add_to(canonical_hash& h, set_data_centre_service const& it)
+{
+    h.add(it.data_centre).add(it.in_service);
+}
+
 void add_to(canonical_hash& h, accepted const& it)
 {
     h.add(it.revision).add(it.version);
@@ -120,6 +125,11 @@
     h.add(it.primary.value_or(server_name{})).add(it.fenced_at);
 }
 
+void add_to(canonical_hash& h, data_centre_entry const& it)
+{
+    h.add(it.in_service);
+}
+
 template <class... Ts>
 void add_to(canonical_hash& h, std::variant<Ts...> const& it)
 {
@@ -188,13 +198,20 @@
 
 // In the order of the alternatives of command_body.
 control_state::handler const control_state::handlers[] = {
-    &control_state::apply_rules_change,  &control_state::apply_withdrawal,
-    &control_state::apply_registration,  &control_state::apply_daemon_removal,
-    &control_state::apply_forget_daemon, &control_state::apply_announcement,
-    &control_state::apply_leaving,       &control_state::apply_server_removal,
-    &control_state::apply_verdict,       &control_state::apply_fencing,
-    &control_state::apply_choice,        &control_state::apply_confirmation,
-    &control_state::apply_offer};
+    &control_state::apply_rules_change,
+    &control_state::apply_withdrawal,
+    &control_state::apply_registration,
+    &control_state::apply_daemon_removal,
+    &control_state::apply_forget_daemon,
+    &control_state::apply_announcement,
+    &control_state::apply_leaving,
+    &control_state::apply_server_removal,
+    &control_state::apply_verdict,
+    &control_state::apply_fencing,
+    &control_state::apply_choice,
+    &control_state::apply_confirmation,
+    &control_state::apply_offer,
+    &control_state::apply_data_centre_service};
 
 control_state::control_state(rules_parser parser)
     : parser_(std::move(parser)),
@@ -232,6 +249,8 @@
         state.changed_groups_.record(group, revision);
     for (auto const& digest : state.parts_.withdrawn)
         state.withdrawn_keys_.record(digest, revision);
+    for (auto const& [data_centre, entry] : state.parts_.data_centres)
+        state.changed_data_centres_.record(data_centre, revision);
     return state;
 }
 
@@ -279,6 +298,9 @@
                     changed_groups_.record(body.group, revision);
             if constexpr (requires { body.digest; })
                 withdrawn_keys_.record(body.digest, revision);
+            if constexpr (requires { body.in_service; })
+                if (parts_.data_centres.contains(body.data_centre))
+                    changed_data_centres_.record(body.data_centre, revision);
         },
         it);
 }
@@ -300,6 +322,8 @@
         out.servers.emplace(it, parts_.servers.at(it));
     for (auto const& it : changed_groups_.changed_after(revision))
         out.groups.emplace(it, parts_.groups.at(it));
+    for (auto const& it : changed_data_centres_.changed_after(revision))
+        out.data_centres.emplace(it, parts_.data_centres.at(it));
     return out;
 }
 
@@ -355,6 +379,11 @@
     }
     for (auto const& digest : it.withdrawn)
         withdrawn_keys_.record(digest, it.revision);
+    for (auto const& [data_centre, entry] : it.data_centres)
+    {
+        parts_.data_centres.insert_or_assign(data_centre, entry);
+        changed_data_centres_.record(data_centre, it.revision);
+    }
     return true;
 }
 
@@ -394,6 +423,43 @@
     return servers == nullptr ? empty : *servers;
 }
 
+bool control_state::is_in_service(data_centre_name const& it) const
+{
+    auto const* const entry = find_in(parts_.data_centres, it);
+    return entry == nullptr || entry->in_service;
+}
+
+std::size_t control_state::count_out_of_service() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(parts_.data_centres.begin(), parts_.data_centres.end(),
+                      [](auto const& it) { return !it.second.in_service; }));
+}
+
+bool control_state::is_leaving(server_entry const& it) const
+{
+    return it.is_leaving || !is_in_service(it.data_centre);
+}
+
+bool control_state::is_eligible_primary(server_entry const& it) const
+{
+    return !it.is_removed && it.health != verdict::down && !is_leaving(it);
+}
+
+bool control_state::is_out_of_service(group_name const& it) const
+{
+    bool has_stopped = false;
+    for (auto const& name : servers_of(it))
+    {
+        auto const& server = parts_.servers.at(name);
+        if (is_eligible_primary(server))
+            return false;
+        has_stopped = has_stopped || (!server.is_leaving &&
+                                      !is_in_service(server.data_centre));
+    }
+    return has_stopped;
+}
+
 std::uint64_t control_state::digest() const
 {
     canonical_hash h;
@@ -407,6 +473,9 @@
     h.add(parts_.history.size());
     for (auto const& entry : parts_.history)
         add_to(h, entry);
+    // Without such rows the digest is that of earlier versions.
+    if (!parts_.data_centres.empty())
+        add_to(h, parts_.data_centres);
     return h.value();
 }
 
@@ -652,7 +721,7 @@
         return refuse(refusal_reason::unknown_server);
     if (server->health == verdict::down)
         return refuse(refusal_reason::server_down);
-    if (server->is_leaving)
+    if (is_leaving(*server))
         return refuse(refusal_reason::server_leaving);
     entry->term = body.term;
     entry->primary = body.server;
@@ -675,6 +744,18 @@
     return accept();
 }
 
+// Each command has one answer, whatever the state is, so that a repeated
+// command gets the answer of the first one.
+first_answer control_state::apply_data_centre_service(command const& it)
+{
+    auto const& body = std::get<set_data_centre_service>(it.body);
+    if (!body.in_service)
+        parts_.data_centres[body.data_centre].in_service = false;
+    else if (auto* const entry = find_in(parts_.data_centres, body.data_centre))
+        entry->in_service = true;
+    return accept();
+}
+
 first_answer control_state::accept() const
 {
     return accepted{parts_.revision, parts_.rules_version};
--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -21,6 +21,8 @@
     reason_text{promotion_reason::no_primary, "no_primary"},
     reason_text{promotion_reason::primary_down, "primary_down"},
     reason_text{promotion_reason::primary_leaving, "primary_leaving"},
+    reason_text{promotion_reason::data_centre_stopped, "data_centre_stopped"},
+    reason_text{promotion_reason::waiting_for_turn, "waiting_for_turn"},
     reason_text{promotion_reason::waiting_for_daemons, "waiting_for_daemons"},
     reason_text{promotion_reason::waiting_for_majority, "waiting_for_majority"},
     reason_text{promotion_reason::acknowledged_write_missing,
@@ -101,6 +103,7 @@
         changes_.push_back({initial_revision_, elected_at});
     for (auto const& [group, entry] : state.parts().groups)
         changed_groups_.insert(group);
+    resume_planned_changes(elected_at);
 }
 
 void leader::receive(leader_input it)
@@ -114,16 +117,20 @@
         (this->*handlers[it.index()])(it, now);
     expire_leases(now);
     update_revision_in_force(now);
+    expire_planned_changes(now);
+    wake_waiting_changes(now);
+    examine_groups();
     run_promotions(now);
     return std::exchange(out_, {});
 }
 
 instant leader::next_deadline() const
 {
-    if (!inbox_.empty() || !changed_groups_.empty())
+    if (!inbox_.empty() || !changed_groups_.empty() || next_examined_ ||
+        can_start_waiting_change())
         return instant::min();
-    return std::min(
-        {lease_deadlines_.next(), removals_.next(), group_deadlines_.next()});
+    return std::min({lease_deadlines_.next(), removals_.next(),
+                     group_deadlines_.next(), planned_deadlines_.next()});
 }
 
 lease_counts leader::leases() const
@@ -185,6 +192,8 @@
     if (auto const* const body =
             std::get_if<choose_primary>(&applied.entry.body))
         promotions_[body->group].chosen_term = body->term;
+    if (std::holds_alternative<set_data_centre_service>(applied.entry.body))
+        next_examined_ = group_name{};
     if (auto group = affected_group(state_, applied.entry.body))
         changed_groups_.insert(std::move(*group));
 }
@@ -260,6 +269,85 @@
     }
 }
 
+// Marks the next groups as changed after the service of a data centre changed.
+void leader::examine_groups()
+{
+    if (!next_examined_)
+        return;
+    auto const& groups = state_.parts().groups;
+    auto it = groups.lower_bound(*next_examined_);
+    for (std::size_t n = 0; n != settings_.groups_per_tick; ++n)
+    {
+        if (it == groups.end())
+            return next_examined_.reset();
+        changed_groups_.insert(it->first);
+        ++it;
+    }
+    next_examined_ =
+        it == groups.end() ? std::nullopt : std::optional(it->first);
+}
+
+// Counts the changes of primary that an earlier leader has begun.
+void leader::resume_planned_changes(instant now)
+{
+    if (state_.count_out_of_service() == 0)
+        return;
+    for (auto const& [group, entry] : state_.parts().groups)
+        if (entry.phase != group_phase::serving)
+        {
+            planned_changes_.insert(group);
+            planned_deadlines_.set(group,
+                                   now + settings_.planned_change_timeout);
+        }
+}
+
+bool leader::start_planned_change(group_name const& group, instant now)
+{
+    if (planned_changes_.contains(group))
+        return true;
+    if (planned_changes_.size() >= settings_.planned_changes)
+    {
+        waiting_changes_.set(group, now);
+        return false;
+    }
+    waiting_changes_.erase(group);
+    planned_changes_.insert(group);
+    planned_deadlines_.set(group, now + settings_.planned_change_timeout);
+    return true;
+}
+
+void leader::end_planned_change(group_name const& group)
+{
+    waiting_changes_.erase(group);
+    planned_changes_.erase(group);
+    planned_deadlines_.erase(group);
+}
+
+// A group that has not begun to replace its primary waits for another turn. One
+// that has begun continues without counting.
+void leader::expire_planned_changes(instant now)
+{
+    while (auto const group = planned_deadlines_.pop_due(now))
+    {
+        planned_changes_.erase(*group);
+        if (state_.find(*group)->phase == group_phase::serving)
+            waiting_changes_.set(*group, now);
+    }
+}
+
+bool leader::can_start_waiting_change() const
+{
+    return planned_changes_.size() < settings_.planned_changes &&
+           waiting_changes_.next() != never;
+}
+
+void leader::wake_waiting_changes(instant now)
+{
+    for (auto n = planned_changes_.size(); n < settings_.planned_changes; ++n)
+        if (auto group = waiting_changes_.pop_due(now))
+            changed_groups_.insert(std::move(*group));
+}
+
 void leader::run_promotions(instant now)
 {
     while (auto group = group_deadlines_.pop_due(now))
@@ -382,6 +470,15 @@
     auto const& entry = *state_.find(group);
     auto& row = promotions_[group];
     auto const reason = reason_to_replace(group);
+    if (reason != promotion_reason::data_centre_stopped)
+        end_planned_change(group);
+    else if (!start_planned_change(group, now))
+    {
+        row.round.reset();
+        row.positions.clear();
+        return log_decision(group, entry.primary,
+                            promotion_reason::waiting_for_turn);
+    }
     if (reason && state_.is_server_checked(group))
     {
         if (!row.round)
@@ -430,16 +527,14 @@
     if (primary->health == verdict::down)
         return promotion_reason::primary_down;
     // A leaving primary stays the primary until another server can take over.
-    bool const has_successor =
-        std::any_of(servers.begin(), servers.end(),
-                    [this](auto const& it) { return is_eligible_primary(it); });
     auto const reachable =
         std::count_if(servers.begin(), servers.end(),
                       [this](auto const& it)
                       { return state_.find(it)->health != verdict::down; });
-    if (primary->is_leaving && has_successor &&
+    if (state_.is_leaving(*primary) && has_eligible_primary(group) &&
         static_cast<std::size_t>(reachable) >= majority_of(servers.size()))
-        return promotion_reason::primary_leaving;
+        return primary->is_leaving ? promotion_reason::primary_leaving
+                                   : promotion_reason::data_centre_stopped;
     return std::nullopt;
 }
 
@@ -454,14 +549,10 @@
     auto const& primary = *state_.find(*group.primary);
     if (primary.health == verdict::down)
         return promotion_reason::primary_down;
-    if (!primary.is_leaving)
+    if (!state_.is_leaving(primary) || !has_eligible_primary(primary.group))
         return std::nullopt;
-    auto const& servers = state_.servers_of(primary.group);
-    bool const has_successor =
-        std::any_of(servers.begin(), servers.end(),
-                    [this](auto const& it) { return is_eligible_primary(it); });
-    return has_successor ? std::optional{promotion_reason::primary_leaving}
-                         : std::nullopt;
+    return primary.is_leaving ? promotion_reason::primary_leaving
+                              : promotion_reason::data_centre_stopped;
 }
 
 void leader::run_fencing(group_name const& group, instant now)
@@ -490,7 +581,7 @@
     // therefore chooses again, with a higher term.
     bool const is_own =
         row.chosen_term == entry.term || !state_.is_server_checked(group);
-    if (is_eligible_primary(candidate) && !is_refused && is_own)
+    if (is_valid_candidate(candidate) && !is_refused && is_own)
     {
         // Positions that were reported for the choice of this candidate must
         // not count in the choice of the next one.
@@ -648,6 +739,22 @@
 }
 
 bool leader::is_eligible_primary(server_name const& server) const
+{
+    return state_.is_eligible_primary(*state_.find(server));
+}
+
+bool leader::has_eligible_primary(group_name const& group) const
+{
+    auto const& servers = state_.servers_of(group);
+    return std::any_of(servers.begin(), servers.end(),
+                       [this](auto const& it)
+                       { return is_eligible_primary(it); });
+}
+
+// A promotion to a server of a data centre that has gone out of service since
+// is completed, and another one follows: the server may already have become the
+// primary.
+bool leader::is_valid_candidate(server_name const& server) const
 {
     auto const* const entry = state_.find(server);
     return entry->health != verdict::down && !entry->is_leaving &&
--- a/packages/daemon/src/forward_codec.cpp
+++ b/packages/daemon/src/forward_codec.cpp
@@ -158,7 +158,8 @@
 std::optional<traffic::refuse> read_refusal(messages::forward_refusal const& it)
 {
     auto const outcome = to_enum(it.outcome, traffic::refusal_outcome::unknown);
-    auto const reason = to_enum(it.reason, traffic::refusal_reason::behind);
+    auto const reason =
+        to_enum(it.reason, traffic::refusal_reason::out_of_service);
     if (!outcome || !reason)
         return std::nullopt;
     return traffic::refuse{traffic::session_id{it.session}, *outcome, *reason,
--- a/packages/daemon/src/refusal_text.cpp
+++ b/packages/daemon/src/refusal_text.cpp
@@ -33,10 +33,12 @@
     refusal_entry{"57P03", "the primary does not answer"},
     refusal_entry{"57P03", "the primary is being replaced"},
     refusal_entry{"57P03", "the control state of the host is not current"},
+    refusal_entry{"57P03", "the data centre is out of service"},
 };
 
-static_assert(refusals.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::behind) + 1);
+static_assert(
+    refusals.size() ==
+    static_cast<std::size_t>(traffic::refusal_reason::out_of_service) + 1);
 
 // Indexed by traffic::refusal_reason.
 constexpr std::array cause_names = {"unknown_route",
@@ -54,10 +56,13 @@
                                     "draining",
                                     "server_silent",
                                     "no_primary",
-                                    "behind"};
+                                    "behind",
+                                    "out_of_service"};
+
+static_assert(
+    cause_names.size() ==
+    static_cast<std::size_t>(traffic::refusal_reason::out_of_service) + 1);
 
-static_assert(cause_names.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::behind) + 1);
 constexpr char unknown_outcome_sqlstate[] = "08007";
 
 } // namespace
--- a/packages/daemon/src/statement_errors.cpp
+++ b/packages/daemon/src/statement_errors.cpp
@@ -49,10 +49,12 @@
     statement_error::busy,             // server_silent
     statement_error::busy,             // no_primary
     statement_error::busy,             // behind
+    statement_error::busy,             // out_of_service
 };
 
-static_assert(not_run_errors.size() ==
-              static_cast<std::size_t>(traffic::refusal_reason::behind) + 1);
+static_assert(
+    not_run_errors.size() ==
+    static_cast<std::size_t>(traffic::refusal_reason::out_of_service) + 1);
 
 } // namespace
 
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -27,8 +27,10 @@
     for (auto const& [name, it] : state.parts().servers)
         if (!it.is_removed)
             view.servers.emplace(
-                name, traffic::server_view{it.group, it.data_centre, it.address,
-                                           is_down(state, it), it.is_leaving});
+                name,
+                traffic::server_view{it.group, it.data_centre, it.address,
+                                     is_down(state, it), state.is_leaving(it),
+                                     !state.is_in_service(it.data_centre)});
 }
 
 void add_groups(control::control_state const& state,
@@ -38,6 +40,7 @@
     {
         traffic::group_view group;
         group.term = it.term;
+        group.is_out_of_service = state.is_out_of_service(name);
         if (it.phase == control::group_phase::serving)
             group.primary = it.primary;
         // Replicas report the previous term until the chosen server has
--- a/packages/daemon/test/statement_errors_test.cpp
+++ b/packages/daemon/test/statement_errors_test.cpp
@@ -74,6 +74,7 @@
         row{refusal_reason::draining, statement_error::aborted},
         row{refusal_reason::server_silent, statement_error::busy},
         row{refusal_reason::no_primary, statement_error::busy},
+        row{refusal_reason::out_of_service, statement_error::busy},
     };
     for (auto const& it : rows)
     {
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -310,6 +310,13 @@
     d(v.text, w.text);
 }
 
+template <class D, class V>
+void map_fields(D d, V& v, wire::set_data_centre_serviceT& w)
+{
+    d(v.data_centre, w.data_centre);
+    d(v.in_service, w.in_service);
+}
+
 template <class D, class V>
 void map_fields(D d, V& v, wire::report_verdictT& w)
 {
@@ -372,6 +379,12 @@
     d(v.fenced_at, w.fenced_at);
 }
 
+template <class D, class V>
+void map_fields(D d, V& v, wire::data_centre_entryT& w)
+{
+    d(v.in_service, w.in_service);
+}
+
 template <class D, class V>
 void map_fields(D d, V& v, wire::join_requestT& w)
 {
@@ -995,7 +1008,8 @@
                                       wire::begin_fencingT,
                                       wire::choose_primaryT,
                                       wire::confirm_primaryT,
-                                      wire::offer_rulesT>;
+                                      wire::offer_rulesT,
+                                      wire::set_data_centre_serviceT>;
 
 using peer_wire_types = std::tuple<wire::pre_vote_requestT,
                                    wire::pre_vote_replyT,
@@ -1185,6 +1199,7 @@
     w.servers = encode_entries<wire::server_entryT>(v.servers);
     w.groups = encode_entries<wire::group_entryT>(v.groups);
     w.history = encode_list<wire::history_entryT>(v.history);
+    w.data_centres = encode_entries<wire::data_centre_entryT>(v.data_centres);
 }
 
 void map_fields(from_wire d, control_parts& v, wire::control_partsT const& w)
@@ -1199,6 +1214,7 @@
     decode_entries(w.groups, v.groups);
     for (auto const& it : w.history)
         v.history.push_back(decode_table<control::history_entry>(*it));
+    decode_entries(w.data_centres, v.data_centres);
 }
 
 void map_fields(to_wire d,
@@ -1232,6 +1248,7 @@
     encode_digests(v.withdrawn, w.withdrawn);
     w.servers = encode_entries<wire::server_entryT>(v.servers);
     w.groups = encode_entries<wire::group_entryT>(v.groups);
+    w.data_centres = encode_entries<wire::data_centre_entryT>(v.data_centres);
 }
 
 void map_fields(from_wire d,
@@ -1245,6 +1262,7 @@
     decode_digests(w.withdrawn, v.withdrawn);
     decode_entries(w.servers, v.servers);
     decode_entries(w.groups, v.groups);
+    decode_entries(w.data_centres, v.data_centres);
 }
 
 template <class Wire, class Value>
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -29,6 +29,8 @@
     parts.groups[group_name("g")] = {3, control::group_phase::fencing,
                                      server_name("s"), 8};
     parts.groups[group_name("h")] = {};
+    parts.data_centres[data_centre_name("a")] = {false};
+    parts.data_centres[data_centre_name("b")] = {true};
     auto const add = [&parts](control::first_answer const& answer)
     {
         parts.history.push_back(
@@ -56,6 +58,7 @@
     update.withdrawn = parts.withdrawn;
     update.servers = parts.servers;
     update.groups = parts.groups;
+    update.data_centres = parts.data_centres;
     admin_reply reply{1, "", "", "SHOW", {"a"}, {{{"x"}}, {{"y"}}}};
     limits::token_request tokens;
     tokens.last_grant = {1, 2};
@@ -190,6 +193,21 @@
     CHECK(decode_parts(encode_parts(parts)).value() == parts);
 }
 
+// Guards against a command that is decoded as another one: logs on disk contain
+// the number of its type.
+TEST_CASE("decoding an encoded command gives the same command")
+{
+    for (bool const in_service : {false, true})
+    {
+        control::command const it{{},
+                                  "call",
+                                  control::set_data_centre_service{
+                                      data_centre_name("a"), in_service}};
+        CHECK(decode_command(encode_command(it)).value() == it);
+        CHECK(it.body.index() == 13);
+    }
+}
+
 TEST_CASE("decoding a truncated or damaged message does not crash")
 {
     std::mt19937 random(7);
--- a/packages/traffic/include/basilreach/traffic/control_view.hpp
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -26,6 +26,9 @@
     std::string address;
     bool is_down = false;
     bool is_leaving = false;
+    // The data centre of the server is out of service: open transactions end
+    // after engine_settings::out_of_service_grace.
+    bool is_out_of_service = false;
 
     friend bool operator==(server_view const&, server_view const&) = default;
 };
@@ -43,6 +46,9 @@
     // Replicas that receive a commit before it is acknowledged, in a
     // server-checked group.
     std::uint32_t sync_replicas = 0;
+    // No server may be the primary, because their data centres are out of
+    // service. What only the primary may run is refused at once.
+    bool is_out_of_service = false;
 
     friend bool operator==(group_view const&, group_view const&) = default;
 };
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -173,6 +173,9 @@
     // The row is a daemon that runs forwarded statements. It belongs to no
     // group of the control view, and has no limit of connections and no queue.
     bool is_holder = false;
+    bool is_out_of_service = false;
+    // The data centre has been out of service for out_of_service_grace.
+    bool ends_transactions = false;
     std::optional<log_position> position;
     // Connections that this thread may have open to the server.
     std::uint32_t connection_share = 0;
@@ -225,6 +228,7 @@
     std::uint32_t slots = 3;
     rules::position_check checked_by = rules::position_check::proxy;
     std::uint32_t sync_replicas = 0;
+    bool is_out_of_service = false;
     // Until then nothing is sent to the primary, because that server answered
     // that it is not the primary.
     instant primary_refused_until;
@@ -256,7 +260,8 @@
     server_dispatch,
     primary_retry,
     server_silence,
-    view_confirmation
+    view_confirmation,
+    out_of_service
 };
 
 struct timer_key
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -94,6 +94,10 @@
     // loss of their group's primary is confirmed. Shorter than the leader's
     // confirmation timeout, after which the daemon would get no lease.
     duration fence_wait = std::chrono::milliseconds(150);
+    // Time for which transactions that are open at a server of a data centre
+    // out of service may continue. It leaves half of the 5 s within which the
+    // last statement must reach such a server for the command to arrive here.
+    duration out_of_service_grace = std::chrono::milliseconds(2500);
     // Whether statements need a rate token.
     bool limits_enabled = true;
     // Name of this engine as a holder of rate tokens; unique in each thread.
--- a/packages/traffic/include/basilreach/traffic/refusal.hpp
+++ b/packages/traffic/include/basilreach/traffic/refusal.hpp
@@ -35,7 +35,10 @@
     // The group has no primary, and is not expected to have one in time.
     no_primary,
     // The holder's control view is older than the sender's.
-    behind
+    behind,
+    // The data centres of the servers that may run the statement are out of
+    // service.
+    out_of_service
 };
 
 } // namespace basilreach::traffic
--- a/packages/traffic/src/control_adoption.cpp
+++ b/packages/traffic/src/control_adoption.cpp
@@ -22,6 +22,19 @@
     return id;
 }
 
+void adopt_service(state& s, server_row_id id, bool is_out_of_service)
+{
+    auto* row = s.servers.find(id);
+    if (std::exchange(row->is_out_of_service, is_out_of_service) ==
+        is_out_of_service)
+        return;
+    timer_key const timer{timer_kind::out_of_service, id};
+    row->ends_transactions = false;
+    if (is_out_of_service)
+        return s.timers.set(timer, s.now + s.settings.out_of_service_grace);
+    s.timers.erase(timer);
+}
+
 void adopt_server(state& s, server_name const& name, server_view const& view)
 {
     auto found = s.server_by_name.find(name);
@@ -52,8 +65,12 @@
     row->address = view.address;
     row->data_centre = view.data_centre;
     row->is_down = view.is_down;
+    // Statements may wait for this server as the primary.
+    if (row->is_leaving && !view.is_leaving)
+        route_waiting_for_primary(s, *s.groups.find(row->group));
     row->is_leaving = view.is_leaving;
     row->is_removed = false;
+    adopt_service(s, found->second, view.is_out_of_service);
     if (view.is_leaving)
         while (!row->idle.empty())
             drop_connection(s, row->idle.back());
@@ -140,6 +157,9 @@
     group->slots = view.slots;
     group->checked_by = view.checked_by;
     group->sync_replicas = view.sync_replicas;
+    group->is_out_of_service = view.is_out_of_service;
+    if (group->is_out_of_service)
+        route_waiting_for_primary(s, *group);
     if (group->term == view.term && group->primary == primary)
         return;
     if (view.checked_by == rules::position_check::server)
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -198,6 +198,27 @@
                  s.now + s.settings.silence_report_interval);
 }
 
+// Ends the transactions at a server of a data centre out of service. Statements
+// in progress are answered first; no other one follows in their transactions.
+void end_transactions(state& s, row_id id)
+{
+    auto* server = s.servers.find(id);
+    if (server == nullptr || !server->is_out_of_service)
+        return;
+    server->ends_transactions = true;
+    auto const connections = server->connections;
+    for (auto const connection : connections)
+    {
+        auto const* row = s.connections.find(connection);
+        if (row != nullptr && row->state == connection_state::pinned)
+            handle_connection_loss(s, connection,
+                                   refusal_reason::transaction_lost);
+    }
+    if (!server->connections.empty())
+        s.timers.set({timer_kind::out_of_service, id},
+                     s.now + s.settings.silence_report_interval);
+}
+
 // The stage confirm_view() runs in each tick.
 void expire_view_confirmation(state& /*s*/, row_id /*id*/)
 {
@@ -206,11 +227,11 @@
 using expiry = void (*)(state&, row_id);
 
 // Indexed by timer_kind.
-constexpr std::array<expiry, 10> expiries = {
-    expire_request,          expire_read_try,      expire_position_wait,
-    expire_token_wait,       expire_connection,    expire_group_poll,
-    expire_server_dispatch,  expire_primary_retry, expire_server_silence,
-    expire_view_confirmation};
+constexpr std::array<expiry, 11> expiries = {
+    expire_request,           expire_read_try,      expire_position_wait,
+    expire_token_wait,        expire_connection,    expire_group_poll,
+    expire_server_dispatch,   expire_primary_retry, expire_server_silence,
+    expire_view_confirmation, end_transactions};
 
 } // namespace
 
--- a/packages/traffic/src/overload.cpp
+++ b/packages/traffic/src/overload.cpp
@@ -111,14 +111,13 @@
 using wait_function = duration (*)(state const&, request_row const&);
 
 // Indexed by refusal_reason; empty where waiting does not help.
-constexpr std::array<wait_function, 16> wait_functions = {
-    nullptr,    nullptr,    nullptr, nullptr,      token_wait,
-    queue_wait, queue_wait, nullptr, nullptr,      nullptr,
-    nullptr,    nullptr,    nullptr, silence_wait, primary_wait,
-    nullptr};
+constexpr std::array<wait_function, 17> wait_functions = {
+    nullptr,    nullptr,      nullptr,      nullptr, token_wait, queue_wait,
+    queue_wait, nullptr,      nullptr,      nullptr, nullptr,    nullptr,
+    nullptr,    silence_wait, primary_wait, nullptr, nullptr};
 
 static_assert(wait_functions.size() ==
-              static_cast<std::size_t>(refusal_reason::behind) + 1);
+              static_cast<std::size_t>(refusal_reason::out_of_service) + 1);
 
 // Returns a fraction in [0, 1) that differs between the statements of all
 // clients.
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -441,6 +441,14 @@
     enqueue(s, id, request, *server, group.primary == server);
 }
 
+// Whether the transaction is open at a server to which nothing more may be
+// sent.
+bool has_to_end(state const& s, transaction const& it)
+{
+    auto const server = s.connections.find(it.connection)->server;
+    return s.servers.find(server)->ends_transactions;
+}
+
 void send_in_transaction(state& s,
                          request_row_id id,
                          request_row& request,
@@ -465,6 +473,12 @@
         is_fenced(*s.groups.find(request->group)))
         return refuse_request(s, id, refusal_outcome::not_run,
                               refusal_reason::transaction_lost);
+    if (session.in_transaction && has_to_end(s, *session.in_transaction))
+    {
+        abort_transaction_of(s, *s.sessions.find(request->session));
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::transaction_lost);
+    }
     if (session.in_transaction)
         return send_in_transaction(s, id, *request, *session.in_transaction);
     if (request->is_read && is_server_checked(s, *request))
@@ -518,6 +532,9 @@
 {
     withdraw_expectations(s, id);
     auto* group = s.groups.find(request.group);
+    if (group->is_out_of_service)
+        return refuse_request(s, id, refusal_outcome::not_run,
+                              refusal_reason::out_of_service);
     if (!can_wait_for_primary(s, *group, request))
         return refuse_request(s, id, refusal_outcome::not_run,
                               refusal_reason::no_primary);
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -4,6 +4,7 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
 #include <map>
 #include <set>
 #include <string>
@@ -1078,3 +1079,109 @@
     REQUIRE(query);
     CHECK(f.opened.at(query->connection).server == server_name("s1"));
 }
+
+namespace
+{
+
+// The data centre of the primary, s1, is out of service.
+control_view make_stopped_view(std::uint64_t revision, bool has_successor)
+{
+    auto view = make_view();
+    view.revision = revision;
+    auto& server = view.servers.at(server_name("s1"));
+    server.is_leaving = true;
+    server.is_out_of_service = true;
+    view.groups.at(group_name("g")).is_out_of_service = !has_successor;
+    return view;
+}
+
+} // namespace
+
+// Guards against statements that wait until their deadline for a primary that
+// cannot come.
+TEST_CASE("without a successor, statements for the primary are refused at once")
+{
+    fixture f;
+    for (std::uint64_t id = 1; id != 4; ++id)
+        f.open_session(id, "intake");
+    f.write(1, {3, 10});
+    f.adopt(make_stopped_view(2, true));
+    f.it->push(statement_received{session_id{1}, statement_verb::write});
+    f.run();
+    CHECK(f.actions.end() ==
+          std::find_if(f.actions.begin(), f.actions.end(),
+                       [](auto const& it)
+                       { return std::holds_alternative<refuse>(it); }));
+    auto const is_refused = [&f](std::uint64_t id)
+    {
+        auto const refused = f.find<refuse>();
+        REQUIRE(refused.has_value());
+        CHECK(refused->session == session_id{id});
+        CHECK(refused->outcome == refusal_outcome::not_run);
+        CHECK(refused->reason == refusal_reason::out_of_service);
+        CHECK_FALSE(f.find<send_statement>().has_value());
+    };
+    // The replicas elsewhere are lost while the statement waits.
+    f.adopt(make_stopped_view(3, false));
+    is_refused(1);
+    f.it->push(statement_received{session_id{2}, statement_verb::write});
+    f.run();
+    is_refused(2);
+}
+
+// Guards against a statement that waits until its deadline although the data
+// centre of the primary is back in service.
+TEST_CASE("a waiting statement runs when the data centre returns")
+{
+    fixture f;
+    f.open_session(1, "intake");
+    f.adopt(make_stopped_view(2, true));
+    f.it->push(statement_received{session_id{1}, statement_verb::write});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    auto view = make_view();
+    view.revision = 3;
+    f.adopt(view);
+    auto const sent = f.find<send_statement>();
+    REQUIRE(sent.has_value());
+    CHECK(f.server_of(*sent) == "s1");
+}
+
+// Guards against statements of long transactions that reach a server of a data
+// centre that has been out of service for seconds.
+TEST_CASE("transactions at a server out of service end after a grace time")
+{
+    fixture f(8);
+    auto const begin = [&f](std::uint64_t id)
+    {
+        f.open_session(id, "intake");
+        auto const sent =
+            f.send(id, statement_verb::write, transaction_opening::read_write);
+        f.answer(sent, {3, 10}, true, transaction_status::in_transaction);
+        return sent.connection;
+    };
+    auto const idle = begin(1);
+    begin(2);
+    f.adopt(make_stopped_view(2, true));
+    f.now += 2400ms;
+    auto const busy = f.send(2, statement_verb::write);
+    CHECK(f.server_of(busy) == "s1");
+    f.now += 100ms;
+    f.run();
+    auto const aborted = f.find<abort_transaction>();
+    REQUIRE(aborted.has_value());
+    CHECK(aborted->session == session_id{1});
+    auto const closed = f.find<close_connection>();
+    REQUIRE(closed.has_value());
+    CHECK(closed->connection == idle);
+    // The statement in progress is answered; the next one is not sent.
+    f.answer(busy, {3, 11}, true, transaction_status::in_transaction);
+    CHECK(f.find<relay_answer>().has_value());
+    f.it->push(statement_received{session_id{2}, statement_verb::write});
+    f.run();
+    CHECK_FALSE(f.find<send_statement>().has_value());
+    auto const refused = f.find<refuse>();
+    REQUIRE(refused.has_value());
+    CHECK(refused->outcome == refusal_outcome::not_run);
+    CHECK(refused->reason == refusal_reason::transaction_lost);
+}
