platform: Add the calls that take a data centre out of service

The test harness of control hosts can now restart a host from what it has stored, for the test that an acknowledged order survives a restart.

--- a/packages/daemon/include/basilreach/daemon/control_api_codec.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_api_codec.hpp
@@ -44,8 +44,20 @@
                            deregister_server const&) = default;
 };
 
-using control_call =
-    std::variant<put_rules, get_rules, report_server, deregister_server>;
+struct set_data_centre_service
+{
+    data_centre_name data_centre;
+    bool in_service = true;
+
+    friend bool operator==(set_data_centre_service const&,
+                           set_data_centre_service const&) = default;
+};
+
+using control_call = std::variant<put_rules,
+                                  get_rules,
+                                  report_server,
+                                  deregister_server,
+                                  set_data_centre_service>;
 
 enum class call_outcome : std::uint8_t
 {
--- a/packages/daemon/include/basilreach/daemon/control_host.hpp
+++ b/packages/daemon/include/basilreach/daemon/control_host.hpp
@@ -198,6 +198,7 @@
     void run_call(std::uint64_t id, get_rules const& it);
     void run_call(std::uint64_t id, report_server const& it);
     void run_call(std::uint64_t id, deregister_server const& it);
+    void run_call(std::uint64_t id, set_data_centre_service const& it);
     void commit_call(std::uint64_t id,
                      std::optional<control::command_body> const& it);
     [[nodiscard]] bool record_link(daemon_name const& daemon, link_id link);
--- a/packages/daemon/src/control_host_calls.cpp
+++ b/packages/daemon/src/control_host_calls.cpp
@@ -48,6 +48,14 @@
     commit_call(id, monitor_->remove(it.server));
 }
 
+// Committed even if the state has this value already: it may be the value of a
+// command that is not committed yet, or this host may no longer lead.
+void control_host::run_call(std::uint64_t id, set_data_centre_service const& it)
+{
+    commit_call(
+        id, control::set_data_centre_service{it.data_centre, it.in_service});
+}
+
 void control_host::commit_call(std::uint64_t id,
                                std::optional<control::command_body> const& it)
 {
--- a/packages/daemon/test/control_host_test.cpp
+++ b/packages/daemon/test/control_host_test.cpp
@@ -111,6 +111,21 @@
         context_.decisions = &decisions_;
         choose_protocol(context_);
         store_state(context_.settings);
+        open();
+    }
+    restarted_host(restarted_host const&) = delete;
+    restarted_host& operator=(restarted_host const&) = delete;
+
+    ~restarted_host()
+    {
+        host.reset();
+        std::filesystem::remove_all(directory_);
+    }
+
+    // Starts the host from what it has stored.
+    void open()
+    {
+        host.reset();
         control_host_outputs outputs;
         outputs.send_to_host =
             [this](auto const& to, messages::message const& it)
@@ -149,14 +164,6 @@
         REQUIRE(opened);
         host = std::move(opened.value());
     }
-    restarted_host(restarted_host const&) = delete;
-    restarted_host& operator=(restarted_host const&) = delete;
-
-    ~restarted_host()
-    {
-        host.reset();
-        std::filesystem::remove_all(directory_);
-    }
 
     // A daemon without a state asks for its first update.
     void subscribe()
@@ -177,15 +184,16 @@
     void elect()
     {
         host->tick(host->next_deadline());
-        receive(stored_term, consensus::pre_vote_reply{stored_term + 1, true});
-        receive(stored_term + 1, consensus::vote_reply{true});
+        ++elected_term;
+        receive(elected_term - 1,
+                consensus::pre_vote_reply{elected_term, true});
+        receive(elected_term, consensus::vote_reply{true});
     }
 
     // The peer has stored the log, with the first entry of the new term.
-    void replicate()
+    void replicate(std::uint64_t index = logged_revision + 1)
     {
-        receive(stored_term + 1,
-                consensus::append_reply{true, logged_revision + 1, 1});
+        receive(elected_term, consensus::append_reply{true, index, 1});
     }
 
     // A process of the daemon asks for tokens. Returns the links over which it
@@ -208,6 +216,8 @@
         return answered;
     }
 
+    // Term of the last election.
+    std::uint64_t elected_term = stored_term;
     std::vector<std::pair<link_id, std::uint64_t>> answered;
     std::vector<daemon_name> granted;
     std::vector<control::state_update> updates;
@@ -369,3 +379,66 @@
                              {second_call, call_outcome::done}});
     CHECK(it.host->state().parts().rules_version == logged_revision + 2);
 }
+
+// Guards against an order that is acknowledged and then lost: the leader may
+// die before the entry is on a majority.
+TEST_CASE("an order on a data centre is acknowledged once it is committed")
+{
+    using calls = std::vector<std::pair<std::uint64_t, call_outcome>>;
+    data_centre_name const data_centre("b");
+    set_data_centre_service const order{data_centre, false};
+    restarted_host it;
+    it.host->call(1, order, read_clock());
+    CHECK(it.called == calls{{1, call_outcome::unavailable}});
+    it.elect();
+    it.replicate();
+    it.host->tick(read_clock());
+    it.called.clear();
+    // Two operators give the same order.
+    it.host->call(2, order, read_clock());
+    it.host->call(3, order, read_clock());
+    it.host->tick(read_clock());
+    CHECK(it.called.empty());
+    CHECK(it.host->state().is_in_service(data_centre));
+    it.receive(stored_term + 1,
+               consensus::append_reply{true, logged_revision + 3, 2});
+    CHECK(it.called == calls{{2, call_outcome::done}, {3, call_outcome::done}});
+    CHECK_FALSE(it.host->state().is_in_service(data_centre));
+    // The host loses its term before the next one is committed.
+    it.called.clear();
+    it.host->call(4, set_data_centre_service{data_centre, true}, read_clock());
+    it.host->tick(read_clock());
+    it.receive(stored_term + 2, consensus::append_request{});
+    CHECK(it.called == calls{{4, call_outcome::unavailable}});
+    CHECK_FALSE(it.host->state().is_in_service(data_centre));
+    // It knows the next leader now.
+    it.called.clear();
+    it.host->call(5, order, read_clock());
+    CHECK(it.called == calls{{5, call_outcome::redirect}});
+}
+
+// Guards against an acknowledged order that is lost when all control hosts lose
+// power.
+TEST_CASE("an acknowledged order on a data centre survives a restart")
+{
+    using calls = std::vector<std::pair<std::uint64_t, call_outcome>>;
+    data_centre_name const data_centre("b");
+    set_data_centre_service const order{data_centre, false};
+    restarted_host it;
+    it.elect();
+    it.replicate();
+    it.host->call(1, order, read_clock());
+    it.host->tick(read_clock());
+    it.replicate(logged_revision + 2);
+    REQUIRE(it.called == calls{{1, call_outcome::done}});
+    it.open();
+    it.elect();
+    it.replicate(logged_revision + 3);
+    CHECK_FALSE(it.host->state().is_in_service(data_centre));
+    // The caller did not get the answer and repeats the call.
+    it.called.clear();
+    it.host->call(2, order, read_clock());
+    it.host->tick(read_clock());
+    it.replicate(logged_revision + 4);
+    CHECK(it.called == calls{{2, call_outcome::done}});
+}
