cli: Add commands that take a data centre out of service

basilreach data-centre stop|start NAME and DATA CENTRE STOP|START name on the admin console give the same order as the calls of the control API. SHOW STATUS has a row for each data centre that has been out of service, the control hosts log committed orders as event=data_centre_service, and the metric data_centres_out_of_service counts them.

The expected text of the console's syntax error names the new command.

--- a/packages/cli/include/basilreach/cli/admin_command.hpp
+++ b/packages/cli/include/basilreach/cli/admin_command.hpp
@@ -107,6 +107,22 @@
                             remove_control_host const&) = default;
 };
 
+enum class service_state : std::uint8_t
+{
+    out_of_service,
+    in_service
+};
+
+// Takes the servers of a data centre out of service, or back into service.
+struct set_data_centre_service
+{
+    service_state service = service_state::in_service;
+    data_centre_name data_centre;
+
+    friend auto operator<=>(set_data_centre_service const&,
+                            set_data_centre_service const&) = default;
+};
+
 // Stops the daemon that receives it.
 struct stop
 {
@@ -121,7 +137,8 @@
                                    report_verdict,
                                    add_control_host,
                                    remove_control_host,
-                                   stop>;
+                                   stop,
+                                   set_data_centre_service>;
 
 enum class admin_reason : std::uint8_t
 {
--- a/packages/cli/src/admin_command.cpp
+++ b/packages/cli/src/admin_command.cpp
@@ -177,6 +177,19 @@
     });
 };
 
+template <>
+struct grammar_of<set_data_centre_service>
+{
+    using self = set_data_centre_service;
+    static constexpr auto elements =
+        std::to_array<grammar_element<self, service_state, data_centre_name>>({
+            {"DATA"},
+            {"CENTRE"},
+            {"", &self::service},
+            {"", &self::data_centre},
+        });
+};
+
 constexpr auto subject_keywords =
     std::to_array<std::pair<std::string_view, show_subject>>(
         {{"RULES", show_subject::rules},
@@ -188,6 +201,11 @@
     std::to_array<std::pair<std::string_view, server_verdict>>(
         {{"UP", server_verdict::up}, {"DOWN", server_verdict::down}});
 
+constexpr auto service_keywords =
+    std::to_array<std::pair<std::string_view, service_state>>(
+        {{"STOP", service_state::out_of_service},
+         {"START", service_state::in_service}});
+
 // Returns the keywords of an enumeration, indexed by its values.
 constexpr auto const& keywords_of(show_subject /*value*/)
 {
@@ -199,6 +217,11 @@
     return verdict_keywords;
 }
 
+constexpr auto const& keywords_of(service_state /*value*/)
+{
+    return service_keywords;
+}
+
 bool equal_keywords(std::string_view left, std::string_view right)
 {
     auto const upper = [](char c)
@@ -402,6 +425,7 @@
         &parse_as<add_control_host>,
         &parse_as<remove_control_host>,
         &parse_as<stop>,
+        &parse_as<set_data_centre_service>,
     });
 
 // Print a value. Every string is quoted, also a change id or an address.
--- a/packages/cli/test/admin_command_test.cpp
+++ b/packages/cli/test/admin_command_test.cpp
@@ -35,7 +35,11 @@
              report_verdict{server_name{"s"}, server_verdict::down, 3},
              add_control_host{daemon_name{"c"}, "127.0.0.1:1",
                               data_centre_name{"tsv"}},
-             remove_control_host{daemon_name{"c"}}, stop{}})
+             remove_control_host{daemon_name{"c"}}, stop{},
+             set_data_centre_service{service_state::out_of_service,
+                                     data_centre_name{"tsv"}},
+             set_data_centre_service{service_state::in_service,
+                                     data_centre_name{"tsv"}}})
     {
         auto const parsed = parse_command(print_command(it));
         REQUIRE(parsed.has_value());
@@ -57,8 +61,9 @@
 
 TEST_CASE("a syntax error names its column and what is expected there")
 {
-    CHECK(error_of("") == "column 1: expected APPLY or SHOW or WITHDRAW or "
-                          "ANNOUNCE or VERDICT or ADD or REMOVE or STOP");
+    CHECK(error_of("") ==
+          "column 1: expected APPLY or SHOW or WITHDRAW or "
+          "ANNOUNCE or VERDICT or ADD or REMOVE or STOP or DATA");
     CHECK(error_of("show rule") ==
           "column 6: expected RULES or HISTORY or STATUS or METRICS");
     CHECK(error_of("stop; stop") ==
--- a/packages/daemon/include/basilreach/daemon/metrics_page.hpp
+++ b/packages/daemon/include/basilreach/daemon/metrics_page.hpp
@@ -27,6 +27,8 @@
     // Sums over the links to other daemons that are open now.
     link_counts links;
     update_counts state_updates;
+    // By the daemon's control state.
+    std::size_t data_centres_out_of_service = 0;
 
     friend bool operator==(metrics_sample const&,
                            metrics_sample const&) = default;
--- a/packages/daemon/src/admin_replies.cpp
+++ b/packages/daemon/src/admin_replies.cpp
@@ -48,6 +48,15 @@
         {}, "health", control::report_verdict{it.server, it.sequence, value}};
 }
 
+std::optional<command> convert(admin::set_data_centre_service const& it)
+{
+    return command{
+        {},
+        "operator",
+        control::set_data_centre_service{
+            it.data_centre, it.service == admin::service_state::in_service}};
+}
+
 template <class Other>
 std::optional<command> convert(Other const& /*it*/)
 {
@@ -243,6 +252,9 @@
         rows.push_back(
             {"server", name.str(), "leaving", it.is_leaving ? "yes" : "no"});
     }
+    for (auto const& [name, it] : parts.data_centres)
+        rows.push_back({"data_centre", name.str(), "service",
+                        it.in_service ? "in_service" : "out_of_service"});
     for (auto const& [name, it] : parts.daemons)
         rows.push_back(
             {"daemon", name.str(), "data_centre", it.data_centre.str()});
--- a/packages/daemon/src/control_host.cpp
+++ b/packages/daemon/src/control_host.cpp
@@ -164,8 +164,9 @@
                                                         : call_outcome::done;
 }
 
-// Logs a command that changes the rules, a server or a verdict. Other commands,
-// such as the registration of a daemon, are not logged.
+// Logs a command that changes the rules, a server, a verdict or the service of
+// a data centre. Other commands, such as the registration of a daemon, are not
+// logged.
 void log_applied(std::uint64_t index,
                  control::command const& it,
                  call_outcome outcome)
@@ -197,6 +198,12 @@
         LOG(INFO) << "event=server_removed revision=" << index
                   << " server=" << removal->server.str()
                   << " outcome=" << result;
+    else if (auto const* service =
+                 std::get_if<control::set_data_centre_service>(&it.body))
+        LOG(INFO) << "event=data_centre_service revision=" << index
+                  << " data_centre=" << service->data_centre.str()
+                  << " in_service=" << service->in_service
+                  << " by=" << it.author << " outcome=" << result;
 }
 
 std::string read_file(std::string const& path)
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -292,7 +292,8 @@
             host_ && host_->leader_name() == host_->self(),
             is_in_contact(),
             links_.sum_counts(),
-            host_ ? host_->sample_distribution().sent : update_counts{}};
+            host_ ? host_->sample_distribution().sent : update_counts{},
+            lease_->state().count_out_of_service()};
 }
 
 daemon_error control_thread::run()
--- a/packages/daemon/src/metrics_page.cpp
+++ b/packages/daemon/src/metrics_page.cpp
@@ -89,6 +89,10 @@
     page.sample("ready", "", it.is_ready ? 1 : 0);
     page.family("leader", "gauge", "1 if this host leads control.");
     page.sample("leader", "", it.is_leader ? 1 : 0);
+    page.family("data_centres_out_of_service", "gauge",
+                "Data centres whose servers get no statements.");
+    page.sample("data_centres_out_of_service", "",
+                it.data_centres_out_of_service);
     page.family("control_contact", "gauge", "1 if a control host answers.");
     page.sample("control_contact", "", it.is_in_contact ? 1 : 0);
 }
