limits: Count the service time before an entry is late

An entry whose answer would come after its target is late, not only one whose target has passed. The replay gives each workspace one host, as placement does.

--- a/packages/limits/include/basilreach/limits/class_queue.hpp
+++ b/packages/limits/include/basilreach/limits/class_queue.hpp
@@ -60,9 +60,9 @@
         // An entry without others ahead is always tried: its service corrects
         // an estimate that is too long.
         auto const ahead = cost_ahead(terms);
-        bool const is_too_late =
-            ahead > 0 &&
-            time_of(ahead) + answer_reserve(terms, now) > terms.deadline - now;
+        auto const latest =
+            terms.priority ? last_start(terms.deadline, now) : terms.deadline;
+        bool const is_too_late = ahead > 0 && time_of(ahead) > latest - now;
         if (terms.deadline <= now || is_too_late)
             return queue_refusal::deadline_too_near;
         auto const level = level_of(terms, now);
@@ -71,8 +71,8 @@
         if (terms.priority)
         {
             if (!level.is_late && terms.target)
-                targets_.set(id, *terms.target);
-            last_starts_.set(id, terms.deadline - answer_reserve(terms, now));
+                targets_.set(id, last_start(*terms.target, now));
+            last_starts_.set(id, last_start(terms.deadline, now));
         }
         return id;
     }
@@ -370,16 +370,14 @@
                                                    service_time_ / slots_));
     }
 
-    // Returns the time that is kept for the service of an entry with a
-    // priority. It is limited: a service time that is overestimated is only
-    // corrected by further services.
-    [[nodiscard]] duration answer_reserve(entry_terms const& terms,
-                                          instant now) const
+    // Returns when the service of an entry must start for it to be answered at
+    // a time. The time for the service is limited: an average that is too long
+    // is only corrected by further services.
+    [[nodiscard]] instant last_start(instant answer, instant now) const
     {
-        if (!terms.priority)
-            return {};
-        return std::min(duration(static_cast<duration::rep>(service_time_)),
-                        std::max((terms.deadline - now) / 4, duration{}));
+        return answer -
+               std::min(duration(static_cast<duration::rep>(service_time_)),
+                        std::max((answer - now) / 4, duration{}));
     }
 
     fair_queue_settings settings_;
--- a/packages/limits/test/class_queue_test.cpp
+++ b/packages/limits/test/class_queue_test.cpp
@@ -138,6 +138,23 @@
     CHECK(queue.empty());
 }
 
+// Guards against statements that are served just before their target and
+// answered after it, while others that wait could still meet theirs.
+TEST_CASE("an entry that can no longer meet its target counts as late")
+{
+    class_queue<int> queue({1000, 1});
+    // An average of 10 ms.
+    queue.record_service(320ms);
+    auto first = terms("w", 0);
+    first.target = start + 100ms;
+    auto second = terms("w", 2);
+    second.target = start + 500ms;
+    REQUIRE(queue.push(first, 1, start));
+    REQUIRE(queue.push(second, 2, start));
+    CHECK(queue.pop(start + 90ms) == 2);
+    CHECK(queue.pop(start + 90ms) == 1);
+}
+
 // Guards against server time for statements whose answer comes too late.
 TEST_CASE("an entry that can no longer be answered in time is shed")
 {
--- a/tools/measure_program/overload.cpp
+++ b/tools/measure_program/overload.cpp
@@ -279,7 +279,12 @@
                choice >= trace_.routes[it.route].share)
             choice -= trace_.routes[it.route++].share;
         auto const& route = trace_.routes[it.route];
-        it.host = random_.below(hosts);
+        // The square makes the first workspaces the large ones. Each has one
+        // host, as with placement.
+        auto const pick = random_.unit() * random_.unit();
+        auto const workspace = static_cast<std::size_t>(
+            pick * static_cast<double>(trace_.workspaces));
+        it.host = workspace % hosts;
         it.work = random_.exponential(1000 / route.work_ms);
         it.is_write = random_.unit() < route.writes;
         it.arrived = events_.now();
@@ -291,11 +296,7 @@
         session_opened opened;
         opened.session = session_id{id};
         opened.route = route_name(route.name);
-        // The square makes the first workspaces the large ones.
-        auto const pick = random_.unit() * random_.unit();
-        opened.workspace = workspace_name(
-            "w" + std::to_string(static_cast<std::size_t>(
-                      pick * static_cast<double>(trace_.workspaces))));
+        opened.workspace = workspace_name("w" + std::to_string(workspace));
         engines_[it.host]->push(opened);
         attempt(id);
         events_.at(it.arrived + milliseconds(route.deadline_ms),
