--- a/packages/limits/include/basilreach/limits/class_queue.hpp
+++ b/packages/limits/include/basilreach/limits/class_queue.hpp
@@ -158,6 +158,7 @@
                     ids.push_back(id);
             });
         std::vector<Entry> out;
+        out.reserve(ids.size());
         for (auto const id : ids)
             out.push_back(*erase(id));
         return out;
