control: Distribute the daemons that run statements for others

Every daemon must compute the same holders. A daemon now reports the address for statements of other daemons with its lease renewals; the leader registers it, and again when it changes. Updates of the control state carry the changed rows of daemons that have an address, from which the view's members are built. A state that was restored does not know which daemons were forgotten before, so it sends all rows to an older copy, which forgets the others.

--- a/packages/control/include/basilreach/control/command.hpp
+++ b/packages/control/include/basilreach/control/command.hpp
@@ -55,11 +55,14 @@
     friend auto operator<=>(withdraw_key const&, withdraw_key const&) = default;
 };
 
-// Adds a daemon that may hold leases.
+// Adds a daemon that may hold leases, or changes its data centre or address.
 struct register_daemon
 {
     daemon_name daemon;
     data_centre_name data_centre;
+    // IP address and port for statements from other daemons; empty if the
+    // daemon runs none for them.
+    std::string address{};
 
     friend auto operator<=>(register_daemon const&,
                             register_daemon const&) = default;
--- a/packages/control/include/basilreach/control/control_parts.hpp
+++ b/packages/control/include/basilreach/control/control_parts.hpp
@@ -20,6 +20,9 @@
     data_centre_name data_centre;
     // Set by remove_daemon: the daemon's lease is no longer renewed.
     bool is_removed = false;
+    // IP address and port for statements from other daemons; empty if the
+    // daemon runs none for them.
+    std::string address{};
 
     friend bool operator==(daemon_entry const&, daemon_entry const&) = default;
 };
--- a/packages/control/include/basilreach/control/control_state.hpp
+++ b/packages/control/include/basilreach/control/control_state.hpp
@@ -150,6 +150,7 @@
     [[nodiscard]] first_answer conflict_with(std::uint64_t base) const;
     [[nodiscard]] server_entry* find_group_member(server_name const& it);
     void record_change(command_body const& it);
+    void merge_daemons(state_update const& it);
     [[nodiscard]] std::optional<std::string>
     text_of(rules_update const& it) const;
     void replace_rules(rules::rule_set parsed, std::string const& text);
@@ -171,6 +172,10 @@
     change_index<group_name> changed_groups_;
     change_index<key_digest> withdrawn_keys_;
     change_index<data_centre_name> changed_data_centres_;
+    // Daemons that have or had an address.
+    change_index<daemon_name> changed_members_;
+    // Removals of daemons before this revision are not known.
+    std::uint64_t restored_revision_ = 0;
 };
 
 } // namespace basilreach::control
--- a/packages/control/include/basilreach/control/lease.hpp
+++ b/packages/control/include/basilreach/control/lease.hpp
@@ -45,6 +45,9 @@
     // The highest position of a write that the daemon acknowledged, for each
     // group whose primary is being replaced.
     std::map<group_name, log_position> acknowledged;
+    // IP address and port for statements from other daemons; empty if the
+    // daemon runs none for them.
+    std::string address{};
 
     friend bool operator==(lease_renewal const&,
                            lease_renewal const&) = default;
--- a/packages/control/include/basilreach/control/lease_holder.hpp
+++ b/packages/control/include/basilreach/control/lease_holder.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <set>
+#include <string>
 #include <variant>
 #include <vector>
 
@@ -116,13 +117,15 @@
 class lease_holder
 {
 public:
-    // There must be at least one traffic thread.
+    // There must be at least one traffic thread. The address is empty if the
+    // daemon runs no statements for other daemons.
     lease_holder(daemon_name daemon,
                  data_centre_name data_centre,
                  std::uint64_t incarnation,
                  std::size_t threads,
                  lease_settings settings,
-                 instant now);
+                 instant now,
+                 std::string address = {});
 
     // Stores an input for the next tick.
     void receive(holder_input it);
@@ -162,6 +165,7 @@
 
     daemon_name daemon_;
     data_centre_name data_centre_;
+    std::string address_;
     std::uint64_t incarnation_;
     lease_settings settings_;
     // The revision that each traffic thread has adopted.
--- a/packages/control/include/basilreach/control/state_update.hpp
+++ b/packages/control/include/basilreach/control/state_update.hpp
@@ -26,7 +26,8 @@
 
 // What a daemon needs to bring its copy of the control state to a revision: the
 // rows that have changed since its own revision, whatever the number of
-// commands. Registered daemons and the history stay at the control hosts.
+// commands. Of the registered daemons it has those with an address; the history
+// stays at the control hosts.
 struct state_update
 {
     // The revision that the rows have changed since; 0 for the whole state.
@@ -39,6 +40,10 @@
     std::map<server_name, server_entry> servers;
     std::map<group_name, group_entry> groups;
     std::map<data_centre_name, data_centre_entry> data_centres;
+    // Daemons that have an address, or had one until a change or removal.
+    std::map<daemon_name, daemon_entry> daemons;
+    // Whether the copy must forget daemons that are not listed.
+    bool has_all_daemons = false;
 
     friend bool operator==(state_update const&, state_update const&) = default;
 };
--- a/packages/control/src/control_state.cpp
+++ b/packages/control/src/control_state.cpp
@@ -26,6 +26,9 @@
 void add_to(canonical_hash& h, register_daemon const& it)
 {
     h.add(it.daemon).add(it.data_centre);
+    // Keeps the hash of a registration that was recorded without an address.
+    if (!it.address.empty())
+        h.add(it.address);
 }
 
 void add_to(canonical_hash& h, remove_daemon const& it)
@@ -108,7 +111,7 @@
 
 void add_to(canonical_hash& h, daemon_entry const& it)
 {
-    h.add(it.data_centre).add(it.is_removed);
+    h.add(it.data_centre).add(it.is_removed).add(it.address);
 }
 
 void add_to(canonical_hash& h, server_entry const& it)
@@ -251,6 +254,10 @@
         state.withdrawn_keys_.record(digest, revision);
     for (auto const& [data_centre, entry] : state.parts_.data_centres)
         state.changed_data_centres_.record(data_centre, revision);
+    for (auto const& [daemon, entry] : state.parts_.daemons)
+        if (!entry.address.empty())
+            state.changed_members_.record(daemon, revision);
+    state.restored_revision_ = revision;
     return state;
 }
 
@@ -324,6 +331,13 @@
         out.groups.emplace(it, parts_.groups.at(it));
     for (auto const& it : changed_data_centres_.changed_after(revision))
         out.data_centres.emplace(it, parts_.data_centres.at(it));
+    for (auto const& it : changed_members_.changed_after(revision))
+    {
+        auto const* const entry = find(it);
+        out.daemons.emplace(it,
+                            entry == nullptr ? daemon_entry{{}, true} : *entry);
+    }
+    out.has_all_daemons = revision == 0 || revision < restored_revision_;
     return out;
 }
 
@@ -377,6 +391,7 @@
         parts_.groups.insert_or_assign(group, entry);
         changed_groups_.record(group, it.revision);
     }
+    merge_daemons(it);
     for (auto const& digest : it.withdrawn)
         withdrawn_keys_.record(digest, it.revision);
     for (auto const& [data_centre, entry] : it.data_centres)
@@ -387,6 +402,19 @@
     return true;
 }
 
+void control_state::merge_daemons(state_update const& it)
+{
+    if (it.has_all_daemons)
+        parts_.daemons.clear();
+    for (auto const& [daemon, entry] : it.daemons)
+    {
+        parts_.daemons.erase(daemon);
+        if (!entry.is_removed && !entry.address.empty())
+            parts_.daemons.emplace(daemon, entry);
+        changed_members_.record(daemon, it.revision);
+    }
+}
+
 daemon_entry const* control_state::find(daemon_name const& it) const
 {
     return find_in(parts_.daemons, it);
@@ -542,7 +570,10 @@
 first_answer control_state::apply_registration(command const& it)
 {
     auto const& body = std::get<register_daemon>(it.body);
-    parts_.daemons[body.daemon] = {body.data_centre, false};
+    auto& entry = parts_.daemons[body.daemon];
+    if (!entry.address.empty() || !body.address.empty())
+        changed_members_.record(body.daemon, parts_.revision);
+    entry = {body.data_centre, false, body.address};
     return accept();
 }
 
@@ -553,6 +584,8 @@
     if (entry == nullptr)
         return refuse(refusal_reason::unknown_daemon);
     entry->is_removed = true;
+    if (!entry->address.empty())
+        changed_members_.record(body.daemon, parts_.revision);
     return accept();
 }
 
--- a/packages/control/src/leader.cpp
+++ b/packages/control/src/leader.cpp
@@ -69,6 +69,12 @@
         body);
 }
 
+bool is_registered_as(daemon_entry const& entry, lease_renewal const& renewal)
+{
+    return entry.data_centre == renewal.data_centre &&
+           entry.address == renewal.address;
+}
+
 } // namespace
 
 char const* to_string(promotion_reason it)
@@ -150,7 +156,7 @@
     }
     auto const* const daemon = state_.find(renewal.daemon);
     if (daemon == nullptr ||
-        (!daemon->is_removed && daemon->data_centre != renewal.data_centre))
+        (!daemon->is_removed && !is_registered_as(*daemon, renewal)))
         propose_registration(renewal, now);
 
     holder const who{renewal.daemon, true, renewal.incarnation};
@@ -449,8 +455,8 @@
     if (now < next)
         return;
     next = now + settings_.retry;
-    out_.emplace_back(
-        proposal(register_daemon{renewal.daemon, renewal.data_centre}));
+    out_.emplace_back(proposal(
+        register_daemon{renewal.daemon, renewal.data_centre, renewal.address}));
 }
 
 void leader::run_promotion(group_name const& group, instant now)
--- a/packages/control/src/lease_holder.cpp
+++ b/packages/control/src/lease_holder.cpp
@@ -18,10 +18,11 @@
                            std::uint64_t incarnation,
                            std::size_t threads,
                            lease_settings settings,
-                           instant now)
+                           instant now,
+                           std::string address)
     : daemon_(std::move(daemon)), data_centre_(std::move(data_centre)),
-      incarnation_(incarnation), settings_(settings),
-      adopted_by_thread_(threads, 0), next_renewal_(now)
+      address_(std::move(address)), incarnation_(incarnation),
+      settings_(settings), adopted_by_thread_(threads, 0), next_renewal_(now)
 {
     static_assert(std::size(handlers) == std::variant_size_v<holder_input>);
 }
@@ -135,7 +136,8 @@
     sent_renewals_.insert(now);
     last_renewal_ = now;
     out_.emplace_back(lease_renewal{daemon_, data_centre_, incarnation_, now,
-                                    confirmed_revision_, acknowledged_});
+                                    confirmed_revision_, acknowledged_,
+                                    address_});
     next_renewal_ =
         now + (valid_until_ > now && is_answered_ ? settings_.renewal
                                                   : settings_.retry);
--- a/packages/control/test/control_state_test.cpp
+++ b/packages/control/test/control_state_test.cpp
@@ -133,4 +133,80 @@
     CHECK(restored.value().digest() == state.digest());
 }
 
+// A control host's state and a daemon's copy of it.
+struct member_fixture
+{
+    control_state state{parse_rules};
+    control_state copy{parse_rules};
+
+    void apply(command_body const& it)
+    {
+        state.apply(state.revision() + 1, {{}, "test", it});
+    }
+
+    // Brings the copy up to date and returns what was sent for it.
+    state_update update()
+    {
+        auto it = state.changes_after(copy.revision(), 0, {});
+        REQUIRE(copy.merge(it));
+        return it;
+    }
+
+    std::string address_in_copy(char const* daemon)
+    {
+        auto const* const entry = copy.find(daemon_name{daemon});
+        return entry == nullptr ? "" : entry->address;
+    }
+};
+
+register_daemon registration(char const* daemon, std::string address)
+{
+    return {daemon_name{daemon}, data_centre_name{"a"}, std::move(address)};
+}
+
+// Guards against a daemon that sends statements to one that is gone or has
+// moved, and against updates that list all daemons each time.
+TEST_CASE("changed daemons with an address reach a copy, and no others")
+{
+    member_fixture f;
+    f.apply(registration("d1", "1"));
+    f.apply(registration("d2", "2"));
+    f.apply(registration("d3", ""));
+    CHECK(f.update().daemons.size() == 2);
+    CHECK(f.address_in_copy("d1") == "1");
+    CHECK(f.copy.find(daemon_name{"d3"}) == nullptr);
+    f.apply(registration("d1", "7"));
+    f.apply(registration("d4", ""));
+    CHECK(f.update().daemons.size() == 1);
+    CHECK(f.address_in_copy("d1") == "7");
+    f.apply(registration("d1", ""));
+    CHECK(f.update().daemons.size() == 1);
+    CHECK(f.copy.find(daemon_name{"d1"}) == nullptr);
+    f.apply(remove_daemon{daemon_name{"d2"}});
+    f.update();
+    CHECK(f.copy.find(daemon_name{"d2"}) == nullptr);
+}
+
+// Guards against a copy that keeps a removed daemon for ever, as the state does
+// not know it any more.
+TEST_CASE("a copy forgets daemons that were forgotten meanwhile")
+{
+    member_fixture f;
+    f.apply(registration("d1", "1"));
+    f.apply(registration("d2", "2"));
+    f.update();
+    f.apply(remove_daemon{daemon_name{"d2"}});
+    f.apply(forget_daemon{daemon_name{"d2"}});
+    SUBCASE("by a state that has seen the removal")
+    {
+    }
+    SUBCASE("by a state that was restored since")
+    {
+        f.state = control_state::restore(f.state.parts(), parse_rules).value();
+    }
+    f.update();
+    CHECK(f.address_in_copy("d1") == "1");
+    CHECK(f.copy.find(daemon_name{"d2"}) == nullptr);
+}
+
 } // namespace basilreach::control::test
--- a/packages/control/test/lease_test.cpp
+++ b/packages/control/test/lease_test.cpp
@@ -220,6 +220,43 @@
     CHECK(current_leader.revision_in_force() > 2);
 }
 
+// Guards against a daemon that others look for at an earlier address, and
+// against a removed daemon that registers itself again.
+TEST_CASE("a daemon is registered again when its address changes")
+{
+    daemon_name const d1{"d1"};
+    data_centre_name const a{"a"};
+    control_state state(parse_rules);
+    state.apply(1, {{}, "test", register_daemon{d1, a, "127.0.0.1:1"}});
+    leader current_leader(state, {}, at(0));
+    auto const registrations = [&](std::string const& address, int ms)
+    {
+        current_leader.receive(lease_renewal{d1, a, 1, at(ms), 1, {}, address});
+        std::vector<register_daemon> out;
+        for (auto const& it : current_leader.tick(at(ms)))
+            if (auto const* const proposed = std::get_if<propose>(&it))
+                if (auto const* const body =
+                        std::get_if<register_daemon>(&proposed->entry.body))
+                    out.push_back(*body);
+        return out;
+    };
+    CHECK(registrations("127.0.0.1:1", 1).empty());
+    CHECK(registrations("127.0.0.1:2", 2) ==
+          std::vector{register_daemon{d1, a, "127.0.0.1:2"}});
+    state.apply(2, {{}, "test", remove_daemon{d1}});
+    CHECK(registrations("127.0.0.1:2", 5000).empty());
+}
+
+TEST_CASE("a renewal carries the address of the daemon")
+{
+    lease_holder holder{
+        daemon_name{"d1"}, data_centre_name{"a"}, 1, 1, {}, at(0),
+        "127.0.0.1:1"};
+    auto const outputs = holder.tick(at(0));
+    REQUIRE(outputs.size() == 1);
+    CHECK(std::get<lease_renewal>(outputs.front()).address == "127.0.0.1:1");
+}
+
 // Guards against a tick whose cost grows with the number of daemons.
 TEST_CASE("a tick visits only the rows that are due")
 {
--- a/packages/daemon/src/lease_client.cpp
+++ b/packages/daemon/src/lease_client.cpp
@@ -21,6 +21,15 @@
     return out;
 }
 
+// Returns the address for statements from other daemons, or an empty text if
+// the daemon runs none for them.
+std::string dispatch_address(settings::daemon_settings const& it)
+{
+    bool const is_holder = it.dispatch.mode != dispatch::dispatch_mode::local &&
+                           it.roles.contains(settings::daemon_role::entry);
+    return is_holder ? it.dispatch.listen.value_or("") : "";
+}
+
 // Returns a number that differs for each start of the daemon: its start time.
 std::uint64_t make_incarnation()
 {
@@ -47,7 +56,8 @@
               incarnation_,
               context.threads.size(),
               lease_settings_of(context.settings),
-              now),
+              now,
+              dispatch_address(context.settings)),
       state_(context.rules), last_grant_(now)
 {
     static_assert(std::size(output_handlers) ==
--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -74,6 +74,15 @@
         view.workspace_rules = rules.workspaces;
 }
 
+void add_members(control::control_state const& state,
+                 traffic::control_view& view)
+{
+    for (auto const& [name, it] : state.parts().daemons)
+        if (!it.is_removed && !it.address.empty())
+            view.members.emplace(name,
+                                 dispatch::member{it.data_centre, it.address});
+}
+
 } // namespace
 
 traffic::control_view_ptr
@@ -96,6 +105,7 @@
         view->keys.erase(it);
     add_servers(state, *view);
     add_groups(state, *view);
+    add_members(state, *view);
     return view;
 }
 
--- a/packages/daemon/test/update_feed_test.cpp
+++ b/packages/daemon/test/update_feed_test.cpp
@@ -150,6 +150,33 @@
     }
 }
 
+// Guards against daemons that compute different holders, and against statements
+// for a daemon that has no address or was removed.
+TEST_CASE("the members of a daemon's view are those with an address")
+{
+    fixture f;
+    data_centre_name const a("a");
+    daemon_name const d1("d1");
+    daemon_name const d2("d2");
+    auto const members = [&f]
+    {
+        f.ask();
+        auto const update = f.collect();
+        REQUIRE(update);
+        REQUIRE(f.merge(*update));
+        auto const view = build_view(f.copy, {});
+        CHECK(view->members == build_view(f.state, {})->members);
+        return view->members;
+    };
+    f.apply(1, control::register_daemon{d1, a, "127.0.0.1:1"});
+    f.apply(2, control::register_daemon{d2, a, "127.0.0.1:2"});
+    f.apply(3, control::register_daemon{daemon_name("d3"), a});
+    CHECK(members() == dispatch::member_map{{d1, {a, "127.0.0.1:1"}},
+                                            {d2, {a, "127.0.0.1:2"}}});
+    f.apply(4, control::remove_daemon{d2});
+    CHECK(members() == dispatch::member_map{{d1, {a, "127.0.0.1:1"}}});
+}
+
 // Guards against a slow link that is filled with copies of one state: a daemon
 // without any state asks again every 100 ms, also while the first copy is still
 // on its way.
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -260,6 +260,7 @@
 {
     d(v.daemon, w.daemon);
     d(v.data_centre, w.data_centre);
+    d(v.address, w.address);
 }
 
 template <class D, class V>
@@ -353,6 +354,7 @@
 {
     d(v.data_centre, w.data_centre);
     d(v.is_removed, w.is_removed);
+    d(v.address, w.address);
 }
 
 template <class D, class V>
@@ -616,6 +618,7 @@
         d(position, it->reached);
         w.acknowledged.push_back(std::move(it));
     }
+    d(v.address, w.address);
 }
 
 void map_fields(from_wire d,
@@ -633,6 +636,7 @@
         d(position, it->reached);
         v.acknowledged.emplace(group_name(it->group), position);
     }
+    d(v.address, w.address);
 }
 
 void map_fields(to_wire /*d*/, admin_row const& v, wire::admin_rowT& w)
@@ -1249,6 +1253,8 @@
     w.servers = encode_entries<wire::server_entryT>(v.servers);
     w.groups = encode_entries<wire::group_entryT>(v.groups);
     w.data_centres = encode_entries<wire::data_centre_entryT>(v.data_centres);
+    w.daemons = encode_entries<wire::daemon_entryT>(v.daemons);
+    d(v.has_all_daemons, w.has_all_daemons);
 }
 
 void map_fields(from_wire d,
@@ -1263,6 +1269,8 @@
     decode_entries(w.servers, v.servers);
     decode_entries(w.groups, v.groups);
     decode_entries(w.data_centres, v.data_centres);
+    decode_entries(w.daemons, v.daemons);
+    d(v.has_all_daemons, w.has_all_daemons);
 }
 
 template <class Wire, class Value>
--- a/packages/messages/test/codec_test.cpp
+++ b/packages/messages/test/codec_test.cpp
@@ -2,6 +2,7 @@
 
 #include <doctest/doctest.h>
 
+#include <array>
 #include <random>
 
 using namespace basilreach;
@@ -19,6 +20,8 @@
     parts.rules_text = "workspace w rate=1 burst=1 # asked by x";
     parts.withdrawn.insert(rules::key_digest{1, 2, 3});
     parts.daemons[daemon_name("d")] = {data_centre_name("a"), true};
+    parts.daemons[daemon_name("e")] = {data_centre_name("a"), false,
+                                       "127.0.0.1:1"};
     control::server_entry server;
     server.group = group_name("g");
     server.health = control::verdict::down;
@@ -49,6 +52,7 @@
     renewal.daemon = daemon_name("d");
     renewal.sent_at = instant(duration(-5));
     renewal.acknowledged[group_name("g")] = {1, 2};
+    renewal.address = "127.0.0.1:1";
     control::state_update update;
     update.after = 2;
     update.revision = 6;
@@ -59,6 +63,8 @@
     update.servers = parts.servers;
     update.groups = parts.groups;
     update.data_centres = parts.data_centres;
+    update.daemons = parts.daemons;
+    update.has_all_daemons = true;
     admin_reply reply{1, "", "", "SHOW", {"a"}, {{{"x"}}, {{"y"}}}};
     limits::token_request tokens;
     tokens.last_grant = {1, 2};
@@ -208,6 +214,44 @@
     }
 }
 
+// Guards against a control host that can't load its log or snapshot after an
+// upgrade. The bytes were written with the schema before register_daemon and
+// daemon_entry had an address.
+TEST_CASE("a log entry and a snapshot without addresses are loaded")
+{
+    std::array<unsigned char, 88> const entry{
+        0x10, 0x00, 0x00, 0x00, 0x0c, 0x00, 0x14, 0x00, 0x08, 0x00, 0x0c,
+        0x00, 0x07, 0x00, 0x10, 0x00, 0x0c, 0x00, 0x00, 0x00, 0x00, 0x00,
+        0x00, 0x03, 0x38, 0x00, 0x00, 0x00, 0x2c, 0x00, 0x00, 0x00, 0x0c,
+        0x00, 0x00, 0x00, 0x08, 0x00, 0x0c, 0x00, 0x04, 0x00, 0x08, 0x00,
+        0x08, 0x00, 0x00, 0x00, 0x10, 0x00, 0x00, 0x00, 0x04, 0x00, 0x00,
+        0x00, 0x02, 0x00, 0x00, 0x00, 0x64, 0x63, 0x00, 0x00, 0x01, 0x00,
+        0x00, 0x00, 0x64, 0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x61,
+        0x00, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x69, 0x00, 0x00, 0x00};
+    std::array<unsigned char, 88> const snapshot{
+        0x18, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x10, 0x00, 0x14,
+        0x00, 0x08, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+        0x04, 0x00, 0x10, 0x00, 0x00, 0x00, 0x10, 0x00, 0x00, 0x00, 0x04,
+        0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00, 0x00,
+        0x01, 0x00, 0x00, 0x00, 0x0c, 0x00, 0x00, 0x00, 0x08, 0x00, 0x0c,
+        0x00, 0x04, 0x00, 0x08, 0x00, 0x08, 0x00, 0x00, 0x00, 0x10, 0x00,
+        0x00, 0x00, 0x04, 0x00, 0x00, 0x00, 0x02, 0x00, 0x00, 0x00, 0x64,
+        0x63, 0x00, 0x00, 0x01, 0x00, 0x00, 0x00, 0x64, 0x00, 0x00, 0x00};
+    auto const text_of = [](auto const& bytes)
+    {
+        return std::string(bytes.begin(), bytes.end());
+    };
+    auto const command = decode_command(text_of(entry));
+    REQUIRE(command.has_value());
+    CHECK(command.value().body ==
+          control::command_body{control::register_daemon{
+              daemon_name("d"), data_centre_name("dc"), ""}});
+    auto const parts = decode_parts(text_of(snapshot));
+    REQUIRE(parts.has_value());
+    CHECK(parts.value().daemons.at(daemon_name("d")) ==
+          control::daemon_entry{data_centre_name("dc"), false, ""});
+}
+
 TEST_CASE("decoding a truncated or damaged message does not crash")
 {
     std::mt19937 random(7);
