traffic: Return idle connections of placed groups after 2 s

A holder uses its connections often, so one that is idle for longer belongs to a workspace whose load has ended or moved. In a group with holders such a connection no longer counts as wanted after 2 s instead of 10 s, and a timer reports this without another event at the server.

--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -261,7 +261,8 @@
     primary_retry,
     server_silence,
     view_confirmation,
-    out_of_service
+    out_of_service,
+    idle_retention
 };
 
 struct timer_key
@@ -477,6 +478,9 @@
 // is refused.
 bool wait_if_lease_expired(state& s, request_row_id id);
 
+// Returns whether statements for the group run at holders.
+[[nodiscard]] bool has_holders(state const& s, group_row const& group);
+
 struct connection_count
 {
     std::size_t all = 0;
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -80,6 +80,10 @@
     // Time without a statement after which an idle connection of one workspace
     // no longer counts as wanted, so that its share can go to another daemon.
     duration idle_retention = std::chrono::seconds(10);
+    // The same for a group with holders: a holder uses its connections often,
+    // so one that is unused for this time belongs to a workspace whose load has
+    // ended or moved.
+    duration placed_idle_retention = std::chrono::seconds(2);
     // Time without any answer after which reads run at another server (longer
     // for a slow server). A single slow statement rarely takes this long.
     duration suspicion_limit = std::chrono::milliseconds(100);
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -224,14 +224,20 @@
 {
 }
 
+void expire_idle_retention(state& s, row_id id)
+{
+    if (s.servers.find(id) != nullptr)
+        s.to_report.push_back(id);
+}
+
 using expiry = void (*)(state&, row_id);
 
 // Indexed by timer_kind.
-constexpr std::array<expiry, 11> expiries = {
+constexpr std::array<expiry, 12> expiries = {
     expire_request,           expire_read_try,      expire_position_wait,
     expire_token_wait,        expire_connection,    expire_group_poll,
     expire_server_dispatch,   expire_primary_retry, expire_server_silence,
-    expire_view_confirmation, end_transactions};
+    expire_view_confirmation, end_transactions,     expire_idle_retention};
 
 } // namespace
 
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -42,18 +42,30 @@
 
 // Returns how many idle connections are worth keeping. In a server-checked
 // group each serves one workspace only, and opening one again costs the server
-// more than most statements.
-std::size_t recently_used(state const& s, server_row const& server)
+// more than most statements. In a group with holders, the number is reported
+// again once it falls.
+std::size_t recently_used(state& s, server_row_id id, server_row const& server)
 {
-    if (!is_server_checked(*s.groups.find(server.group)))
+    auto const& group = *s.groups.find(server.group);
+    if (!is_server_checked(group))
         return 0;
-    auto const is_recent = [&s](connection_id id)
+    bool const is_placed = has_holders(s, group);
+    auto const retention = is_placed ? s.settings.placed_idle_retention
+                                     : s.settings.idle_retention;
+    std::size_t recent = 0;
+    auto next_expiry = never;
+    for (auto const idle : server.idle)
     {
-        return s.now - s.connections.find(id)->statement_sent_at <
-               s.settings.idle_retention;
-    };
-    return static_cast<std::size_t>(
-        std::count_if(server.idle.begin(), server.idle.end(), is_recent));
+        auto const expiry =
+            s.connections.find(idle)->statement_sent_at + retention;
+        if (expiry <= s.now)
+            continue;
+        ++recent;
+        next_expiry = std::min(next_expiry, expiry);
+    }
+    if (is_placed && recent > 0)
+        s.timers.set({timer_kind::idle_retention, id}, next_expiry);
+    return recent;
 }
 
 void open_needed_connections(state& s, server_row_id id, server_row& server)
@@ -401,7 +413,7 @@
             static_cast<std::uint32_t>(server->connections.size());
         auto const busy = open - server->idle.size() - server->opening;
         auto const wanted = static_cast<std::uint32_t>(
-            busy + recently_used(s, *server) +
+            busy + recently_used(s, id, *server) +
             std::max(server->queue->size() + server->expected.size(),
                      connections_for_polling(s, *server)));
         if (open == server->reported_open && wanted == server->reported_wanted)
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -586,6 +586,15 @@
     }
 }
 
+bool has_holders(state const& s, group_row const& group)
+{
+    auto const it = s.view->groups.find(group.name);
+    return it != s.view->groups.end() &&
+           dispatch::has_holders(s.settings.dispatch,
+                                 s.view->members.size(),
+                                 it->second.connections);
+}
+
 bool is_server_checked(state const& s, request_row const& request)
 {
     auto const* group = s.groups.find(request.group);
--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -69,9 +69,13 @@
 
 struct fixture
 {
-    explicit fixture(std::uint32_t connections = 2, bool has_limits = false)
+    explicit fixture(
+        std::uint32_t connections = 2,
+        bool has_limits = false,
+        dispatch::dispatch_mode mode = dispatch::dispatch_mode::local)
     {
         engine_settings settings;
+        settings.dispatch = mode;
         settings.data_centre = data_centre_name("b");
         settings.limits_enabled = has_limits;
         settings.serves_without_lease = true;
@@ -620,6 +624,36 @@
     CHECK(f.find<query_position>());
 }
 
+// Guards against idle connections that a holder keeps for 10 s, or until its
+// next statement, while another daemon needs their share.
+TEST_CASE("an idle connection of a placed workspace is wanted for 2 s")
+{
+    constexpr int members = 3;
+    // The servers accept fewer connections than there are members, or as many.
+    for (std::uint32_t const connections : {2U, 3U})
+    {
+        fixture f(2, false, dispatch::dispatch_mode::automatic);
+        auto view = make_view();
+        view.revision = 2;
+        view.groups.at(group_name("g")).connections = connections;
+        for (int n = 0; n != members; ++n)
+            view.members[daemon_name(std::to_string(n))] = {
+                data_centre_name("a"), "127.0.0.1:1"};
+        f.adopt(view);
+        f.open_session(1, "ledger");
+        f.write(1, {3, 10});
+        f.now += 1900ms;
+        f.run();
+        CHECK_FALSE(f.find<connections_used>());
+        f.now += 100ms;
+        f.run();
+        auto const used = f.find<connections_used>();
+        CHECK(used.has_value() == (connections < members));
+        if (used)
+            CHECK(*used == connections_used{server_name("s1"), 1, 0});
+    }
+}
+
 // Guards against retries that double the load of slow servers.
 TEST_CASE("reads without an answer are retried within a budget")
 {
