--- a/packages/cli/src/command_line.cpp
+++ b/packages/cli/src/command_line.cpp
@@ -17,6 +17,8 @@
 #include <basilreach/rules/print.hpp>
 #include <basilreach/settings/read_file.hpp>
 
+#include "placement_report.hpp"
+
 namespace basilreach::cli
 {
 
@@ -315,6 +317,46 @@
     return exit_status::done;
 }
 
+// Fetches the members and groups. Any other outcome is printed and returned as
+// an exit status.
+result<placement_input, exit_status> fetch_placement(environment const& env)
+{
+    auto answer = send_command(env, admin::show{admin::show_subject::status});
+    if (answer.has_error())
+        return failure(answer.error());
+    auto const rows =
+        admin::decode_rows<admin::status_row>(answer.value().table);
+    if (!rows)
+        return failure(report_unreadable_answer(env));
+    return success(read_placement(*rows));
+}
+
+// The placement is computed here and not at a control host, whose work for one
+// command would grow with the product of workspaces and daemons.
+exit_status show_placement(environment const& env,
+                           subcommand const& /*self*/,
+                           arguments args)
+{
+    auto const input = fetch_placement(env);
+    if (input.has_error())
+        return input.error();
+    auto const running = fetch_current_rules(env);
+    if (running.has_error())
+        return running.error();
+    auto const parsed = rules::parse_rules(running.value().text);
+    if (parsed.has_error())
+        return report_unreadable_answer(env);
+    auto const mode = args.empty() || args[0] != "holders"
+                          ? dispatch::dispatch_mode::automatic
+                          : dispatch::dispatch_mode::holders;
+    env.out << "workspace\tgroup\tdata_centre\tholder\n";
+    for (auto const& it : list_holders(input.value(), parsed.value(), mode))
+        env.out << it.workspace << '\t' << it.group << '\t' << it.data_centre
+                << '\t' << it.holder << '\n';
+    env.err << "revision " << input.value().revision << '\n';
+    return exit_status::done;
+}
+
 exit_status
 apply_file(environment const& env, subcommand const& /*self*/, arguments args)
 {
@@ -422,6 +464,10 @@
      run_admin_command, "WITHDRAW KEY $1", print_change},
     {"status", "", "print the database groups, servers and daemons",
      run_admin_command, "SHOW STATUS", print_table<admin::status_row>},
+    {"show", "[MODE]",
+     "list which daemon holds which workspace, if dispatch.mode is MODE: auto "
+     "(default) or holders",
+     show_placement},
     {"metrics", "", "print the metrics of one daemon", run_admin_command,
      "SHOW METRICS", print_metrics},
     {"verdict", "SERVER up|down SEQUENCE",
--- a/packages/cli/test/command_line_test.cpp
+++ b/packages/cli/test/command_line_test.cpp
@@ -188,4 +188,39 @@
     CHECK(it.out == "-workspace z rate=1 burst=1 # asked by a: b\n");
 }
 
+// Guards against a list that differs from what daemons compute: groups without
+// holders, daemons without an address, a split of small workspaces.
+TEST_CASE("show lists the holders of each workspace with the revision")
+{
+    std::vector<admin::status_row> const status{
+        {"control", "state", "revision", "17"},
+        {"group", "g", "term", "1"},
+        {"group", "h", "term", "1"},
+        {"daemon", "d1", "data_centre", "a"},
+        {"daemon", "d1", "address", "127.0.0.1:1"},
+        {"daemon", "d2", "data_centre", "b"},
+        {"daemon", "d2", "address", "127.0.0.1:2"},
+        {"daemon", "d3", "data_centre", "b"}};
+    std::string const rules =
+        "workspace big rate=9 burst=8 # asked by x: y\n"
+        "workspace tiny rate=9 burst=7 # asked by x: y\n"
+        "route r group=g workspaces=big # asked by x: y\n"
+        "route s group=h workspaces=big # asked by x: y\n"
+        "server_limit g connections=2 slots=1 # asked by x: y\n"
+        "server_limit h connections=1 slots=1 # asked by x: y\n";
+    submit_result const answer{answered{admin::encode(status)}, false};
+    fixture all{{answer, rules_in_force(4, rules)}};
+    CHECK(all.run({"show", "holders"}) == exit_status::done);
+    CHECK(all.out == "workspace\tgroup\tdata_centre\tholder\n"
+                     "big\tg\ta\td1\nbig\tg\tb\td2\n"
+                     "big\th\ta\td1\nbig\th\tb\td2\n"
+                     "tiny\t\ta\td1\ntiny\t\tb\td2\n");
+    CHECK(all.err == "revision 17\n");
+    fixture automatic{{answer, rules_in_force(4, rules)}};
+    CHECK(automatic.run({"show"}) == exit_status::done);
+    CHECK(automatic.out == "workspace\tgroup\tdata_centre\tholder\n"
+                           "big\th\ta\td1\nbig\th\tb\td2\n"
+                           "tiny\th\ta\td1\ntiny\th\tb\td2\n");
+}
+
 } // namespace basilreach::cli
--- a/packages/daemon/src/admin_replies.cpp
+++ b/packages/daemon/src/admin_replies.cpp
@@ -256,8 +256,12 @@
         rows.push_back({"data_centre", name.str(), "service",
                         it.in_service ? "in_service" : "out_of_service"});
     for (auto const& [name, it] : parts.daemons)
+    {
         rows.push_back(
             {"daemon", name.str(), "data_centre", it.data_centre.str()});
+        if (!it.is_removed && !it.address.empty())
+            rows.push_back({"daemon", name.str(), "address", it.address});
+    }
     return rows;
 }
 
