--- a/tools/measure_program/main.cpp
+++ b/tools/measure_program/main.cpp
@@ -16,6 +16,7 @@
 
 constexpr subcommand subcommands[] = {
     {"decisions", basilreach::measure::measure_decisions},
+    {"dispatch", basilreach::measure::measure_dispatch},
     {"failover", basilreach::measure::measure_failover},
     {"fairness", basilreach::measure::measure_fairness},
     {"limits", basilreach::measure::measure_limits},
