--- a/tools/measure_program/dispatch.cpp
+++ b/tools/measure_program/dispatch.cpp
@@ -115,7 +115,7 @@
 public:
     model(unsigned hosts, bool has_holders, std::uint64_t seed)
         : hosts_(hosts), has_holders_(has_holders), random_(seed),
-          servers_(groups * data_centres)
+          servers_(std::size_t{groups} * data_centres)
     {
         double weights = 0;
         for (unsigned n = 0; n != workspaces; ++n)
