--- a/packages/daemon/include/basilreach/daemon/thread_messages.hpp
+++ b/packages/daemon/include/basilreach/daemon/thread_messages.hpp
@@ -27,6 +27,8 @@
     std::size_t clients = 0;
     telemetry::latency_histogram reads;
     telemetry::latency_histogram writes;
+    // Time from sending a statement to a holder until its answer.
+    telemetry::latency_histogram forwarded;
 
     friend bool operator==(traffic_metrics const&,
                            traffic_metrics const&) = default;
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <thread>
 #include <unordered_map>
 #include <vector>
@@ -77,6 +78,8 @@
         // The session whose statement is outstanding, or 0.
         std::uint64_t session = 0;
         bool read_only = false;
+        // When a statement was last sent to a holder.
+        std::optional<instant> forwarded_at{};
     };
 
     using message_handler = void (traffic_thread::*)(traffic_message&);
@@ -158,6 +161,7 @@
     std::uint64_t next_session_ = 0;
     telemetry::latency_histogram reads_;
     telemetry::latency_histogram writes_;
+    telemetry::latency_histogram forwarded_;
     instant next_publication_;
     bool is_draining_ = false;
     bool is_drained_ = false;
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -626,6 +626,13 @@
         sum.counts.connections_opened += c.connections_opened;
         for (auto const& [priority, counts] : c.by_class)
             sum.counts.by_class[priority] += counts;
+        sum.counts.forwarded += c.forwarded;
+        sum.counts.received += c.received;
+        sum.counts.local_after_rejection += c.local_after_rejection;
+        sum.counts.local_after_undelivered += c.local_after_undelivered;
+        sum.counts.local_after_loss += c.local_after_loss;
+        sum.counts.local_above_limit += c.local_above_limit;
+        sum.forwarded += it.forwarded;
         sum.reads += it.reads;
         sum.writes += it.writes;
     }
@@ -650,6 +657,14 @@
     add("writes_total", "", sum.counts.writes);
     add("refused_total", "outcome=not_run", sum.counts.refused_not_run);
     add("refused_total", "outcome=unknown", sum.counts.outcome_unknown);
+    add("statements_forwarded_total", "", sum.counts.forwarded);
+    add("statements_received_total", "", sum.counts.received);
+    add("statements_kept_total", "reason=rejected",
+        sum.counts.local_after_rejection);
+    add("statements_kept_total", "reason=undelivered",
+        sum.counts.local_after_undelivered);
+    add("statements_kept_total", "reason=lost", sum.counts.local_after_loss);
+    add("statements_kept_total", "reason=limit", sum.counts.local_above_limit);
     add("decisions_dropped_total", "", context_.decisions->dropped());
     auto const add_times =
         [&rows](char const* name, telemetry::latency_histogram const& it)
@@ -661,6 +676,7 @@
     };
     add_times("read_ms", sum.reads);
     add_times("write_ms", sum.writes);
+    add_times("forwarded_ms", sum.forwarded);
     return make_reply(encode(rows));
 }
 
--- a/packages/daemon/src/metrics_page.cpp
+++ b/packages/daemon/src/metrics_page.cpp
@@ -136,6 +136,22 @@
     page.family("silent_connections_total", "counter",
                 "Connections given up as nothing was answered.");
     page.sample("silent_connections_total", "", counts.silent_connections);
+    page.family("statements_forwarded_total", "counter",
+                "Statements sent to holders.");
+    page.sample("statements_forwarded_total", "", counts.forwarded);
+    page.family("statements_received_total", "counter",
+                "Statements received from other daemons.");
+    page.sample("statements_received_total", "", counts.received);
+    page.family("statements_kept_total", "counter",
+                "Statements of other holders that ran here, by reason.");
+    page.sample("statements_kept_total", "{reason=\"rejected\"}",
+                counts.local_after_rejection);
+    page.sample("statements_kept_total", "{reason=\"undelivered\"}",
+                counts.local_after_undelivered);
+    page.sample("statements_kept_total", "{reason=\"lost\"}",
+                counts.local_after_loss);
+    page.sample("statements_kept_total", "{reason=\"limit\"}",
+                counts.local_above_limit);
     page.family("decisions_dropped_total", "counter",
                 "Lines left out of the decision log.");
     page.sample("decisions_dropped_total", "", it.decisions_dropped);
@@ -184,6 +200,9 @@
                 "Time from a statement's arrival to its answer, in seconds.");
     page.histogram("statement_seconds", "kind=\"read\"", it.traffic.reads);
     page.histogram("statement_seconds", "kind=\"write\"", it.traffic.writes);
+    page.family("forwarded_seconds", "histogram",
+                "Time from forwarding a statement to its answer, in seconds.");
+    page.histogram("forwarded_seconds", "kind=\"all\"", it.traffic.forwarded);
     return page.text();
 }
 
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -316,7 +316,7 @@
     context_.control->push(metrics_published{
         index_,
         {engine_.counts(), clients_.size() + pending_clients_.size(), reads_,
-         writes_}});
+         writes_, forwarded_}});
 }
 
 void traffic_thread::on_event(traffic_message& it)
@@ -552,6 +552,8 @@
         if (auto* client = find_client(entry->second.session))
             client->store_answer(std::move(answer.payload));
         entry->second.session = 0;
+        if (auto const sent_at = entry->second.forwarded_at)
+            forwarded_.record(read_clock() - *sent_at);
         answer.summary.connection = id;
         engine_.push(answer.summary);
     };
@@ -567,7 +569,7 @@
     auto* const raw = connection.get();
     server_connections_.emplace(
         it.connection, connection_entry{it.connection, std::move(connection), 0,
-                                        it.read_only});
+                                        it.read_only, std::nullopt});
     raw->open(it);
 }
 
@@ -593,6 +595,8 @@
     options.wrapping = it.wrapping;
     options.after = it.after;
     options.forwarding = it.forwarding;
+    if (it.forwarding)
+        entry->second.forwarded_at = read_clock();
     options.on_read_only_connection = entry->second.read_only;
     options.on_read_route = route != view_->routes.end() &&
                             route->second.kind == rules::route_class::read;
--- a/packages/traffic/test/forwarding_test.cpp
+++ b/packages/traffic/test/forwarding_test.cpp
@@ -142,7 +142,7 @@
     submit(std::uint64_t id,
            statement_verb verb = statement_verb::write,
            transaction_opening opens = transaction_opening::none,
-           std::optional<statement_origin> origin = {})
+           std::optional<statement_origin> const& origin = {})
     {
         handle(statement_received{session_id{id}, verb, opens, origin});
         return find<send_statement>();
@@ -191,10 +191,10 @@
     // The outcome and reason of a refusal, as numbers.
     std::optional<std::pair<refusal_outcome, refusal_reason>> refusal() const
     {
-        auto const it_ = find<refuse>();
-        if (!it_)
+        auto const refused = find<refuse>();
+        if (!refused)
             return std::nullopt;
-        return std::pair(it_->outcome, it_->reason);
+        return std::pair(refused->outcome, refused->reason);
     }
 
     [[nodiscard]] bool closes(std::optional<send_statement> const& sent) const
