traffic: Keep a token of each workspace that a thread has used lately

A thread returned its last token to its daemon about a second after a statement, so that the next statement of a small workspace waited for the control thread although the daemon had a reserve. The daemon counts tokens that are with its threads towards its own minimum reserve.

--- a/packages/limits/src/rate_limiter.cpp
+++ b/packages/limits/src/rate_limiter.cpp
@@ -497,6 +497,10 @@
 {
     auto const target = target_reserve(it, now);
     auto const whole_tokens = it.left / nanotokens_per_token;
+    // The minimum reserve may be at the threads of the daemon.
+    auto const held = target == settings_.min_reserve
+                          ? whole_tokens + it.delegated
+                          : whole_tokens;
     // Only tokens beyond twice the target are returned, so that the holder does
     // not alternate between returning and requesting them.
     auto const surplus =
@@ -523,7 +527,7 @@
             round_up_to_tokens(it.left) + it.delegated,
             it.returned,
             it.waiting,
-            std::max<std::int64_t>(target - whole_tokens, 0),
+            std::max<std::int64_t>(target - held, 0),
             it.floor};
 }
 
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -273,13 +273,24 @@
     friend auto operator<=>(timer_key const&, timer_key const&) = default;
 };
 
+// A thread keeps a token of each workspace that it has used lately. If only its
+// daemon kept one, the next statement would wait for the daemon's control
+// thread.
+[[nodiscard]] inline limits::rate_limiter_settings limiter_settings()
+{
+    limits::rate_limiter_settings out;
+    out.min_reserve = 1;
+    return out;
+}
+
 // The tables of one traffic thread and work lists of the rows that have
 // changed. The stages of a tick process only those lists, so that their cost
 // depends on the number of changes and not on the size of the tables.
 struct state
 {
     explicit state(engine_settings it)
-        : settings(std::move(it)), rate_limiter({}, settings.holder, 1),
+        : settings(std::move(it)),
+          rate_limiter(limiter_settings(), settings.holder, 1),
           holders(settings.self), retry_budget(settings.retry_budget_limit)
     {
     }
--- a/packages/traffic/test/rate_tokens_test.cpp
+++ b/packages/traffic/test/rate_tokens_test.cpp
@@ -197,3 +197,27 @@
         send(2);
     CHECK(silent == 5);
 }
+
+// Guards against a statement that waits for a token although its daemon has a
+// reserve: the thread had returned its own to the daemon after a second.
+TEST_CASE("a thread keeps a token of a workspace that was used lately")
+{
+    fixture f;
+    f.it.push(statement_received{session_id{1}, statement_verb::other});
+    f.run();
+    f.now += 25ms;
+    f.run();
+    f.grant(1);
+    f.now += 100ms;
+    f.run();
+    REQUIRE(f.last_request.has_value());
+    CHECK(f.last_request->reserve == 1);
+    f.grant(1);
+    for (int n = 0; n != 60; ++n)
+    {
+        f.now += 50ms;
+        f.run();
+    }
+    CHECK(f.last_request->returned == 0);
+    CHECK(f.last_request->left == 1);
+}
