testing: Check the memory of daemons that clients misuse

Clients outside anyone's control can make a daemon run out of memory or descriptors. The new test program misbehaving_clients starts the real processes on loopback, sends what such clients send, and checks that the process lives, that its resident memory and open descriptors stay under a bound, and that an ordinary request is answered while the crowd stays and after it has left. It checks no times.

The bound of memory is that of an entry host, 160 MB, and half of it once the crowd has left, so that the host has room for the next one. With 512 descriptors for the process, 16 must stay free for servers and control hosts.

The child processes, the deployment and the wire client of the measurements move to testing/process_deployment, which both programs use.

--- a/tools/measure_daemon_program/deployment.cpp
+++ b/testing/process_deployment/deployment.cpp
@@ -44,8 +44,9 @@
 
 deployment::deployment(std::size_t n,
                        std::string roles,
-                       std::string const& rules)
-    : roles_(std::move(roles))
+                       std::string const& rules,
+                       host_options options)
+    : roles_(std::move(roles)), options_(std::move(options))
 {
     auto const ports = free_ports(2 * n);
     client_ports_.assign(ports.begin(),
@@ -79,9 +80,9 @@
     std::filesystem::create_directory(base);
     std::filesystem::create_directory(base + "/data");
     std::ostringstream out;
-    out << R"({"name": ")" << name << R"(", "data_centre": "dc-0", "roles": )"
-        << roles << R"(, "client_listen": ")" << loopback_address(client_port)
-        << '"';
+    out << '{' << options_.settings << R"("name": ")" << name
+        << R"(", "data_centre": "dc-0", "roles": )" << roles
+        << R"(, "client_listen": ")" << loopback_address(client_port) << '"';
     if (control_port != 0)
         out << R"(, "data_directory": ")" << base
             << R"(/data", "control_listen": ")"
@@ -102,11 +103,15 @@
 void deployment::start(std::size_t n)
 {
     auto const base = directory() + '/' + host_name(n);
-    hosts_[n] = std::make_unique<child_process>(
-        std::vector<std::string>{build_directory +
-                                     "/packages/daemon/basilreachd",
-                                 "--settings=" + base + "/settings.json"},
-        base + "/output");
+    std::vector<std::string> args;
+    if (options_.descriptors != 0)
+        args = {"/bin/sh", "-c",
+                "ulimit -n " + std::to_string(options_.descriptors) +
+                    R"(; exec "$0" "$@")"};
+    args.push_back(build_directory + "/packages/daemon/basilreachd");
+    args.push_back("--settings=" + base + "/settings.json");
+    hosts_[n] =
+        std::make_unique<child_process>(std::move(args), base + "/output");
 }
 
 std::unique_ptr<child_process> deployment::start_entry()
--- a/tools/measure_daemon_program/deployment.hpp
+++ b/testing/process_deployment/deployment.hpp
@@ -1,5 +1,5 @@
-#ifndef BASILREACH_MEASURE_DEPLOYMENT_HPP
-#define BASILREACH_MEASURE_DEPLOYMENT_HPP
+#ifndef BASILREACH_PROCESS_DEPLOYMENT_DEPLOYMENT_HPP
+#define BASILREACH_PROCESS_DEPLOYMENT_DEPLOYMENT_HPP
 
 #include "process.hpp"
 
@@ -18,13 +18,25 @@
 inline constexpr char client_key[] = "measure-caller";
 inline constexpr char backend_password[] = "measure-database";
 
+// How the daemons of a deployment differ from the default.
+struct host_options
+{
+    // Members of the settings document, each followed by a comma.
+    std::string settings;
+    // Maximum number of open descriptors of a daemon; 0: that of this process.
+    std::size_t descriptors = 0;
+};
+
 // Runs daemons with the control role as processes on loopback, and on demand a
 // daemon with the entry role and groups of simulated servers.
 class deployment
 {
 public:
     // Starts `n` control hosts; the roles are a JSON list.
-    deployment(std::size_t n, std::string roles, std::string const& rules);
+    deployment(std::size_t n,
+               std::string roles,
+               std::string const& rules,
+               host_options options = {});
 
     [[nodiscard]] std::size_t size() const
     {
@@ -82,6 +94,7 @@
 
     temporary_directory directory_;
     std::string roles_;
+    host_options options_;
     std::vector<std::uint16_t> client_ports_;
     std::vector<std::uint16_t> control_ports_;
     std::vector<std::unique_ptr<child_process>> hosts_;
--- a/tools/measure_daemon_program/process.cpp
+++ b/testing/process_deployment/process.cpp
@@ -10,7 +10,9 @@
 #include <ctime>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <sstream>
+#include <string_view>
 
 #include <arpa/inet.h>
 #include <fcntl.h>
@@ -107,6 +109,26 @@
     return resident_bytes_of(std::to_string(pid_));
 }
 
+double child_process::peak_resident_bytes() const
+{
+    constexpr std::string_view field = "VmHWM:";
+    constexpr double bytes_per_kib = 1024;
+    std::ifstream file("/proc/" + std::to_string(pid_) + "/status");
+    for (std::string line; std::getline(file, line);)
+        if (line.starts_with(field))
+            return std::strtod(line.c_str() + field.size(), nullptr) *
+                   bytes_per_kib;
+    return 0;
+}
+
+std::size_t child_process::open_descriptors() const
+{
+    std::error_code ec;
+    std::filesystem::directory_iterator const files(
+        "/proc/" + std::to_string(pid_) + "/fd", ec);
+    return static_cast<std::size_t>(std::distance(begin(files), end(files)));
+}
+
 double own_resident_bytes()
 {
     return resident_bytes_of("self");
--- a/tools/measure_daemon_program/process.hpp
+++ b/testing/process_deployment/process.hpp
@@ -1,6 +1,7 @@
-#ifndef BASILREACH_MEASURE_PROCESS_HPP
-#define BASILREACH_MEASURE_PROCESS_HPP
+#ifndef BASILREACH_PROCESS_DEPLOYMENT_PROCESS_HPP
+#define BASILREACH_PROCESS_DEPLOYMENT_PROCESS_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -29,6 +30,12 @@
     // Returns the resident memory in bytes.
     [[nodiscard]] double resident_bytes() const;
 
+    // Returns the highest resident memory since the start, in bytes.
+    [[nodiscard]] double peak_resident_bytes() const;
+
+    // Returns the number of open descriptors.
+    [[nodiscard]] std::size_t open_descriptors() const;
+
 private:
     pid_t pid_ = 0;
 };
--- a/tools/measure_daemon_program/wire_client.hpp
+++ b/testing/process_deployment/wire_client.hpp
@@ -1,5 +1,5 @@
-#ifndef BASILREACH_MEASURE_WIRE_CLIENT_HPP
-#define BASILREACH_MEASURE_WIRE_CLIENT_HPP
+#ifndef BASILREACH_PROCESS_DEPLOYMENT_WIRE_CLIENT_HPP
+#define BASILREACH_PROCESS_DEPLOYMENT_WIRE_CLIENT_HPP
 
 #include <cstdint>
 #include <string>
@@ -33,6 +33,12 @@
     // Runs one statement; returns whether it succeeded.
     [[nodiscard]] bool run(std::string const& statement);
 
+    // The connection's descriptor, or -1 before open().
+    [[nodiscard]] int descriptor() const
+    {
+        return socket_;
+    }
+
 private:
     [[nodiscard]] bool send(std::string const& bytes) const;
     // Reads up to ReadyForQuery, and sends the password when the server asks
