--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -64,6 +64,8 @@
     duration replica_wait = std::chrono::milliseconds{2};
     // Time that a statement waits for a rate token of its workspace.
     duration token_wait = std::chrono::milliseconds{1200};
+    // A client's connection whose startup takes longer is closed.
+    duration startup_timeout = std::chrono::seconds{10};
     // Idle time after which a connection is probed before it is used again.
     duration probe_after = std::chrono::seconds{5};
     // After a stop request, the listener stays open for this time, so that the
@@ -99,6 +101,12 @@
     std::uint32_t queue_per_workspace = 1000;
     // Maximum size of a message from a client, in the PostgreSQL protocol.
     std::uint32_t message_bytes = 16 * 1024 * 1024;
+    // Memory for the buffers of all client connections of the process, divided
+    // among its traffic threads. The part of a thread is at least twice
+    // message_bytes. The default leaves an entry host of 160 MB room for the
+    // rest of the process, which needs about 20 MB, and for the copies of a
+    // statement at its server connection.
+    std::uint32_t client_buffer_bytes = 64 * 1024 * 1024;
     // The tolerance with which compliance with a workspace's rate is checked:
     // in any window of rate_window_s seconds, statements may exceed what rate
     // and burst allow by the fraction rate_overage and by rate_slack
