daemon: Limit the memory and descriptors of client connections

Clients that send most of a large statement and stop, that send whole ones at the same time, or that read no answers made a process use several times the memory of an entry host, and unfinished startups took all its descriptors.

The connections of both protocols report what they buffer to a resource_budget for each traffic thread. While 64 KiB of answers wait, the next message is not handled. A PostgreSQL client may keep prepared statements of twice the maximum message size, and sends no message over 10,000 bytes before it has authenticated. Buffers are released when they are empty, and freed memory is returned to the system. No connection is accepted beyond the descriptors of the process less a reserve of an eighth, at least 64.

--- a/packages/daemon/include/basilreach/daemon/buffered_socket.hpp
+++ b/packages/daemon/include/basilreach/daemon/buffered_socket.hpp
@@ -46,6 +46,11 @@
         return out_;
     }
 
+    [[nodiscard]] std::string const& out() const
+    {
+        return out_;
+    }
+
     // Writes as much as the socket accepts without blocking. Returns false when
     // the connection is closed or broken.
     [[nodiscard]] bool flush();
--- a/packages/daemon/include/basilreach/daemon/client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_connection.hpp
@@ -1,6 +1,7 @@
 #ifndef BASILREACH_DAEMON_CLIENT_CONNECTION_HPP
 #define BASILREACH_DAEMON_CLIENT_CONNECTION_HPP
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -76,6 +77,8 @@
         session_token_presented;
     // Submits a command of the admin console.
     std::function<void(client_connection&, std::string)> submit_console_request;
+    // The bytes that the connection buffers have changed.
+    std::function<void(client_connection&)> buffered;
     // The connection has ended. The owner destroys it after the callback, as
     // the connection is still in use by its caller.
     std::function<void(client_connection&)> closed;
@@ -134,6 +137,29 @@
     [[nodiscard]] virtual bool is_read_only() const = 0;
 
     [[nodiscard]] virtual instant submitted_at() const = 0;
+
+    // The bytes of the client's input, statements and answers in memory.
+    [[nodiscard]] virtual std::size_t buffered_bytes() const = 0;
+
+    // Stops or resumes reading, in addition to the connection's own reasons.
+    virtual void hold_reading(bool held) = 0;
+
+    // Closes the connection, also while a statement is in progress.
+    virtual void close_at_once() = 0;
+
+    // The number under which the owner accounts for the connection.
+    [[nodiscard]] std::uint64_t number() const
+    {
+        return number_;
+    }
+
+    void set_number(std::uint64_t number)
+    {
+        number_ = number;
+    }
+
+private:
+    std::uint64_t number_ = 0;
 };
 
 } // namespace basilreach::daemon
--- a/packages/daemon/include/basilreach/daemon/client_listener.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_listener.hpp
@@ -26,6 +26,9 @@
 
     void close();
 
+    // Stops or resumes accepting connections.
+    void pause(bool paused);
+
     int handle_input(ACE_HANDLE) override;
     ACE_HANDLE get_handle() const override;
 
@@ -34,6 +37,7 @@
     std::function<void(ACE_SOCK_Stream const&)> accepted_;
     ACE_SOCK_Acceptor acceptor_;
     bool is_open_ = false;
+    bool is_paused_ = false;
 };
 
 } // namespace basilreach::daemon
--- a/packages/daemon/include/basilreach/daemon/line_client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/line_client_connection.hpp
@@ -71,6 +71,10 @@
         return variables_;
     }
 
+    [[nodiscard]] std::size_t buffered_bytes() const override;
+    void hold_reading(bool held) override;
+    void close_at_once() override;
+
     int handle_input(ACE_HANDLE) override;
     int handle_output(ACE_HANDLE) override;
     ACE_HANDLE get_handle() const override;
@@ -108,6 +112,7 @@
     void run_unknown();
 
     void process();
+    void update_reading();
     void submit(traffic::statement_verb verb);
     void complete();
     void fail(statement_error code);
@@ -124,11 +129,14 @@
     client_owner const* owner_ = nullptr;
     std::string in_;
     bool is_processing_ = false;
+    bool is_held_ = false;
     phase phase_ = phase::startup;
     std::uint64_t session_ = 0;
     client_identity identity_;
     session_name session_label_;
     session_variables variables_;
+    // The bytes in variables_.
+    std::size_t variable_bytes_ = 0;
     client_command current_;
     instant submitted_at_;
     // The status of the transaction as reported to the client.
--- a/packages/daemon/include/basilreach/daemon/postgresql_client_connection.hpp
+++ b/packages/daemon/include/basilreach/daemon/postgresql_client_connection.hpp
@@ -88,6 +88,10 @@
         return submitted_at_;
     }
 
+    [[nodiscard]] std::size_t buffered_bytes() const override;
+    void hold_reading(bool held) override;
+    void close_at_once() override;
+
     int handle_input(ACE_HANDLE) override;
     int handle_output(ACE_HANDLE) override;
     ACE_HANDLE get_handle() const override;
@@ -142,8 +146,19 @@
     void on_unsupported(pgwire::frontend_message& it);
 
     void process(std::string_view input);
-    void pause_reading();
-    void resume_reading();
+    [[nodiscard]] bool can_process() const;
+    [[nodiscard]] std::size_t waiting_answer_bytes() const;
+    void update_reading();
+    [[nodiscard]] static std::size_t size_of(std::string const& name,
+                                             prepared_statement const& it);
+    [[nodiscard]] static std::size_t size_of(std::string const& name,
+                                             portal const& it);
+    // Replaces the bytes of one prepared statement or portal. Fails the message
+    // and returns false when the client keeps too many.
+    [[nodiscard]] bool account_prepared(std::size_t before, std::size_t after);
+    void close_portals();
+    template <class Table>
+    void erase_prepared(Table& table, std::string const& name);
     void handle(pgwire::frontend_message& it);
     [[nodiscard]] bool describe_waiting_portal();
     void finish_authentication(std::optional<std::string_view> key);
@@ -167,6 +182,7 @@
 
     ACE_SOCK_Stream stream_;
     client_owner const* owner_ = nullptr;
+    std::size_t message_limit_;
     pgwire::decoder decoder_;
     // Bytes received and not decoded yet, among them all that arrive while a
     // statement is in progress.
@@ -175,6 +191,7 @@
     std::size_t out_offset_ = 0;
     bool is_write_registered_ = false;
     bool is_reading_paused_ = false;
+    bool is_held_ = false;
     bool is_processing_ = false;
     phase phase_ = phase::startup;
     std::uint64_t session_ = 0;
@@ -188,6 +205,8 @@
 
     std::map<std::string, prepared_statement, std::less<>> statements_;
     std::map<std::string, portal, std::less<>> portals_;
+    // The bytes in statements_ and portals_.
+    std::size_t prepared_bytes_ = 0;
     statement current_;
     bool current_is_simple_ = true;
     bool current_is_described_ = false;
--- a/packages/daemon/include/basilreach/daemon/thread_messages.hpp
+++ b/packages/daemon/include/basilreach/daemon/thread_messages.hpp
@@ -10,6 +10,7 @@
 
 #include <basilreach/limits/token_messages.hpp>
 #include <basilreach/messages/message.hpp>
+#include <basilreach/resources/resource_budget.hpp>
 #include <basilreach/telemetry/latency_histogram.hpp>
 #include <basilreach/traffic/action.hpp>
 #include <basilreach/traffic/engine_settings.hpp>
@@ -29,6 +30,7 @@
     telemetry::latency_histogram writes;
     // Time from sending a statement to a holder until its answer.
     telemetry::latency_histogram forwarded;
+    resources::budget_counts buffers;
 
     friend bool operator==(traffic_metrics const&,
                            traffic_metrics const&) = default;
--- a/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
+++ b/packages/daemon/include/basilreach/daemon/traffic_thread.hpp
@@ -14,6 +14,7 @@
 
 #include <basilreach/daemon/client_connection.hpp>
 #include <basilreach/daemon/client_listener.hpp>
+#include <basilreach/daemon/client_resources.hpp>
 #include <basilreach/daemon/deployment_adapter.hpp>
 #include <basilreach/daemon/event_loop.hpp>
 #include <basilreach/daemon/forward_links.hpp>
@@ -43,6 +44,8 @@
     telemetry::decision_log* decisions = nullptr;
     inbox<control_message>* control = nullptr;
     std::vector<traffic_thread*> threads;
+    std::shared_ptr<connection_count> client_connections =
+        std::make_shared<connection_count>(0);
 };
 
 // Sets the protocol and the rules parser according to the settings and the
@@ -139,6 +142,7 @@
     client_owner owner_;
     // Destroyed after the clients and connections, which refer to it.
     forward_links forward_links_;
+    client_resources resources_;
     traffic::engine engine_;
     traffic::control_view_ptr view_;
     // The end of the daemon's control lease.
--- a/packages/daemon/src/buffered_socket.cpp
+++ b/packages/daemon/src/buffered_socket.cpp
@@ -116,7 +116,11 @@
         else if (errno != EINTR)
             return false;
     }
-    out_.erase(0, sent);
+    // The buffer is released, so that an idle connection holds none.
+    if (sent == out_.size())
+        out_ = {};
+    else
+        out_.erase(0, sent);
     watch_writing(!out_.empty());
     return true;
 }
--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -635,6 +635,7 @@
         sum.forwarded += it.forwarded;
         sum.reads += it.reads;
         sum.writes += it.writes;
+        sum.buffers += it.buffers;
     }
     return sum;
 }
--- a/packages/daemon/src/line_client_connection.cpp
+++ b/packages/daemon/src/line_client_connection.cpp
@@ -18,6 +18,10 @@
 // Beyond this limit its connection is not read.
 constexpr std::size_t input_limit = std::size_t{4} << 20U;
 
+// Bytes of answers that wait for the client to read them. Beyond this limit its
+// messages are not handled, so that there is at most one answer more.
+constexpr std::size_t answer_limit = std::size_t{64} << 10U;
+
 } // namespace
 
 // Indexed by the alternatives of client_message.
@@ -61,6 +65,7 @@
 void line_client_connection::attach(client_owner const& owner)
 {
     owner_ = &owner;
+    is_held_ = false;
     socket_.attach(*owner.loop);
 }
 
@@ -90,12 +95,18 @@
         disconnect();
     else
         process();
+    if (owner_ != nullptr && phase_ != phase::closing)
+        owner_->buffered(*this);
     return 0;
 }
 
 int line_client_connection::handle_output(ACE_HANDLE /*handle*/)
 {
     write();
+    // The messages that waited for the answers to be read.
+    process();
+    if (owner_ != nullptr && phase_ != phase::closing)
+        owner_->buffered(*this);
     return 0;
 }
 
@@ -103,11 +114,12 @@
 // in the input buffer.
 void line_client_connection::process()
 {
-    if (is_processing_)
+    if (is_processing_ || phase_ == phase::closing)
         return;
     is_processing_ = true;
     std::size_t used = 0;
-    while (phase_ == phase::startup || phase_ == phase::ready)
+    while ((phase_ == phase::startup || phase_ == phase::ready) &&
+           socket_.out().size() < answer_limit)
     {
         auto read =
             codec_.decode_client_message(std::string_view(in_).substr(used));
@@ -121,12 +133,41 @@
         used += read.value()->size;
         auto& message = read.value()->message;
         (this->*message_handlers[message.index()])(message);
+        if (socket_.out().size() >= answer_limit)
+            write();
     }
     in_.erase(0, used);
+    // The buffer of a large message is released.
+    if (in_.empty())
+        in_ = {};
     is_processing_ = false;
-    if (phase_ != phase::closing)
-        socket_.pause_reading(in_.size() > input_limit);
     write();
+    update_reading();
+}
+
+void line_client_connection::update_reading()
+{
+    if (phase_ != phase::closing)
+        socket_.pause_reading(is_held_ || in_.size() > input_limit ||
+                              socket_.out().size() >= answer_limit);
+}
+
+std::size_t line_client_connection::buffered_bytes() const
+{
+    return in_.capacity() + socket_.out().capacity() +
+           current_.text.capacity() + current_.value.capacity() +
+           variable_bytes_;
+}
+
+void line_client_connection::hold_reading(bool held)
+{
+    is_held_ = held;
+    update_reading();
+}
+
+void line_client_connection::close_at_once()
+{
+    disconnect();
 }
 
 void line_client_connection::on_start(client_message& it)
@@ -220,16 +261,19 @@
 
 void line_client_connection::run_set()
 {
-    variables_.values.insert_or_assign(current_.name, current_.value);
+    auto& value = variables_.values[current_.name];
+    variable_bytes_ = variable_bytes_ - value.size() + current_.value.size();
+    value = current_.value;
     complete();
 }
 
 void line_client_connection::run_prepare()
 {
-    variables_.statements.insert_or_assign(
-        current_.name,
-        prepared_shape{current_.kind == command_kind::prepare_write,
-                       current_.value});
+    auto& shape = variables_.statements[current_.name];
+    variable_bytes_ =
+        variable_bytes_ - shape.shape.size() + current_.value.size();
+    shape = prepared_shape{current_.kind == command_kind::prepare_write,
+                           current_.value};
     complete();
 }
 
@@ -246,8 +290,11 @@
 
 void line_client_connection::run_deallocate()
 {
-    if (variables_.statements.erase(current_.name) == 0)
+    auto const found = variables_.statements.find(current_.name);
+    if (found == variables_.statements.end())
         return fail(statement_error::unknown_statement_name);
+    variable_bytes_ -= found->second.shape.size();
+    variables_.statements.erase(found);
     complete();
 }
 
--- a/packages/daemon/src/metrics_page.cpp
+++ b/packages/daemon/src/metrics_page.cpp
@@ -83,6 +83,11 @@
     page.family("server_connections", "gauge",
                 "Connections to backend servers.");
     page.sample("server_connections", "", counts.connections);
+    page.family("caller_buffer_bytes", "gauge", "Bytes buffered for callers.");
+    page.sample("caller_buffer_bytes", "", it.traffic.buffers.bytes);
+    page.family("callers_held", "gauge",
+                "Connections of callers not read to save memory.");
+    page.sample("callers_held", "", it.traffic.buffers.held);
     page.family("control_revision", "gauge", "Revision of the control state.");
     page.sample("control_revision", "", it.revision);
     page.family("ready", "gauge", "1 if the host takes new callers.");
@@ -152,6 +157,13 @@
                 counts.local_after_loss);
     page.sample("statements_kept_total", "{reason=\"limit\"}",
                 counts.local_above_limit);
+    auto const& closed = it.traffic.buffers.closed;
+    page.family("callers_closed_total", "counter",
+                "Connections of callers closed to save memory, by reason.");
+    page.sample("callers_closed_total", "{reason=\"startup_timeout\"}",
+                closed[0]);
+    page.sample("callers_closed_total", "{reason=\"hold_timeout\"}", closed[1]);
+    page.sample("callers_closed_total", "{reason=\"memory\"}", closed[2]);
     page.family("decisions_dropped_total", "counter",
                 "Lines left out of the decision log.");
     page.sample("decisions_dropped_total", "", it.decisions_dropped);
--- a/packages/daemon/src/postgresql_client_connection.cpp
+++ b/packages/daemon/src/postgresql_client_connection.cpp
@@ -24,6 +24,17 @@
 // memory.
 constexpr std::size_t backlog_limit = std::size_t{64} << 10U;
 
+// Bytes of answers that wait for the client to read them. Beyond this limit its
+// messages are not handled, so that there is at most one answer more.
+constexpr std::size_t answer_limit = std::size_t{64} << 10U;
+
+// Memory of a prepared statement or portal besides its texts.
+constexpr std::size_t prepared_overhead_bytes = 256;
+
+// A client may keep prepared statements and portals of as many bytes as this
+// number of messages of the maximum size.
+constexpr std::size_t prepared_messages_max = 2;
+
 constexpr std::string_view variable_prefix = "basilreach.";
 
 pgwire::error_fields error(char const* sqlstate, std::string message)
@@ -129,7 +140,9 @@
 
 postgresql_client_connection::postgresql_client_connection(
     ACE_SOCK_Stream const& stream, std::size_t message_limit)
-    : stream_(stream), decoder_(message_limit)
+    : stream_(stream), message_limit_(message_limit),
+      // No message before the session is larger than a startup packet.
+      decoder_(std::min(message_limit, pgwire::startup_packet_limit))
 {
     static_assert(std::size(handlers) ==
                   std::variant_size_v<pgwire::frontend_message>);
@@ -150,6 +163,7 @@
 {
     owner_ = &owner;
     is_reading_paused_ = false;
+    is_held_ = false;
     owner_->loop->reactor().register_handler(this,
                                              ACE_Event_Handler::READ_MASK);
 }
@@ -168,6 +182,7 @@
 {
     session_ = session;
     phase_ = phase::ready;
+    decoder_.set_message_limit(message_limit_);
     pgwire::append_authentication_ok(out_);
     // Drivers choose their encodings by these parameters.
     pgwire::append_parameter_status(out_, "server_version", "15.0");
@@ -197,38 +212,52 @@
         disconnect();
     else
         process({buf.data(), static_cast<std::size_t>(n)});
+    if (owner_ != nullptr)
+        owner_->buffered(*this);
     return 0;
 }
 
 int postgresql_client_connection::handle_output(ACE_HANDLE /*handle*/)
 {
     write();
+    // The messages that waited for the answers to be read.
+    if (!backlog_.empty())
+        process({});
+    if (owner_ != nullptr)
+        owner_->buffered(*this);
     return 0;
 }
 
-// Handles messages until a statement is in progress. The remaining bytes are
-// buffered.
+// Whether the next message may be handled.
+bool postgresql_client_connection::can_process() const
+{
+    return phase_ != phase::busy && phase_ != phase::handing_over &&
+           phase_ != phase::closing && waiting_answer_bytes() < answer_limit;
+}
+
+std::size_t postgresql_client_connection::waiting_answer_bytes() const
+{
+    return out_.size() - out_offset_;
+}
+
+// Handles messages until a statement is in progress or answers wait. The
+// remaining bytes are buffered.
 void postgresql_client_connection::process(std::string_view input)
 {
     // A handler that completes its statement at once calls this function again.
-    if (is_processing_ || phase_ == phase::busy ||
-        phase_ == phase::handing_over)
+    if (is_processing_ || !can_process())
     {
         backlog_.append(input);
-        if (backlog_.size() > backlog_limit)
-            pause_reading();
-        return;
+        return update_reading();
     }
     std::string waiting = std::exchange(backlog_, {});
-    resume_reading();
     if (!waiting.empty())
     {
         waiting.append(input);
         input = waiting;
     }
     is_processing_ = true;
-    while (phase_ != phase::busy && phase_ != phase::handing_over &&
-           phase_ != phase::closing)
+    while (can_process())
     {
         auto it = decoder_.next(input);
         if (!it)
@@ -239,25 +268,89 @@
         if (!it.value())
             break;
         handle(*it.value());
+        if (waiting_answer_bytes() >= answer_limit)
+            write();
     }
     is_processing_ = false;
     if (phase_ != phase::closing)
         backlog_.append(input);
+    update_reading();
     write();
 }
 
-void postgresql_client_connection::pause_reading()
+void postgresql_client_connection::update_reading()
 {
-    if (owner_ != nullptr && !std::exchange(is_reading_paused_, true))
-        owner_->loop->reactor().cancel_wakeup(this,
-                                              ACE_Event_Handler::READ_MASK);
+    if (owner_ == nullptr)
+        return;
+    bool const pauses = is_held_ || backlog_.size() > backlog_limit ||
+                        waiting_answer_bytes() >= answer_limit;
+    if (std::exchange(is_reading_paused_, pauses) == pauses)
+        return;
+    auto& reactor = owner_->loop->reactor();
+    if (pauses)
+        reactor.cancel_wakeup(this, ACE_Event_Handler::READ_MASK);
+    else
+        reactor.schedule_wakeup(this, ACE_Event_Handler::READ_MASK);
+}
+
+std::size_t postgresql_client_connection::size_of(std::string const& name,
+                                                  prepared_statement const& it)
+{
+    return prepared_overhead_bytes + name.size() + it.text.size() +
+           it.parameter_types.size() * sizeof(std::uint32_t);
+}
+
+std::size_t postgresql_client_connection::size_of(std::string const& name,
+                                                  portal const& it)
+{
+    return prepared_overhead_bytes + name.size() + it.bound.text.size() +
+           it.bound.parameter_types.size() * sizeof(std::uint32_t) +
+           it.bound.parameter_formats.size() * sizeof(std::int16_t) +
+           it.bound.parameters.size_bytes();
 }
 
-void postgresql_client_connection::resume_reading()
+bool postgresql_client_connection::account_prepared(std::size_t before,
+                                                    std::size_t after)
 {
-    if (owner_ != nullptr && std::exchange(is_reading_paused_, false))
-        owner_->loop->reactor().schedule_wakeup(this,
-                                                ACE_Event_Handler::READ_MASK);
+    auto const bytes = prepared_bytes_ - before + after;
+    if (after > before && bytes > prepared_messages_max * message_limit_)
+    {
+        current_is_simple_ = false;
+        fail(error("53200", "the prepared statements are too large"));
+        return false;
+    }
+    prepared_bytes_ = bytes;
+    return true;
+}
+
+template <class Table>
+void postgresql_client_connection::erase_prepared(Table& table,
+                                                  std::string const& name)
+{
+    auto const found = table.find(name);
+    if (found == table.end())
+        return;
+    prepared_bytes_ -= size_of(name, found->second);
+    table.erase(found);
+}
+
+std::size_t postgresql_client_connection::buffered_bytes() const
+{
+    // A statement in progress is also in the buffers of its server connection.
+    return backlog_.capacity() + decoder_.buffered_capacity() +
+           out_.capacity() + current_.text.capacity() +
+           current_.parameters.size_bytes() + prepared_bytes_;
+}
+
+void postgresql_client_connection::hold_reading(bool held)
+{
+    is_held_ = held;
+    update_reading();
+}
+
+void postgresql_client_connection::close_at_once()
+{
+    disconnect();
 }
 
 void postgresql_client_connection::handle(pgwire::frontend_message& it)
@@ -396,8 +489,15 @@
         current_is_simple_ = false;
         return fail(error("42P05", "the prepared statement exists already"));
     }
-    statements_[message.statement] = {std::move(message.text),
-                                      std::move(message.parameter_types)};
+    prepared_statement prepared{std::move(message.text),
+                                std::move(message.parameter_types)};
+    auto const replaced = statements_.find(message.statement);
+    if (!account_prepared(replaced == statements_.end()
+                              ? 0
+                              : size_of(message.statement, replaced->second),
+                          size_of(message.statement, prepared)))
+        return;
+    statements_[message.statement] = std::move(prepared);
     pgwire::append_parse_complete(out_);
 }
 
@@ -422,7 +522,14 @@
     bound.parameter_formats = std::move(message.parameter_formats);
     bound.parameters = std::move(message.parameters);
     bound.result_format = formats.empty() ? std::int16_t{0} : formats[0];
-    portals_[message.portal] = {std::move(bound), false};
+    portal opened{std::move(bound), false};
+    auto const replaced = portals_.find(message.portal);
+    if (!account_prepared(replaced == portals_.end()
+                              ? 0
+                              : size_of(message.portal, replaced->second),
+                          size_of(message.portal, opened)))
+        return;
+    portals_[message.portal] = std::move(opened);
     pgwire::append_bind_complete(out_);
 }
 
@@ -453,9 +560,9 @@
 {
     auto const& message = std::get<pgwire::close_target>(it);
     if (message.kind == pgwire::target_kind::portal)
-        portals_.erase(message.name);
+        erase_prepared(portals_, message.name);
     else
-        statements_.erase(message.name);
+        erase_prepared(statements_, message.name);
     pgwire::append_close_complete(out_);
 }
 
@@ -495,6 +602,13 @@
     return false;
 }
 
+void postgresql_client_connection::close_portals()
+{
+    for (auto const& [name, it] : portals_)
+        prepared_bytes_ -= size_of(name, it);
+    portals_.clear();
+}
+
 void postgresql_client_connection::on_sync(pgwire::frontend_message& /*it*/)
 {
     if (phase_ != phase::skipping && describe_waiting_portal())
@@ -503,7 +617,7 @@
     phase_ = phase::ready;
     // Portals are closed at the end of their transaction.
     if (status_ == pgwire::ready_status::idle)
-        portals_.clear();
+        close_portals();
     append_ready();
 }
 
@@ -573,6 +687,8 @@
 void postgresql_client_connection::finish_statement()
 {
     current_describes_portal_ = false;
+    // Its text may be large, and the client may stay idle from now on.
+    current_ = {};
     if (phase_ == phase::busy)
         phase_ = phase::ready;
     if (current_is_simple_)
@@ -789,6 +905,13 @@
             if (!std::exchange(is_write_registered_, true))
                 owner_->loop->reactor().schedule_wakeup(
                     this, ACE_Event_Handler::WRITE_MASK);
+            // A client that never reads all would otherwise keep what it has
+            // read in the buffer.
+            if (out_offset_ > waiting_answer_bytes())
+            {
+                out_.erase(0, out_offset_);
+                out_offset_ = 0;
+            }
             return;
         }
         return disconnect();
@@ -796,6 +919,7 @@
     // The buffer is released, so that an idle client holds none.
     out_ = {};
     out_offset_ = 0;
+    update_reading();
     if (std::exchange(is_write_registered_, false))
         owner_->loop->reactor().cancel_wakeup(this,
                                               ACE_Event_Handler::WRITE_MASK);
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -124,6 +124,16 @@
     acceptor_.close();
 }
 
+void client_listener::pause(bool paused)
+{
+    if (!is_open_ || std::exchange(is_paused_, paused) == paused)
+        return;
+    if (paused)
+        loop_.reactor().cancel_wakeup(this, ACE_Event_Handler::ACCEPT_MASK);
+    else
+        loop_.reactor().schedule_wakeup(this, ACE_Event_Handler::ACCEPT_MASK);
+}
+
 ACE_HANDLE client_listener::get_handle() const
 {
     return acceptor_.get_handle();
@@ -140,6 +150,10 @@
                           sizeof(on));
         accepted_(stream);
     }
+    // Without a free descriptor the connection stays in the queue, and the
+    // reactor would report it again at once.
+    else if (errno == EMFILE || errno == ENFILE)
+        pause(true);
     return 0;
 }
 
@@ -153,6 +167,7 @@
     : index_(index), context_(context), inbox_(loop_),
       listener_(loop_, [this](ACE_SOCK_Stream const& it) { accept(it); }),
       forward_links_(loop_, make_forward_owner()),
+      resources_(context.settings, *context.client_connections),
       engine_(engine_settings_of(context.settings, index)),
       view_(std::make_shared<traffic::control_view const>()),
       next_session_(std::uint64_t{index + 1} << session_index_shift)
@@ -209,6 +224,11 @@
         context_.control->push(
             console_request{index_, it.session(), std::move(text)});
     };
+    owner_.buffered = [this](client_connection& it)
+    {
+        resources_.record(it);
+        resources_.enforce_limit(read_clock());
+    };
     owner_.closed = [this](client_connection& it)
     {
         remove_client(it);
@@ -279,7 +299,8 @@
         for (auto& it : inbox_.take())
             (this->*message_handlers[it.index()])(it);
         tick();
-        loop_.run_once(std::min(engine_.next_deadline(), next_publication_));
+        loop_.run_once(std::min({engine_.next_deadline(), next_publication_,
+                                 resources_.next_deadline()}));
     }
     listener_.close();
     forward_links_.close();
@@ -296,9 +317,11 @@
     context_.decisions->write(decisions_);
     for (auto* client : std::exchange(authenticated_, {}))
         hand_over(client);
+    resources_.tick(now);
     retired_clients_.clear();
     retired_server_connections_.clear();
     forward_links_.tick(now);
+    resources_.release_memory();
     publish_metrics(now);
     if (is_draining_ && !is_drained_ && clients_.empty() &&
         forward_links_.is_stopped(now))
@@ -313,10 +336,11 @@
     if (now < next_publication_)
         return;
     next_publication_ = now + publication_interval;
+    listener_.pause(resources_.is_full());
     context_.control->push(metrics_published{
         index_,
         {engine_.counts(), clients_.size() + pending_clients_.size(), reads_,
-         writes_, forwarded_}});
+         writes_, forwarded_, resources_.counts()}});
 }
 
 void traffic_thread::on_event(traffic_message& it)
@@ -339,8 +363,10 @@
     auto const session = ++next_session_;
     raw->attach(owner_);
     clients_.emplace(session, std::move(client));
+    resources_.add_session(*raw);
     raw->start_session(session);
     open_session(*raw);
+    resources_.record(*raw);
     // The client arrived after the drain had begun in this thread.
     if (is_draining_)
         raw->end(traffic::refusal_reason::draining);
@@ -350,7 +376,10 @@
 {
     auto const& answer = std::get<console_reply>(it);
     if (auto* client = find_client(answer.session))
+    {
         client->send_console_reply(answer.reply);
+        resources_.record(*client);
+    }
 }
 
 void traffic_thread::on_drain(traffic_message& it)
@@ -366,6 +395,8 @@
             consoles.push_back(client.get());
     for (auto* console : consoles)
         console->end(traffic::refusal_reason::draining);
+    for (auto const& [client, owned] : pending_clients_)
+        resources_.remove(*client);
     pending_clients_.clear();
 }
 
@@ -379,7 +410,10 @@
     auto client = context_.protocol->make_client_connection(stream);
     auto* const raw = client.get();
     pending_clients_.emplace(raw, std::move(client));
+    resources_.add_startup(*raw, read_clock());
     raw->attach(owner_);
+    if (resources_.is_full())
+        listener_.pause(true);
 }
 
 std::optional<client_identity>
@@ -471,6 +505,7 @@
     auto owned = std::move(found->second);
     pending_clients_.erase(found);
     auto& client = *owned;
+    resources_.remove(client);
     client.detach();
     auto const target = client.identity().is_admin
                             ? index_
@@ -497,6 +532,7 @@
 
 void traffic_thread::remove_client(client_connection& client)
 {
+    resources_.remove(client);
     auto const pending = pending_clients_.find(&client);
     if (pending != pending_clients_.end())
     {
@@ -620,12 +656,16 @@
     if (!client->identity().is_forwarded)
         histogram.record(read_clock() - client->submitted_at());
     client->relay(it.position);
+    resources_.record(*client);
 }
 
 void traffic_thread::perform(traffic::refuse const& it)
 {
     if (auto* client = find_client(static_cast<std::uint64_t>(it.session)))
+    {
         client->refuse(it);
+        resources_.record(*client);
+    }
 }
 
 void traffic_thread::perform(traffic::end_session const& it)
--- a/packages/pgwire/include/basilreach/pgwire/parameter_list.hpp
+++ b/packages/pgwire/include/basilreach/pgwire/parameter_list.hpp
@@ -32,6 +32,12 @@
     [[nodiscard]] std::optional<std::string_view>
     operator[](std::size_t index) const;
 
+    // Returns the bytes of memory that the values take.
+    [[nodiscard]] std::size_t size_bytes() const noexcept
+    {
+        return bytes_.capacity() + offsets_.capacity() * sizeof(std::uint32_t);
+    }
+
     friend bool operator==(parameter_list const&,
                            parameter_list const&) = default;
 
