--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -590,8 +590,7 @@
 {
     auto const it = s.view->groups.find(group.name);
     return it != s.view->groups.end() &&
-           dispatch::has_holders(s.settings.dispatch,
-                                 s.view->members.size(),
+           dispatch::has_holders(s.settings.dispatch, s.view->members.size(),
                                  it->second.connections);
 }
 
