--- a/packages/traffic/src/release.cpp
+++ b/packages/traffic/src/release.cpp
@@ -344,12 +344,9 @@
     auto const rate_wait = reason == refusal_reason::rate_exceeded
                                ? rate_retry_time(s, workspace)
                                : duration{};
-    refuse const refusal{s.sessions.find(request.session)->id,
-                         outcome,
-                         reason,
-                         close_session,
-                         retry_after(s, request, reason),
-                         rate_wait};
+    refuse const refusal{
+        s.sessions.find(request.session)->id, outcome,  reason, close_session,
+        retry_after(s, request, reason),      rate_wait};
     s.actions.emplace_back(log_decision{
         refusal.session, request.number, decision_kind::refuse,
         decision_reason::refused, std::nullopt, refusal, request.priority});
