traffic: Run a test of idle connections at the holder

The test of the retention at holders sent its statement by a session of this daemon. With forwarding such a statement goes to the member that holds its workspace, so the session is now one that another daemon has forwarded. What the test checks is unchanged.

--- a/packages/traffic/test/server_checked_test.cpp
+++ b/packages/traffic/test/server_checked_test.cpp
@@ -115,13 +115,17 @@
         return std::nullopt;
     }
 
-    void open_session(std::uint64_t id, char const* route, std::uint8_t key = 1)
+    void open_session(std::uint64_t id,
+                      char const* route,
+                      std::uint8_t key = 1,
+                      bool is_forwarded = false)
     {
         session_opened event;
         event.session = session_id{id};
         event.route = route_name(route);
         event.workspace = workspace_name(key == 1 ? "w" : "v");
         event.key = key_digest{key};
+        event.is_forwarded = is_forwarded;
         it->push(event);
     }
 
@@ -640,7 +644,8 @@
             view.members[daemon_name(std::to_string(n))] = {
                 data_centre_name("a"), "127.0.0.1:1"};
         f.adopt(view);
-        f.open_session(1, "ledger");
+        // The statement runs here although another daemon holds its workspace.
+        f.open_session(1, "ledger", 1, true);
         f.write(1, {3, 10});
         f.now += 1900ms;
         f.run();
