daemon: Keep the floors of placed workspaces for their holders

It ranks at most 100,000 pairs of member and group at a time. Deployments without members with an address, and groups without holders, are served as before.

--- a/packages/daemon/include/basilreach/daemon/limit_leader.hpp
+++ b/packages/daemon/include/basilreach/daemon/limit_leader.hpp
@@ -5,8 +5,11 @@
 #include <functional>
 #include <map>
 #include <optional>
+#include <set>
 
 #include <basilreach/control/control_state.hpp>
+#include <basilreach/dispatch/dispatch_mode.hpp>
+#include <basilreach/dispatch/placement.hpp>
 #include <basilreach/limits/rate_tolerance.hpp>
 #include <basilreach/limits/share_allocator.hpp>
 #include <basilreach/limits/token_allocator.hpp>
@@ -66,14 +69,22 @@
                                           std::uint64_t incarnation);
     [[nodiscard]] std::optional<std::uint64_t>
     incarnation_of(daemon_name const& daemon, std::uint64_t number) const;
+    bool update_placement(control::control_state const& state);
+    void configure_workspaces(instant now);
     void configure_servers(control::control_state const& state, instant now);
     void configure_daemons(control::control_state const& state, instant now);
 
     limits::rate_tolerance tolerance_;
+    dispatch::dispatch_mode mode_;
     sender send_;
     limits::token_allocator token_allocator_;
     limits::share_allocator share_allocator_;
     std::shared_ptr<rules::rule_set const> rules_;
+    // Daemons that may be holders, and the groups whose statements they run.
+    dispatch::member_map members_;
+    std::set<group_name> placed_groups_;
+    // Workspaces whose limits or floor holders are not configured yet.
+    std::set<workspace_name> unplaced_;
     // Limits of the servers that are configured in share_allocator_.
     std::map<server_name, rules::server_limit_rule> servers_;
     std::set<daemon_name> daemons_;
--- a/packages/daemon/src/limit_leader.cpp
+++ b/packages/daemon/src/limit_leader.cpp
@@ -42,6 +42,28 @@
     return {it.rate_window_s, it.rate_overage, it.rate_slack};
 }
 
+// Rankings of a member for a key that the leader computes at a time. They take
+// a few milliseconds, which delay no heartbeat.
+constexpr std::size_t max_ranked = 100'000;
+
+// A control host forwards no statements and may have no mode of its own. If
+// daemons have addresses, it takes them for members in mode automatic.
+dispatch::dispatch_mode mode_of(settings::dispatch_settings const& it)
+{
+    return it.mode == dispatch::dispatch_mode::local
+               ? dispatch::dispatch_mode::automatic
+               : it.mode;
+}
+
+dispatch::member_map members_of(control::control_state const& state)
+{
+    dispatch::member_map out;
+    for (auto const& [name, it] : state.parts().daemons)
+        if (!it.is_removed && !it.address.empty())
+            out.emplace(name, dispatch::member{it.data_centre, it.address});
+    return out;
+}
+
 } // namespace
 
 limit_leader::limit_leader(settings::daemon_settings const& settings,
@@ -49,7 +71,8 @@
                            bool is_first_leader,
                            sender send,
                            instant now)
-    : tolerance_(tolerance_of(settings.limits)), send_(std::move(send)),
+    : tolerance_(tolerance_of(settings.limits)),
+      mode_(mode_of(settings.dispatch)), send_(std::move(send)),
       token_allocator_(token_settings_of(settings.limits), term, now),
       share_allocator_(share_settings_of(settings.durations), term, now)
 {
@@ -62,22 +85,67 @@
 void limit_leader::configure(control::control_state const& state, instant now)
 {
     configure_daemons(state, now);
-    if (rules_ != state.rules())
-    {
-        auto const old = std::exchange(rules_, state.rules());
+    bool const has_new_rules = rules_ != state.rules();
+    auto const old = std::exchange(rules_, state.rules());
+    if (update_placement(state) || has_new_rules)
         for (auto const& [name, it] : rules_->workspaces)
-            token_allocator_.configure(
-                name, static_cast<std::int64_t>(it.rate),
-                limits::tolerated_burst(it.rate, it.burst, tolerance_), now);
-        // A workspace whose rule was removed gets no more tokens.
-        if (old)
-            for (auto const& [name, it] : old->workspaces)
-                if (!rules_->workspaces.contains(name))
-                    token_allocator_.configure(name, 0, 0, now);
-    }
+            unplaced_.insert(name);
+    // A workspace whose rule was removed gets no more tokens.
+    if (old && has_new_rules)
+        for (auto const& [name, it] : old->workspaces)
+            if (!rules_->workspaces.contains(name))
+                token_allocator_.configure(name, 0, 0, now);
+    configure_workspaces(now);
     configure_servers(state, now);
 }
 
+// Returns whether the members or the groups that have holders have changed.
+bool limit_leader::update_placement(control::control_state const& state)
+{
+    auto members = members_of(state);
+    std::set<group_name> groups;
+    for (auto const& [name, it] : state.parts().servers)
+    {
+        if (it.is_removed)
+            continue;
+        auto const limit = rules_->server_limits.find(it.group);
+        auto const connections = limit == rules_->server_limits.end()
+                                     ? rules::server_limit_rule{}.connections
+                                     : limit->second.connections;
+        if (dispatch::has_holders(mode_, members.size(), connections))
+            groups.insert(it.group);
+    }
+    if (members == members_ && groups == placed_groups_)
+        return false;
+    members_ = std::move(members);
+    placed_groups_ = std::move(groups);
+    return true;
+}
+
+// Configures workspaces until the work of one call is done. A new leader grants
+// no tokens of a workspace before: it would not know for whom to keep floors.
+void limit_leader::configure_workspaces(instant now)
+{
+    std::size_t ranked = 0;
+    while (!unplaced_.empty() && ranked < max_ranked)
+    {
+        auto const name = unplaced_.extract(unplaced_.begin()).value();
+        auto const found = rules_->workspaces.find(name);
+        if (found == rules_->workspaces.end())
+            continue;
+        auto const& rule = found->second;
+        std::optional<std::set<daemon_name>> floor_holders;
+        if (!placed_groups_.empty())
+            floor_holders = dispatch::first_holders(members_, name, rule.burst,
+                                                    placed_groups_);
+        token_allocator_.configure(
+            name, static_cast<std::int64_t>(rule.rate),
+            limits::tolerated_burst(rule.rate, rule.burst, tolerance_), now,
+            std::move(floor_holders));
+        ranked += members_.size() * placed_groups_.size();
+    }
+}
+
 void limit_leader::configure_daemons(control::control_state const& state,
                                      instant now)
 {
@@ -174,6 +242,7 @@
 {
     token_allocator_.set_leader_until(leader_until);
     share_allocator_.set_leader_until(leader_until);
+    configure_workspaces(now);
     std::map<daemon_name, messages::limit_grants> batches;
     auto const batch_for = [&](daemon_name const& holder,
                                std::uint64_t incarnation) -> auto&
@@ -215,6 +284,8 @@
 
 instant limit_leader::next_deadline() const
 {
+    if (!unplaced_.empty())
+        return instant::min();
     return std::min(token_allocator_.next_deadline(),
                     share_allocator_.next_deadline());
 }
