daemon: Let forwarded clients implement the client interface

client_connection has functions for the budget of buffers since the limits of client connections, and forwarded_client did not implement them, so that the package did not build. What is forwarded is limited by its link and draws from no budget.

--- a/packages/daemon/include/basilreach/daemon/forwarded_client.hpp
+++ b/packages/daemon/include/basilreach/daemon/forwarded_client.hpp
@@ -56,6 +56,21 @@
     void send_console_reply(messages::admin_reply const& reply) override;
     void store_answer(std::unique_ptr<answer_payload> answer) override;
 
+    // What is forwarded is limited by its link and draws from no budget of
+    // client connections.
+    [[nodiscard]] std::size_t buffered_bytes() const override
+    {
+        return 0;
+    }
+
+    void hold_reading(bool /*held*/) override
+    {
+    }
+
+    void close_at_once() override
+    {
+    }
+
     [[nodiscard]] client_command const& current() const override
     {
         return current_;
