--- a/packages/daemon/test/forward_links_test.cpp
+++ b/packages/daemon/test/forward_links_test.cpp
@@ -276,7 +276,7 @@
     test_connection one(f.sender, f.address);
     std::string text;
     // Compression must not bring the statement below the limit.
-    for (std::uint32_t n = 1; text.size() < 200 * 1024;
+    for (std::uint32_t n = 1; text.size() < std::size_t{200} * 1024;
          n = n * 1664525 + 1013904223)
         text += std::to_string(n);
     f.send(one, 3, text);
