traffic: Let a test state that the rate is used up

rate_exceeded is said only of a rate that is known to be used up, and the time for which a holder refuses a workspace has a field of its own.

--- a/packages/traffic/test/forwarding_test.cpp
+++ b/packages/traffic/test/forwarding_test.cpp
@@ -622,9 +622,16 @@
                  origin_of(5));
     }
     f.it->push(lease_changed{f.now + 1h});
+    limits::token_grant grant;
+    grant.workspace = workspace_name("w");
+    grant.holder = f.settings.holder;
+    grant.incarnation = 1;
+    grant.id = {1, 1};
+    grant.is_used_up = true;
+    f.it->push(grant);
     f.advance(100ms);
     // Two others wait, which takes 200 ms at 10 statements per second; a
     // further statement would wait for 100 ms at most.
     CHECK(f.find<refuse>()->reason == refusal_reason::rate_exceeded);
-    CHECK(f.find<refuse>()->retry_after == 100ms);
+    CHECK(f.find<refuse>()->rate_wait == 100ms);
 }
