--- a/tools/measure_program/limits.cpp
+++ b/tools/measure_program/limits.cpp
@@ -59,7 +59,8 @@
             {{}, instant(trace.length), 0, placed_hosts - 1, demand, {}});
         return trace;
     }
-    bool const is_split = rate >= std::uint64_t{2} * placed_groups * data_centres;
+    bool const is_split =
+        rate >= std::uint64_t{2} * placed_groups * data_centres;
     unsigned const holders = is_split ? placed_groups : 1;
     trace.placements.push_back({});
     for (unsigned d = 0; d != data_centres; ++d)
