--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -44,6 +44,9 @@
     out.probe_after = it.durations.probe_after;
     out.queue_limit = it.limits.queue_per_workspace;
     out.serves_without_lease = it.serve_without_lease;
+    out.uses_priorities = it.overload_control;
+    if (!it.overload_control)
+        out.suspicion_limit = out.silence_limit;
     out.dispatch = it.dispatch.mode;
     out.self = it.name;
     return out;
--- a/packages/settings/include/basilreach/settings/daemon_settings.hpp
+++ b/packages/settings/include/basilreach/settings/daemon_settings.hpp
@@ -187,6 +187,9 @@
     // Whether statements of clients with a key run while no control lease is
     // held.
     bool serve_without_lease = false;
+    // Whether statements are ordered and refused by the priorities in the
+    // rules, and reads leave a server that answers late.
+    bool overload_control = false;
     rules::key_digest operator_key{};
     // Path of a JSON file with the user and the password at backend servers;
     // present when the entry role is on and the protocol is postgresql.
--- a/packages/settings/src/fields.hpp
+++ b/packages/settings/src/fields.hpp
@@ -236,6 +236,7 @@
         {"metrics_listen", &self::metrics_listen, {}, {&endpoint_format}},
         {"promotion_service", &self::promotion_service, {}, {&endpoint_format}},
         {"serve_without_lease", &self::serve_without_lease},
+        {"overload_control", &self::overload_control},
         {"operator_key_sha256",
          &self::operator_key,
          presence::required,
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -84,6 +84,8 @@
     // so one that is unused for this time belongs to a workspace whose load has
     // ended or moved.
     duration placed_idle_retention = std::chrono::seconds(2);
+    // Whether the priorities in the rules have an effect.
+    bool uses_priorities = true;
     // Time without any answer after which reads run at another server (longer
     // for a slow server). A single slow statement rarely takes this long.
     duration suspicion_limit = std::chrono::milliseconds(100);
--- a/packages/traffic/src/dispatch.cpp
+++ b/packages/traffic/src/dispatch.cpp
@@ -139,6 +139,8 @@
 duration suspicion_limit(state const& s, server_row const& server)
 {
     constexpr int answer_time_factor = 4;
+    if (s.settings.suspicion_limit >= s.settings.silence_limit)
+        return server_silence_limit(s, server);
     if (server.window.answer_time() == duration{})
         return s.settings.silence_limit;
     return std::clamp(answer_time_factor * server.window.answer_time(),
--- a/packages/traffic/src/overload.cpp
+++ b/packages/traffic/src/overload.cpp
@@ -139,7 +139,7 @@
 {
     request.priority.reset();
     request.target.reset();
-    if (!s.view->has_priorities)
+    if (!s.settings.uses_priorities || !s.view->has_priorities)
         return;
     // A workspace's own class must not put all its routes into one class.
     auto const stated = route.priority
@@ -236,7 +236,7 @@
 duration
 retry_after(state const& s, request_row const& request, refusal_reason reason)
 {
-    if (!s.view->has_priorities)
+    if (!s.settings.uses_priorities || !s.view->has_priorities)
         return {};
     auto const estimate = wait_functions[static_cast<std::size_t>(reason)];
     if (estimate == nullptr)
