messages: Encode frames in one place

link_table, message_link and forward_links each wrote the encoding of a message as a frame again, and forward_links built the observer of its two kinds of link twice. They now share messages::encode_frame() and make_link(). No change of behaviour.

--- a/packages/daemon/include/basilreach/daemon/forward_links.hpp
+++ b/packages/daemon/include/basilreach/daemon/forward_links.hpp
@@ -118,6 +118,10 @@
                                  std::uint64_t session,
                                  forwarded_statement const& first);
     void reply(incoming_link& to, messages::message const& it);
+    // Returns a link whose messages and end are passed on together with the
+    // entry that owns it.
+    template <class Link>
+    std::unique_ptr<message_link> make_link(Link& owner);
     void end_link(outgoing_link& it);
     void end_link(incoming_link& it);
     outgoing_link* open_link(daemon_name const& holder,
--- a/packages/daemon/src/forward_links.cpp
+++ b/packages/daemon/src/forward_links.cpp
@@ -45,13 +45,6 @@
 // Longest wait, in a planned stop, for the other daemons to close their links.
 constexpr duration stop_limit = std::chrono::seconds(1);
 
-std::string make_frame(messages::message const& it)
-{
-    std::string frame;
-    messages::append_frame(frame, messages::encode(it));
-    return frame;
-}
-
 } // namespace
 
 forward_links::forward_links(event_loop& loop, forward_owner owner)
@@ -81,6 +74,23 @@
     return std::make_unique<forwarded_connection>(*this, std::move(observer));
 }
 
+template <class Link>
+std::unique_ptr<message_link> forward_links::make_link(Link& owner)
+{
+    link_observer observer;
+    observer.opened = [] {
+    };
+    observer.received = [this, &owner](messages::message it)
+    {
+        receive(owner, it);
+    };
+    observer.closed = [this, &owner]
+    {
+        end_link(owner);
+    };
+    return std::make_unique<message_link>(loop_, std::move(observer));
+}
+
 // ---- Links to holders ----
 
 forward_links::outgoing_link*
@@ -95,18 +105,7 @@
     entry = std::make_unique<outgoing_link>();
     auto* const raw = entry.get();
     raw->holder = holder;
-    link_observer observer;
-    observer.opened = [] {
-    };
-    observer.received = [this, raw](messages::message it)
-    {
-        receive(*raw, it);
-    };
-    observer.closed = [this, raw]
-    {
-        end_link(*raw);
-    };
-    raw->link = std::make_unique<message_link>(loop_, std::move(observer));
+    raw->link = make_link(*raw);
     raw->link->connect(address);
     return raw->has_ended ? nullptr : raw;
 }
@@ -118,7 +117,7 @@
     auto* link = is_bound ? from.link_ : open_link(from.holder_, from.address_);
     if (link == nullptr)
         return false;
-    auto const frame = make_frame(it);
+    auto const frame = messages::encode_frame(it);
     auto const limit = is_bound ? transaction_queue_limit : queue_limit;
     if (link->link->counts().bytes_queued + frame.size() > limit)
         return false;
@@ -230,18 +229,7 @@
     auto* const raw =
         incoming_.emplace_back(std::make_unique<incoming_link>()).get();
     raw->last_used = read_clock();
-    link_observer observer;
-    observer.opened = [] {
-    };
-    observer.received = [this, raw](messages::message it)
-    {
-        receive(*raw, it);
-    };
-    observer.closed = [this, raw]
-    {
-        end_link(*raw);
-    };
-    raw->link = std::make_unique<message_link>(loop_, std::move(observer));
+    raw->link = make_link(*raw);
     raw->link->accept(stream);
 }
 
--- a/packages/daemon/src/link_table.cpp
+++ b/packages/daemon/src/link_table.cpp
@@ -5,7 +5,6 @@
 #include <utility>
 
 #include <basilreach/messages/codec.hpp>
-#include <basilreach/messages/frame.hpp>
 
 namespace basilreach::daemon
 {
@@ -20,14 +19,6 @@
 // without power gets no answer and would otherwise hang for minutes.
 constexpr duration connect_timeout = std::chrono::seconds(1);
 
-// Returns the message as it is sent over a link.
-std::string make_frame(messages::message const& it)
-{
-    std::string frame;
-    messages::append_frame(frame, messages::encode(it));
-    return frame;
-}
-
 } // namespace
 
 consensus::host_name make_host_name(settings::control_host_settings const& it)
@@ -84,7 +75,7 @@
         row.next_attempt - reconnect_interval + connect_timeout < now)
         disconnect(to);
     else if (link != links_.end())
-        return send_to(row.link, *link->second, make_frame(it));
+        return send_to(row.link, *link->second, messages::encode_frame(it));
     if (now < row.next_attempt)
         return;
     row.next_attempt = now + reconnect_interval;
@@ -92,7 +83,7 @@
     auto const& opened =
         links_.emplace(row.link, make_link(row.link)).first->second;
     opened->connect(address_of(to));
-    send_to(row.link, *opened, make_frame(it));
+    send_to(row.link, *opened, messages::encode_frame(it));
 }
 
 void link_table::disconnect(consensus::host_name const& to)
@@ -112,13 +103,13 @@
 {
     auto const link = links_.find(to);
     if (link != links_.end())
-        send_to(to, *link->second, make_frame(it));
+        send_to(to, *link->second, messages::encode_frame(it));
 }
 
 void link_table::send(std::vector<link_id> const& to,
                       messages::message const& it)
 {
-    auto const frame = make_frame(it);
+    auto const frame = messages::encode_frame(it);
     for (auto const id : to)
     {
         auto const link = links_.find(id);
--- a/packages/daemon/src/message_link.cpp
+++ b/packages/daemon/src/message_link.cpp
@@ -177,9 +177,7 @@
 {
     if (!is_registered_)
         return;
-    std::string frame;
-    messages::append_frame(frame, messages::encode(it));
-    send_frame(frame);
+    send_frame(messages::encode_frame(it));
 }
 
 void message_link::send_frame(std::string_view frame)
--- a/packages/messages/include/basilreach/messages/codec.hpp
+++ b/packages/messages/include/basilreach/messages/codec.hpp
@@ -27,6 +27,9 @@
 // Returns the encoding of a message, without a frame.
 [[nodiscard]] std::string encode(message const& it);
 
+// Returns the encoding of a message as a frame, as it is sent over a link.
+[[nodiscard]] std::string encode_frame(message const& it);
+
 [[nodiscard]] result<message, decode_error> decode(std::string_view bytes);
 
 // Encode and decode a command as an entry of the replicated log, and the
--- a/packages/messages/src/codec.cpp
+++ b/packages/messages/src/codec.cpp
@@ -12,6 +12,8 @@
 #include <type_traits>
 #include <utility>
 
+#include <basilreach/messages/frame.hpp>
+
 #include <messages_generated.h>
 
 namespace basilreach::messages
@@ -1332,6 +1334,13 @@
     return pack<wire::envelope>(envelope);
 }
 
+std::string encode_frame(message const& it)
+{
+    std::string out;
+    append_frame(out, encode(it));
+    return out;
+}
+
 result<message, decode_error> decode(std::string_view bytes)
 {
     return unpack<wire::envelope, message>(
