daemon: Ask the budget itself whether clients exceed it

client_resources kept a copy of the limit and computed the settings of the budget twice for it, and the clock was read after each event of a client although the limit is rarely exceeded. No change of behaviour.

--- a/packages/daemon/include/basilreach/daemon/client_resources.hpp
+++ b/packages/daemon/include/basilreach/daemon/client_resources.hpp
@@ -48,9 +48,12 @@
     // Holds, resumes and closes connections. Closed ones report to their owner.
     void tick(instant now);
 
-    // As tick(), if the limit has been exceeded. Called after each event of a
+    // Whether tick() has connections to close now. Asked after each event of a
     // client, since many may follow before the next tick.
-    void enforce_limit(instant now);
+    [[nodiscard]] bool is_over_limit() const
+    {
+        return budget_.is_over_limit();
+    }
 
     // Returns the memory of freed buffers to the system. Called when the
     // closed connections have been destroyed.
@@ -77,7 +80,6 @@
     void log(resources::closure const& it, instant now);
 
     resources::resource_budget budget_;
-    std::size_t limit_bytes_;
     connection_count& connections_;
     std::size_t max_connections_;
     resources::connection_number last_number_ = 0;
--- a/packages/daemon/src/client_resources.cpp
+++ b/packages/daemon/src/client_resources.cpp
@@ -72,9 +72,7 @@
 
 client_resources::client_resources(settings::daemon_settings const& settings,
                                    connection_count& connections)
-    : budget_(make_budget_settings(settings)),
-      limit_bytes_(make_budget_settings(settings).limit_bytes),
-      connections_(connections),
+    : budget_(make_budget_settings(settings)), connections_(connections),
       max_connections_(max_client_connections(descriptor_limit()))
 {
 }
@@ -140,12 +138,6 @@
             client->hold_reading(false);
 }
 
-void client_resources::enforce_limit(instant now)
-{
-    if (budget_.counts().bytes > limit_bytes_)
-        tick(now);
-}
-
 void client_resources::log(resources::closure const& it, instant now)
 {
     if (now >= log_window_end_)
--- a/packages/daemon/src/traffic_thread.cpp
+++ b/packages/daemon/src/traffic_thread.cpp
@@ -230,7 +230,8 @@
     owner_.buffered = [this](client_connection& it)
     {
         resources_.record(it);
-        resources_.enforce_limit(read_clock());
+        if (resources_.is_over_limit())
+            resources_.tick(read_clock());
     };
     owner_.closed = [this](client_connection& it)
     {
--- a/packages/resources/include/basilreach/resources/resource_budget.hpp
+++ b/packages/resources/include/basilreach/resources/resource_budget.hpp
@@ -106,6 +106,11 @@
 
     [[nodiscard]] budget_counts counts() const;
 
+    [[nodiscard]] bool is_over_limit() const
+    {
+        return total_ > settings_.limit_bytes;
+    }
+
 private:
     // A connection that buffers bytes.
     struct usage
--- a/packages/resources/src/resource_budget.cpp
+++ b/packages/resources/src/resource_budget.cpp
@@ -130,7 +130,7 @@
 
 void resource_budget::close_largest(budget_decision& out)
 {
-    while (total_ > settings_.limit_bytes && !by_bytes_.empty())
+    while (is_over_limit() && !by_bytes_.empty())
         close(by_bytes_.rbegin()->second, close_reason::memory, out);
 }
 
