--- a/packages/daemon/src/control_thread.cpp
+++ b/packages/daemon/src/control_thread.cpp
@@ -612,26 +612,8 @@
     traffic_metrics sum;
     for (auto const& it : metrics_)
     {
-        auto const& c = it.counts;
         sum.clients += it.clients;
-        sum.counts.sessions += c.sessions;
-        sum.counts.requests += c.requests;
-        sum.counts.connections += c.connections;
-        sum.counts.reads_at_replicas += c.reads_at_replicas;
-        sum.counts.reads_at_primaries += c.reads_at_primaries;
-        sum.counts.writes += c.writes;
-        sum.counts.refused_not_run += c.refused_not_run;
-        sum.counts.outcome_unknown += c.outcome_unknown;
-        sum.counts.silent_connections += c.silent_connections;
-        sum.counts.connections_opened += c.connections_opened;
-        for (auto const& [priority, counts] : c.by_class)
-            sum.counts.by_class[priority] += counts;
-        sum.counts.forwarded += c.forwarded;
-        sum.counts.received += c.received;
-        sum.counts.local_after_rejection += c.local_after_rejection;
-        sum.counts.local_after_undelivered += c.local_after_undelivered;
-        sum.counts.local_after_loss += c.local_after_loss;
-        sum.counts.local_above_limit += c.local_above_limit;
+        sum.counts += it.counts;
         sum.forwarded += it.forwarded;
         sum.reads += it.reads;
         sum.writes += it.writes;
--- a/packages/traffic/include/basilreach/traffic/engine_settings.hpp
+++ b/packages/traffic/include/basilreach/traffic/engine_settings.hpp
@@ -146,6 +146,8 @@
     std::uint64_t local_after_loss = 0;
     std::uint64_t local_above_limit = 0;
 
+    engine_counts& operator+=(engine_counts const& it);
+
     friend bool operator==(engine_counts const&,
                            engine_counts const&) = default;
 };
--- a/packages/traffic/src/engine.cpp
+++ b/packages/traffic/src/engine.cpp
@@ -325,6 +325,30 @@
 
 } // namespace
 
+engine_counts& engine_counts::operator+=(engine_counts const& it)
+{
+    sessions += it.sessions;
+    requests += it.requests;
+    connections += it.connections;
+    held += it.held;
+    reads_at_replicas += it.reads_at_replicas;
+    reads_at_primaries += it.reads_at_primaries;
+    writes += it.writes;
+    refused_not_run += it.refused_not_run;
+    outcome_unknown += it.outcome_unknown;
+    silent_connections += it.silent_connections;
+    connections_opened += it.connections_opened;
+    for (auto const& [priority, counts] : it.by_class)
+        by_class[priority] += counts;
+    forwarded += it.forwarded;
+    received += it.received;
+    local_after_rejection += it.local_after_rejection;
+    local_after_undelivered += it.local_after_undelivered;
+    local_after_loss += it.local_after_loss;
+    local_above_limit += it.local_above_limit;
+    return *this;
+}
+
 engine::engine(engine_settings settings)
     : state_(std::make_unique<state>(std::move(settings)))
 {
