traffic: Derive what placement and routing know from one source

Whether a server accepts statements, whether a replica may answer a read, and whether a group has holders were each decided in two or three places; the control view had the rates and bursts of workspaces beside a partial copy of their rules. The tests keep their assertions; one sets up the rule instead of rate and burst. No change of behaviour.

--- a/packages/daemon/src/view_builder.cpp
+++ b/packages/daemon/src/view_builder.cpp
@@ -60,18 +60,16 @@
     }
 }
 
-void add_priorities(rules::rule_set const& rules, traffic::control_view& view)
+bool has_priorities(rules::rule_set const& rules)
 {
     auto const states_priority = [](auto const& it)
     {
         return it.second.priority.has_value();
     };
-    view.has_priorities = std::any_of(rules.routes.begin(), rules.routes.end(),
-                                      states_priority) ||
-                          std::any_of(rules.workspaces.begin(),
-                                      rules.workspaces.end(), states_priority);
-    if (view.has_priorities)
-        view.workspace_rules = rules.workspaces;
+    return std::any_of(rules.routes.begin(), rules.routes.end(),
+                       states_priority) ||
+           std::any_of(rules.workspaces.begin(), rules.workspaces.end(),
+                       states_priority);
 }
 
 void add_members(control::control_state const& state,
@@ -94,13 +92,10 @@
     view->has_rules = state.parts().rules_version > 0;
     view->routes = state.rules()->routes;
     view->keys = state.rules()->keys;
+    view->workspace_rules = state.rules()->workspaces;
     for (auto const& [name, rule] : state.rules()->workspaces)
-    {
         view->workspaces.insert(name);
-        view->rates.emplace(name, rule.rate);
-        view->bursts.emplace(name, rule.burst);
-    }
-    add_priorities(*state.rules(), *view);
+    view->has_priorities = has_priorities(*state.rules());
     for (auto const& it : denied)
         view->keys.erase(it);
     add_servers(state, *view);
--- a/packages/traffic/include/basilreach/traffic/control_view.hpp
+++ b/packages/traffic/include/basilreach/traffic/control_view.hpp
@@ -66,12 +66,7 @@
     // Whether a rule states a priority. Without, statements are ordered and
     // refused without regard to classes.
     bool has_priorities = false;
-    // The rules of workspaces, if a rule states a priority.
     std::map<workspace_name, rules::workspace_rule> workspace_rules;
-    // The rate of each workspace, in statements per second.
-    std::map<workspace_name, std::uint64_t> rates;
-    // The burst of each workspace, by which its statements are placed.
-    std::map<workspace_name, std::uint64_t> bursts;
     std::map<server_name, server_view> servers;
     std::map<group_name, group_view> groups;
     // The daemons that run statements for others.
--- a/packages/traffic/include/basilreach/traffic/detail/state.hpp
+++ b/packages/traffic/include/basilreach/traffic/detail/state.hpp
@@ -490,7 +490,22 @@
 bool wait_if_lease_expired(state& s, request_row_id id);
 
 // Returns whether statements for the group run at holders.
-[[nodiscard]] bool has_holders(state const& s, group_row const& group);
+[[nodiscard]] inline bool has_holders(state const& s, group_row const& group)
+{
+    return s.groups_with_holders.contains(group.name);
+}
+
+[[nodiscard]] inline bool accepts_statements(server_row const& it)
+{
+    return !it.is_down && !it.is_leaving && !it.is_removed;
+}
+
+// Whether the guarantee of the request's route lets a replica answer it, given
+// a position of the primary that is recent enough.
+[[nodiscard]] inline bool accepts_replica(request_row const& it)
+{
+    return it.max_age && it.reads != rules::read_guarantee::latest;
+}
 
 struct connection_count
 {
--- a/packages/traffic/src/deadlines.cpp
+++ b/packages/traffic/src/deadlines.cpp
@@ -131,8 +131,7 @@
                        [&s](row_id id)
                        {
                            auto const& it = *s.servers.find(id);
-                           return !it.is_suspect && !it.is_removed &&
-                                  !it.is_leaving && !it.is_down;
+                           return !it.is_suspect && accepts_statements(it);
                        });
 }
 
--- a/packages/traffic/src/forwarding.cpp
+++ b/packages/traffic/src/forwarding.cpp
@@ -17,17 +17,6 @@
 // gives up has an unknown outcome if it is a write.
 constexpr duration answer_allowance = std::chrono::milliseconds(10);
 
-bool is_usable(server_row const& it)
-{
-    return !it.is_down && !it.is_leaving && !it.is_removed;
-}
-
-bool may_run_at_replica(request_row const& request)
-{
-    return request.is_read && request.max_age &&
-           request.reads != rules::read_guarantee::latest;
-}
-
 bool has_usable_server(state const& s,
                        group_row const& group,
                        data_centre_name const& data_centre)
@@ -36,7 +25,7 @@
                        [&](server_row_id id)
                        {
                            auto const& it = *s.servers.find(id);
-                           return is_usable(it) &&
+                           return accepts_statements(it) &&
                                   it.data_centre == data_centre;
                        });
 }
@@ -47,14 +36,14 @@
                                                    request_row const& request)
 {
     auto const& group = *s.groups.find(request.group);
-    if (may_run_at_replica(request) &&
+    if (request.is_read && accepts_replica(request) &&
         has_usable_server(s, group, s.settings.data_centre))
         return s.settings.data_centre;
     if (!group.primary)
         return std::nullopt;
     auto const& primary = *s.servers.find(*group.primary);
-    return is_usable(primary) ? std::optional(primary.data_centre)
-                              : std::nullopt;
+    return accepts_statements(primary) ? std::optional(primary.data_centre)
+                                       : std::nullopt;
 }
 
 // Whether the statement may be sent to a holder at all. One that has taken a
@@ -67,7 +56,7 @@
            request.may_forward && !request.has_rate_token &&
            !request.was_sent && !session.is_forwarded &&
            !session.in_transaction && is_server_checked(s, request) &&
-           s.groups_with_holders.contains(s.groups.find(request.group)->name);
+           has_holders(s, *s.groups.find(request.group));
 }
 
 std::optional<daemon_name> choose_holder(state& s,
@@ -75,10 +64,10 @@
                                          session_row const& session,
                                          data_centre_name const& data_centre)
 {
-    auto const burst = s.view->bursts.find(session.workspace);
+    auto const rule = s.view->workspace_rules.find(session.workspace);
     auto const key = dispatch::make_placement_key(
         session.workspace, s.groups.find(request.group)->name,
-        burst == s.view->bursts.end() ? 0 : burst->second,
+        rule == s.view->workspace_rules.end() ? 0 : rule->second.burst,
         s.groups_with_holders.size(), s.data_centres_with_holders);
     return s.holders.choose(key, data_centre, s.now);
 }
@@ -283,16 +272,16 @@
 // than it may wait. Holders share the rate, so this is a lower bound.
 duration rate_retry_time(state const& s, workspace_name const& workspace)
 {
-    auto const rate = s.view->rates.find(workspace);
+    auto const rule = s.view->workspace_rules.find(workspace);
     auto const waiting = s.waiting_rate_token.find(workspace);
-    if (rate == s.view->rates.end() || rate->second == 0 ||
+    if (rule == s.view->workspace_rules.end() || rule->second.rate == 0 ||
         waiting == s.waiting_rate_token.end() || waiting->second.empty())
         return {};
     // The statement that is being refused is still one of those that wait.
     auto const others = static_cast<std::int64_t>(waiting->second.size()) - 1;
     duration const second = std::chrono::seconds(1);
     duration const needed =
-        second * others / static_cast<std::int64_t>(rate->second);
+        second * others / static_cast<std::int64_t>(rule->second.rate);
     return std::max(needed - s.settings.token_wait, duration{});
 }
 
--- a/packages/traffic/src/routing.cpp
+++ b/packages/traffic/src/routing.cpp
@@ -16,11 +16,6 @@
 // maximum age.
 constexpr std::size_t sample_limit = 64;
 
-bool accepts_statements(server_row const& it)
-{
-    return !it.is_down && !it.is_leaving && !it.is_removed;
-}
-
 // Whether the data of a replica at this position is known to be at most
 // max_age old.
 bool is_recent_enough(state const& s,
@@ -42,7 +37,7 @@
                                               request_row const& request,
                                               session_row const& session)
 {
-    if (request.reads == rules::read_guarantee::latest || !request.max_age)
+    if (!accepts_replica(request))
         return std::nullopt;
     auto const oldest = request.arrived_at - *request.max_age;
     auto const sample = std::find_if(group.samples.begin(), group.samples.end(),
@@ -410,8 +405,7 @@
 {
     auto& group = *s.groups.find(request.group);
     auto const after = required_position(group, request, session);
-    bool const uses_samples =
-        request.reads != rules::read_guarantee::latest && request.max_age;
+    bool const uses_samples = accepts_replica(request);
     if (uses_samples && has_reachable_primary(s, group))
     {
         if (!after && !request.has_waited)
@@ -564,8 +558,7 @@
     auto const& group = *s.groups.find(request.group);
     if (!group.primary || group.primary_refused_until > s.now)
         return;
-    bool const has_replicas = request.is_read && request.max_age &&
-                              request.reads != rules::read_guarantee::latest;
+    bool const has_replicas = request.is_read && accepts_replica(request);
     bool const needs_primary =
         !has_replicas || (!required_position(group, request, session) &&
                           s.servers.find(*group.primary)->connections.empty());
@@ -586,14 +579,6 @@
     }
 }
 
-bool has_holders(state const& s, group_row const& group)
-{
-    auto const it = s.view->groups.find(group.name);
-    return it != s.view->groups.end() &&
-           dispatch::has_holders(s.settings.dispatch, s.view->members.size(),
-                                 it->second.connections);
-}
-
 bool is_server_checked(state const& s, request_row const& request)
 {
     auto const* group = s.groups.find(request.group);
--- a/packages/traffic/test/forwarding_test.cpp
+++ b/packages/traffic/test/forwarding_test.cpp
@@ -29,8 +29,8 @@
     view.routes.emplace(route_name("lookup"), route);
     view.keys.emplace(key_digest{1}, workspace_name("w"));
     view.workspaces.insert(workspace_name("w"));
-    view.rates.emplace(workspace_name("w"), 10);
-    view.bursts.emplace(workspace_name("w"), 10);
+    view.workspace_rules.emplace(workspace_name("w"),
+                                 rules::workspace_rule{10, 10});
     auto const add_site = [&view](char const* name)
     {
         data_centre_name const data_centre(name);
