--- a/review/support-2/harness.hpp
+++ b/review/support-2/harness.hpp
@@ -3,9 +3,10 @@
 #ifndef BASILREACH_REVIEW_HARNESS_HPP
 #define BASILREACH_REVIEW_HARNESS_HPP
 
+#include <algorithm>
 #include <atomic>
 #include <chrono>
-#include <condition_variable>
+#include <csignal>
 #include <cstdint>
 #include <cstdlib>
 #include <filesystem>
@@ -26,7 +27,6 @@
 #include <vector>
 
 #include <arpa/inet.h>
-#include <csignal>
 #include <fcntl.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
